--- /dev/null
+++ b/include/roadferry/roadferry.h
@@ -0,0 +1,734 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Public interface of the roadferry library: the decisions of a serving system for multi-stage model pipelines.
+///
+/// Everything in this header is a value type or a state machine. A state machine is given an event and a time and
+/// returns what is to be done; it opens no socket, reads no clock, starts no thread and has no random source other
+/// than the seed it is given. The daemon, the stateful tests and the benchmarks therefore run the same code.
+
+#ifndef ROADFERRY_H_HEADER_GUARD
+#define ROADFERRY_H_HEADER_GUARD
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace roadferry
+{
+
+/// Time point or duration in microseconds. Time points come from the caller's monotonic clock.
+using Micros = std::int64_t;
+
+constexpr Micros kMillisecond = 1'000;
+constexpr Micros kSecond = 1'000'000;
+
+/// Combines one lambda per alternative into a visitor for std::visit.
+template<class... Handlers>
+struct Overloaded : Handlers...
+{
+	using Handlers::operator()...;
+};
+template<class... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+// ---------------------------------------------------------------------------------------------------------------
+// Table: the operators' rows of weights and limits.
+// ---------------------------------------------------------------------------------------------------------------
+
+/// What an endpoint of a stage does.
+enum class StageKind
+{
+	Encoder,
+	Retriever,
+	Reranker,
+	Engine, ///< Generates tokens and streams them.
+	Service ///< A plain call, for instance to save an answer.
+};
+
+/// Which table a row belongs to.
+enum class RowKind
+{
+	Workspace,
+	Pipeline,
+	Stage
+};
+
+/// Weight and limits of one workspace.
+struct WorkspaceRow
+{
+	std::string name;
+	double weight = 1.0;       ///< Share relative to other workspaces when endpoints are scarce, 0.01 to 1000.
+	std::int64_t inFlight = 0; ///< Most requests in flight over all entry VMs, 0 for no limit.
+	bool operator==(const WorkspaceRow&) const = default;
+};
+
+/// A pipeline: stages in the order they run, bound to a deadline and a workspace.
+struct PipelineRow
+{
+	std::string name;
+	std::string workspace;
+	std::vector<std::string> stages;
+	std::int64_t deadlineMs = 3'000; ///< Default and upper bound of a request's deadline, in milliseconds.
+	bool urgent = false;             ///< Calls that cannot wait: ordered first, may use reserved room.
+	bool operator==(const PipelineRow&) const = default;
+};
+
+/// A stage: the pool of endpoints it runs on, and how often it may be tried.
+struct StageRow
+{
+	std::string name;
+	StageKind kind = StageKind::Service;
+	std::string pool;
+	bool repeatable = true;       ///< False when a second run could do harm, whatever the caller says.
+	std::int64_t attempts = 2;    ///< Most attempts for one request, 1 to 5.
+	std::int64_t expectedMs = 50; ///< Service time assumed until some were measured, in milliseconds.
+	bool operator==(const StageRow&) const = default;
+};
+
+using Row = std::variant<WorkspaceRow, PipelineRow, StageRow>;
+
+/// Identifies a row.
+struct RowKey
+{
+	RowKind kind = RowKind::Workspace;
+	std::string name;
+	auto operator<=>(const RowKey&) const = default;
+};
+
+/// One row of an edit. An empty row deletes.
+struct RowChange
+{
+	RowKey key;
+	std::uint64_t baseRevision = 0; ///< Revision the operator saw, 0 when the row was never there.
+	std::optional<Row> row;
+	bool operator==(const RowChange&) const = default;
+};
+
+/// An operator's edit: applied as a whole or not at all.
+struct TableEdit
+{
+	std::string id; ///< Chosen by whoever sends the edit; settles a lost answer of the log.
+	std::string author;
+	std::vector<RowChange> changes;
+	bool operator==(const TableEdit&) const = default;
+};
+
+/// A row with the log offset of the edit that wrote it. A deleted row keeps its revision, so that a late copy of an
+/// old edit cannot bring it back.
+struct StoredRow
+{
+	std::uint64_t revision = 0;
+	std::optional<Row> row;
+	bool operator==(const StoredRow&) const = default;
+};
+
+/// State of the table after all records up to an offset.
+struct TableSnapshot
+{
+	std::uint64_t offset = 0;
+	std::map<RowKey, StoredRow> rows;
+	bool operator==(const TableSnapshot&) const = default;
+};
+
+/// The edit is part of the table.
+struct EditAccepted
+{
+	std::uint64_t offset = 0;
+	bool operator==(const EditAccepted&) const = default;
+};
+
+/// A row was changed after the operator read it; nothing of the edit was applied.
+struct EditConflict
+{
+	RowKey key;
+	std::uint64_t baseRevision = 0;
+	std::uint64_t currentRevision = 0;
+	bool operator==(const EditConflict&) const = default;
+};
+
+/// A row breaks a limit; nothing of the edit was applied.
+struct EditInvalid
+{
+	RowKey key;
+	std::string field;
+	std::string limit; ///< What the field must be, in words.
+	bool operator==(const EditInvalid&) const = default;
+};
+
+/// The record is at or below the offset that the table has reached already.
+struct EditAlreadyApplied
+{
+	std::uint64_t tableOffset = 0;
+	bool operator==(const EditAlreadyApplied&) const = default;
+};
+
+using EditOutcome = std::variant<EditAccepted, EditConflict, EditInvalid, EditAlreadyApplied>;
+
+/// Folds the log's records into rows. Every node that folds the same records holds the same rows.
+class Table
+{
+public:
+	/// Folds one edit.
+	/// @param[in] _offset Offset of the record on the log, above zero.
+	/// @param[in] _edit The edit as it stands in the record.
+	/// @returns What became of the edit; the same on every node.
+	EditOutcome apply(std::uint64_t _offset, const TableEdit& _edit);
+
+	/// Moves past a record that carries no edit (a snapshot, or one that could not be read).
+	/// @param[in] _offset Offset of the record on the log.
+	void skip(std::uint64_t _offset);
+
+	/// Takes over a snapshot if it is newer than what is held; an older one is ignored.
+	/// @param[in] _snapshot State after all records up to its offset.
+	/// @returns Whether the snapshot was taken over.
+	bool adopt(const TableSnapshot& _snapshot);
+
+	/// @returns The state after the last record folded.
+	[[nodiscard]] const TableSnapshot& snapshot() const;
+
+	/// Says what an edit would become if it were folded now, without folding it.
+	[[nodiscard]] EditOutcome check(const TableEdit& _edit) const;
+
+	/// @returns The row, or null when there is none.
+	[[nodiscard]] const WorkspaceRow* workspace(const std::string& _name) const;
+	[[nodiscard]] const PipelineRow* pipeline(const std::string& _name) const;
+	[[nodiscard]] const StageRow* stage(const std::string& _name) const;
+
+private:
+	TableSnapshot state;
+};
+
+/// Checks one row by itself.
+/// @param[in] _key Key under which the row is to be stored.
+/// @param[in] _row The row.
+/// @returns The field and the limit that it breaks, or nothing.
+std::optional<EditInvalid> checkRow(const RowKey& _key, const Row& _row);
+
+/// @returns The key of a row, from its type and name.
+RowKey keyOf(const Row& _row);
+
+/// Names used in JSON and in the command line.
+std::string_view nameOf(StageKind _kind);
+std::string_view nameOf(RowKind _kind);
+std::optional<StageKind> stageKindOf(std::string_view _name);
+std::optional<RowKind> rowKindOf(std::string_view _name);
+
+/// A record of the log: an edit, or a snapshot that spares a new node the records before it.
+using LogRecord = std::variant<TableEdit, TableSnapshot>;
+
+/// A record with its offset. A record that could not be read has no content and is passed over by every node.
+struct LogEntry
+{
+	std::uint64_t offset = 0;
+	std::optional<LogRecord> record;
+	bool operator==(const LogEntry&) const = default;
+};
+
+/// What became of one edit, for operators who ask.
+struct EditHistory
+{
+	std::uint64_t offset = 0;
+	TableEdit edit;
+	EditOutcome outcome;
+	bool operator==(const EditHistory&) const = default;
+};
+
+/// Reads a log whose oldest records expire, and keeps the table that results.
+///
+/// A node that finds records missing waits for a snapshot that covers them, from the log or from another node; until
+/// then its table stays as it was.
+class LogFold
+{
+public:
+	/// @returns Offset of the record to read next.
+	[[nodiscard]] std::uint64_t nextOffset() const;
+
+	/// Takes records as the log gave them.
+	/// @param[in] _first Offset of the oldest record that the log still holds.
+	/// @param[in] _entries Records from nextOffset() on, without a gap among them.
+	/// @returns Whether the table has changed.
+	bool take(std::uint64_t _first, const std::vector<LogEntry>& _entries);
+
+	/// Takes a table that another node holds.
+	/// @returns Whether the table has changed.
+	bool takeSnapshot(const TableSnapshot& _snapshot);
+
+	/// @returns Whether records are missing and no snapshot has covered them yet.
+	[[nodiscard]] bool hasGap() const;
+
+	[[nodiscard]] const Table& table() const;
+
+	/// @returns The first outcome of the edit with that id, among those that are remembered.
+	[[nodiscard]] std::optional<EditOutcome> outcomeOf(const std::string& _editId) const;
+
+	/// @returns The latest edits, oldest first.
+	[[nodiscard]] const std::deque<EditHistory>& history() const;
+
+	/// @returns Records since the newest snapshot on the log.
+	[[nodiscard]] std::uint64_t sinceSnapshot() const;
+
+private:
+	void fold(const LogEntry& _entry);
+	bool closeGap(const TableSnapshot& _snapshot);
+
+	Table current;
+	std::uint64_t readTo = 0;      ///< Offset of the last record read, folded or not.
+	std::uint64_t gapEnd = 0;      ///< First offset that is there again after missing ones, 0 for no gap.
+	std::vector<LogEntry> waiting; ///< Records read after the gap.
+	std::deque<EditHistory> edits;
+	std::uint64_t snapshotAt = 0; ///< Offset that the newest snapshot on the log covers.
+};
+
+/// Whether a node is to append a snapshot now. Nodes take turns by rank, so that most often one of them does; two
+/// snapshots of the same offset are equal, and do no harm.
+/// @param[in] _sinceSnapshot Records since the newest snapshot.
+/// @param[in] _rank This node's place among the live nodes, from 0.
+/// @param[in] _waited Time since the snapshot fell due.
+bool snapshotDue(std::uint64_t _sinceSnapshot, std::size_t _rank, Micros _waited);
+
+/// Records after which a snapshot falls due.
+constexpr std::uint64_t kSnapshotEvery = 200;
+
+// ---------------------------------------------------------------------------------------------------------------
+// Outcomes and tickets: at most once without a store.
+// ---------------------------------------------------------------------------------------------------------------
+
+/// How a request ended.
+enum class Verdict
+{
+	Answered, ///< The whole answer is there.
+	NotRun,   ///< Certain: no byte of it was sent to any endpoint.
+	Unknown   ///< It may have run, wholly or in part.
+};
+
+/// Why a request ended as it did.
+enum class Reason
+{
+	None,
+	UnknownPipeline,
+	UnknownStage,
+	WrongWorkspace,
+	WorkspaceLimit, ///< The workspace's limit of requests in flight is reached.
+	WouldBeLate,    ///< Predicted to miss its deadline, refused before anything was sent.
+	QueueFull,
+	NoEndpoint, ///< No live endpoint in a pool.
+	DeadlinePassed,
+	AttemptsExhausted,
+	RetryBudgetEmpty,
+	CutWhileRunning, ///< The connection ended after bytes of a call that may not be repeated were sent.
+	Cancelled,
+	TicketSealed,   ///< An earlier copy was told that it was not run.
+	TicketMismatch, ///< The ticket was used before with another request.
+	TicketExpired,
+	IssuerUnreachable,
+	Draining
+};
+
+/// Final state of a request.
+struct Outcome
+{
+	Verdict verdict = Verdict::Unknown;
+	Reason reason = Reason::None;
+	bool repeatSafe = false; ///< Whether running the request again can do no harm.
+	Micros retryAfter = 0;   ///< How long to wait before a repeat, 0 when there is no advice.
+	std::string stage;       ///< Stage at which the request ended, empty when none was begun.
+	bool operator==(const Outcome&) const = default;
+};
+
+std::string_view nameOf(Verdict _verdict);
+std::string_view nameOf(Reason _reason);
+
+/// Names one run of a node's process. A process that is started again is another incarnation.
+struct Incarnation
+{
+	std::string node;         ///< Identity of the VM, for instance its address.
+	std::uint64_t number = 0; ///< Random; drawn by the process when it starts.
+	auto operator<=>(const Incarnation&) const = default;
+};
+
+/// Permission to run one request once, on the incarnation that issued it.
+struct Ticket
+{
+	Incarnation issuer;
+	std::uint64_t serial = 0; ///< Counts up within the incarnation.
+	std::uint64_t nonce = 0;  ///< Random, so that a ticket cannot be guessed.
+	auto operator<=>(const Ticket&) const = default;
+};
+
+/// @returns Text of a ticket as callers hold it: node~incarnation~serial~nonce, the numbers in hexadecimal.
+std::string toText(const Ticket& _ticket);
+
+/// @returns The ticket, or InvalidArgument that says what is wrong with the text.
+absl::StatusOr<Ticket> ticketFromText(std::string_view _text);
+
+/// First copy: run the request now.
+struct TicketRun
+{
+	bool operator==(const TicketRun&) const = default;
+};
+
+/// An earlier copy is running: wait for its outcome.
+struct TicketAttach
+{
+	bool operator==(const TicketAttach&) const = default;
+};
+
+/// An earlier copy has ended: give its outcome again.
+struct TicketReplay
+{
+	Outcome outcome;
+	bool operator==(const TicketReplay&) const = default;
+};
+
+/// Another incarnation issued it: only that one can say.
+struct TicketElsewhere
+{
+	Incarnation issuer;
+	bool operator==(const TicketElsewhere&) const = default;
+};
+
+/// Never to be run by this incarnation.
+struct TicketRefused
+{
+	Outcome outcome;
+	bool operator==(const TicketRefused&) const = default;
+};
+
+using TicketDecision = std::variant<TicketRun, TicketAttach, TicketReplay, TicketElsewhere, TicketRefused>;
+
+/// What is known of a ticket without presenting a request under it.
+enum class TicketState
+{
+	Elsewhere,
+	Forgotten, ///< Too old, or never issued: nothing can be said.
+	Unused,
+	Running,
+	Ended
+};
+
+/// Sizes and times of a TicketBook.
+struct TicketLimits
+{
+	Micros unusedLife = 600 * kSecond;  ///< How long an unused ticket may be presented.
+	Micros outcomeLife = 600 * kSecond; ///< How long the outcome of an ended one is kept.
+	std::size_t capacity = 500'000;     ///< Most tickets held; more are refused.
+	bool operator==(const TicketLimits&) const = default;
+};
+
+/// The tickets that one incarnation has issued. A ticket never moves to another node, so no lease can lapse and no
+/// two nodes can disagree about it.
+class TicketBook
+{
+public:
+	TicketBook(Incarnation _self, TicketLimits _limits);
+
+	/// Issues a ticket.
+	/// @param[in] _workspace Workspace that may use it.
+	/// @param[in] _nonce Random number from the caller of this function.
+	/// @param[in] _now Current time.
+	/// @returns The ticket, or ResourceExhausted when the book is full.
+	absl::StatusOr<Ticket> issue(const std::string& _workspace, std::uint64_t _nonce, Micros _now);
+
+	/// Presents a request under a ticket.
+	/// @param[in] _ticket Ticket from the caller.
+	/// @param[in] _workspace Workspace of the caller.
+	/// @param[in] _digest Hash of the request, to refuse a second, different one.
+	/// @param[in] _now Current time.
+	TicketDecision present(const Ticket& _ticket, const std::string& _workspace, std::uint64_t _digest, Micros _now);
+
+	/// Records how a running ticket ended. The first outcome stays.
+	void end(const Ticket& _ticket, const Outcome& _outcome, Micros _now);
+
+	/// Makes sure that an unused ticket never runs.
+	/// @returns Replay of the outcome if it has ended, Attach if it is running, Refused otherwise.
+	TicketDecision seal(const Ticket& _ticket, const std::string& _workspace, Micros _now);
+
+	/// @returns State of a ticket, and its outcome where it has ended.
+	[[nodiscard]] std::pair<TicketState, Outcome> look(const Ticket& _ticket, const std::string& _workspace) const;
+
+	/// Forgets what is older than the limits allow.
+	void expire(Micros _now);
+
+	[[nodiscard]] std::size_t size() const;
+	[[nodiscard]] const Incarnation& self() const;
+
+private:
+	struct Entry
+	{
+		std::string workspace;
+		std::uint64_t nonce = 0;
+		std::uint64_t digest = 0;
+		TicketState state = TicketState::Unused;
+		Micros since = 0;
+		Outcome outcome;
+	};
+
+	[[nodiscard]] const Entry* find(const Ticket& _ticket, const std::string& _workspace) const;
+
+	Incarnation identity;
+	TicketLimits limits;
+	std::uint64_t lastSerial = 0;
+	std::unordered_map<std::uint64_t, Entry> entries;
+	std::deque<std::pair<Micros, std::uint64_t>> expiry; ///< Time of the next look at a serial, oldest first.
+};
+
+// ---------------------------------------------------------------------------------------------------------------
+// Endpoints: which are live, which are leaving, how busy each one is.
+// ---------------------------------------------------------------------------------------------------------------
+
+/// An endpoint as the VM list names it.
+struct Endpoint
+{
+	std::string id;      ///< Unique for one run of the endpoint's VM.
+	std::string address; ///< IP number and port.
+	std::string pool;
+	std::string failureDomain;
+	std::int64_t slots = 8; ///< Calls that it runs at once without slowing them down much.
+	bool leaving = false;
+	bool operator==(const Endpoint&) const = default;
+};
+
+/// An endpoint's own word on how busy it is.
+struct LoadReport
+{
+	std::int64_t running = 0;
+	std::int64_t queued = 0;
+	bool leaving = false;
+	bool operator==(const LoadReport&) const = default;
+};
+
+/// State of one endpoint as a node sees it.
+struct EndpointState
+{
+	Endpoint endpoint;
+	std::int64_t own = 0;      ///< Calls of this node in flight.
+	std::int64_t others = 0;   ///< Calls of other nodes, from the last report.
+	double ownWork = 0;        ///< Predicted microseconds of this node's calls in flight.
+	double ownSmoothed = 0;    ///< Own calls, smoothed over about the lag of the reports.
+	std::int64_t failures = 0; ///< Failures in a row.
+	Micros asideUntil = 0;     ///< Set aside until then; afterwards one probe at a time.
+	bool probing = false;
+	double slowness = 1; ///< Smoothed ratio of measured to predicted service time.
+	bool listed = true;  ///< On the newest VM list.
+
+	/// @returns Calls in flight over slots.
+	[[nodiscard]] double load() const;
+
+	/// @returns Whether new work may go to it, apart from room.
+	[[nodiscard]] bool usable(Micros _now) const;
+};
+
+// ---------------------------------------------------------------------------------------------------------------
+// Placement policies: plug-ins that register themselves.
+// ---------------------------------------------------------------------------------------------------------------
+
+/// What a placement policy may look at.
+struct PlacementInput
+{
+	const std::vector<EndpointState*>& candidates; ///< Endpoints with room, at least one.
+	std::uint64_t prefix = 0;                      ///< Hash of the prompt's prefix, 0 for none.
+	double work = 1;                               ///< Predicted service time of the call in microseconds.
+	std::minstd_rand& random;                      ///< Seeded generator of the dispatcher.
+	std::size_t& turn;                             ///< Counter of the pool, for policies that take turns.
+	double meanLoad = 0;                           ///< Mean load of the pool's endpoints.
+};
+
+/// A named way to choose among endpoints.
+struct PlacementPolicy
+{
+	std::string_view name;
+	EndpointState* (*choose)(const PlacementInput& _input);
+};
+
+/// Adds a policy under its name; called by the policies' own files before main.
+/// @returns True, so that it can initialise a static.
+bool registerPlacement(const PlacementPolicy& _policy);
+
+/// @returns The policy, or null when no such name was registered.
+const PlacementPolicy* findPlacement(std::string_view _name);
+
+/// @returns The names of all registered policies, sorted.
+std::vector<std::string> placementNames();
+
+// ---------------------------------------------------------------------------------------------------------------
+// Dispatcher: admission, ordering, placement, retries.
+// ---------------------------------------------------------------------------------------------------------------
+
+/// A request as the dispatcher sees it.
+struct RequestSpec
+{
+	std::uint64_t id = 0;
+	std::string workspace;
+	std::string pipeline;
+	Micros deadline = 0;    ///< Time point.
+	bool repeatable = true; ///< The caller's word; a stage's row can only make it stricter.
+	std::int64_t promptTokens = 0;
+	std::int64_t maxTokens = 0;
+	std::uint64_t prefix = 0; ///< Hash of the prompt's prefix, 0 for none.
+	bool operator==(const RequestSpec&) const = default;
+};
+
+/// Send one attempt of a stage to an endpoint.
+struct StartAttempt
+{
+	std::uint64_t request = 0;
+	std::uint64_t attempt = 0; ///< Never used twice; echoed by the endpoint.
+	std::size_t stageIndex = 0;
+	std::string stage;
+	StageKind kind = StageKind::Service;
+	std::string endpoint;
+	std::string address;
+	Micros giveUpAt = 0;
+	bool once = false; ///< Must not be sent a second time, by any layer.
+	bool operator==(const StartAttempt&) const = default;
+};
+
+/// Stop an attempt whose answer is no longer wanted.
+struct CancelAttempt
+{
+	std::uint64_t request = 0;
+	std::uint64_t attempt = 0;
+	bool operator==(const CancelAttempt&) const = default;
+};
+
+/// Tell the caller.
+struct FinishRequest
+{
+	std::uint64_t request = 0;
+	Outcome outcome;
+	bool operator==(const FinishRequest&) const = default;
+};
+
+using Action = std::variant<StartAttempt, CancelAttempt, FinishRequest>;
+using Actions = std::vector<Action>;
+
+/// The stage's whole answer arrived.
+struct AttemptAnswered
+{
+	bool operator==(const AttemptAnswered&) const = default;
+};
+
+/// Certain that no byte of the call was sent.
+struct AttemptNotSent
+{
+	bool operator==(const AttemptNotSent&) const = default;
+};
+
+/// The endpoint said that it did not begin the call.
+struct AttemptRefused
+{
+	bool operator==(const AttemptRefused&) const = default;
+};
+
+/// Bytes were sent and no whole answer came back.
+struct AttemptCut
+{
+	bool operator==(const AttemptCut&) const = default;
+};
+
+using AttemptEnd = std::variant<AttemptAnswered, AttemptNotSent, AttemptRefused, AttemptCut>;
+
+/// How requests that wait for a pool are ordered.
+enum class Ordering
+{
+	Fifo,
+	DeadlineFair ///< Urgent first; then workspaces by weight, earliest deadline first within one.
+};
+
+/// Settings of a dispatcher.
+struct DispatcherConfig
+{
+	std::string placement = "least_finish";
+	Ordering ordering = Ordering::DeadlineFair;
+	bool admitByDeadline = true;     ///< Refuse what is predicted to be late.
+	bool dropDoomed = true;          ///< Stop work that can no longer finish in time.
+	bool setAside = true;            ///< Keep failing and slow endpoints out.
+	double urgentReserve = 0.1;      ///< Share of a pool's slots that only urgent pipelines may use.
+	double retryShare = 0.1;         ///< Retries earned by each first attempt.
+	double retryBurst = 20;          ///< Most retries saved up.
+	double slotsFactor = 1.0;        ///< Calls sent to an endpoint, as a multiple of its slots.
+	double lateMargin = 1.0;         ///< Deviations added to a predicted service time.
+	std::size_t queueLimit = 20'000; ///< Most requests waiting in one pool.
+	std::int64_t setAsideAfter = 3;  ///< Failures in a row.
+	Micros setAsideFor = 2 * kSecond;
+	double setAsideShare = 0.34; ///< Largest share of a pool that may be set aside.
+	std::uint64_t seed = 1;
+	bool operator==(const DispatcherConfig&) const = default;
+};
+
+/// Counters of a dispatcher, all since it was made.
+struct DispatcherCounters
+{
+	std::uint64_t submitted = 0;
+	std::uint64_t answered = 0;
+	std::uint64_t notRun = 0;
+	std::uint64_t unknown = 0;
+	std::uint64_t attempts = 0;
+	std::uint64_t retries = 0;
+	std::uint64_t lateAnswers = 0; ///< Answers of attempts that were given up before.
+	bool operator==(const DispatcherCounters&) const = default;
+};
+
+/// Decides what is admitted, refused, in what order stages run and where.
+class Dispatcher
+{
+public:
+	explicit Dispatcher(DispatcherConfig _config);
+	~Dispatcher();
+	Dispatcher(const Dispatcher&) = delete;
+	Dispatcher& operator=(const Dispatcher&) = delete;
+
+	/// Uses the newest rows. Requests in flight keep the stages they began with.
+	void setTable(std::shared_ptr<const Table> _table);
+
+	/// Replaces the list of endpoints. One that has gone from the list receives no new work.
+	void setEndpoints(const std::vector<Endpoint>& _endpoints);
+
+	/// Marks an endpoint as leaving. Final: no later list can take it back.
+	void markLeaving(const std::string& _endpoint);
+
+	/// Takes an endpoint's own report. What it counts beyond this node's own calls is put down to other nodes.
+	void reportLoad(const std::string& _endpoint, const LoadReport& _report);
+
+	/// Sets this node's share of a workspace's limit.
+	/// @param[in] _inFlight Most requests in flight on this node; negative for no limit.
+	void setShare(const std::string& _workspace, std::int64_t _inFlight);
+
+	/// Refuses every new request from now on, and lets those in flight end.
+	void drain();
+
+	Actions submit(const RequestSpec& _request, Micros _now);
+	Actions attemptEnded(std::uint64_t _attempt, const AttemptEnd& _end, Micros _now);
+	Actions cancel(std::uint64_t _request, Micros _now);
+	Actions tick(Micros _now);
+
+	[[nodiscard]] std::size_t inFlight() const;
+	[[nodiscard]] std::map<std::string, std::int64_t> inFlightByWorkspace() const;
+	[[nodiscard]] const DispatcherCounters& counters() const;
+	[[nodiscard]] std::vector<EndpointState> endpoints() const;
+
+private:
+	struct State;
+	std::unique_ptr<State> state;
+};
+
+} // namespace roadferry
+
+#endif // ROADFERRY_H_HEADER_GUARD
--- /dev/null
+++ b/src/caller_api.cpp
@@ -0,0 +1,264 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Implementation of the interface for callers.
+
+#include "caller_api.h"
+
+#include "secret.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
+
+#include <QUrl>
+
+namespace roadferry
+{
+
+namespace
+{
+
+constexpr Micros kMicrosPerSecond = kSecond;
+constexpr Micros kRelayGrace = 500 * kMillisecond; ///< After its deadline, for the issuer's own answer to arrive.
+constexpr Micros kRelayDefault = 600 * kSecond;
+constexpr Micros kAskTimeout = 2 * kSecond;
+
+/// Sends one JSON response.
+class WholeSink final : public AnswerSink
+{
+public:
+	explicit WholeSink(std::shared_ptr<HttpReply> _reply) : reply(std::move(_reply))
+	{
+	}
+
+	void token(std::int64_t, const std::string&) override
+	{
+	}
+
+	void result(unsigned _status, Micros _retryAfter, const std::string& _json) override
+	{
+		HttpResponse response;
+		response.status = _status;
+		response.body = _json;
+		if (_retryAfter > 0)
+		{
+			const Micros seconds = (_retryAfter + kMicrosPerSecond - 1) / kMicrosPerSecond;
+			response.headers.emplace_back("Retry-After", absl::StrCat(seconds));
+		}
+		this->reply->send(std::move(response));
+	}
+
+private:
+	std::shared_ptr<HttpReply> reply;
+};
+
+/// Sends tokens and the result as server-sent events.
+class StreamSink final : public AnswerSink
+{
+public:
+	explicit StreamSink(std::shared_ptr<HttpReply> _reply) : reply(std::move(_reply))
+	{
+	}
+
+	void token(std::int64_t _position, const std::string& _text) override
+	{
+		this->begin();
+		const QJsonObject object{{"position", static_cast<qint64>(_position)}, {"text", QString::fromStdString(_text)}};
+		this->reply->write(absl::StrCat("event: token\ndata: ", toText(object), "\n\n"));
+	}
+
+	void result(unsigned, Micros, const std::string& _json) override
+	{
+		this->begin();
+		this->reply->write(absl::StrCat("event: outcome\ndata: ", _json, "\n\n"));
+		this->reply->endStream();
+	}
+
+private:
+	void begin()
+	{
+		if (!this->begun)
+		{
+			this->begun = true;
+			this->reply->startStream(200, "text/event-stream");
+		}
+	}
+
+	std::shared_ptr<HttpReply> reply;
+	bool begun = false;
+};
+
+std::shared_ptr<AnswerSink> sinkFor(bool _stream, const std::shared_ptr<HttpReply>& _reply)
+{
+	if (_stream)
+	{
+		return std::make_shared<StreamSink>(_reply);
+	}
+	return std::make_shared<WholeSink>(_reply);
+}
+
+/// @returns The part of a path between a prefix and a suffix, decoded; empty when the path is another one.
+std::string pathPart(const std::string& _path, absl::string_view _prefix, absl::string_view _suffix)
+{
+	absl::string_view rest = _path;
+	if (!absl::ConsumePrefix(&rest, _prefix) || !absl::ConsumeSuffix(&rest, _suffix))
+	{
+		return {};
+	}
+	if (absl::StrContains(rest, "/"))
+	{
+		return {};
+	}
+	return QUrl::fromPercentEncoding(QByteArray(rest.data(), static_cast<qsizetype>(rest.size()))).toStdString();
+}
+
+} // namespace
+
+HttpResponse errorResponse(unsigned _status, const std::string& _code, const std::string& _message)
+{
+	const QJsonObject error{{"code", QString::fromStdString(_code)}, {"message", QString::fromStdString(_message)}};
+	HttpResponse response;
+	response.status = _status;
+	response.body = toText(QJsonObject{{"error", error}});
+	return response;
+}
+
+CallerApi::CallerApi(const Settings& _settings, Traffic& _traffic, Relay& _relay)
+	: settings(_settings), traffic(_traffic), relay(_relay)
+{
+}
+
+std::string CallerApi::workspaceOf(const HttpRequest& _request) const
+{
+	const std::string credential = bearerOf(headerValue(_request.headers, "Authorization"));
+	std::string workspace;
+	// Every credential is compared, so that the time does not tell which one was near.
+	for (const auto& caller : this->settings.callers)
+	{
+		if (equalSecrets(caller.second, credential))
+		{
+			workspace = caller.first;
+		}
+	}
+	return workspace;
+}
+
+bool CallerApi::handle(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply)
+{
+	const bool tickets = _request.target == "/v1/tickets" && _request.method == "POST";
+	const std::string pipeline =
+		_request.method == "POST" ? pathPart(_request.target, "/v1/pipelines/", "/requests") : std::string();
+	const bool asks = _request.method == "GET" || _request.method == "DELETE";
+	const std::string ticket = asks ? pathPart(_request.target, "/v1/requests/", "") : std::string();
+	if (!tickets && pipeline.empty() && ticket.empty())
+	{
+		return false;
+	}
+	const std::string workspace = this->workspaceOf(_request);
+	if (workspace.empty())
+	{
+		_reply->send(
+			errorResponse(401, "unauthorized", "header Authorization: must be Bearer and a caller's credential"));
+		return true;
+	}
+	if (tickets)
+	{
+		this->issueTicket(workspace, _reply);
+	}
+	else if (!pipeline.empty())
+	{
+		this->submit(_request, workspace, pipeline, _reply);
+	}
+	else
+	{
+		this->askOrCancel(_request, workspace, ticket, _reply);
+	}
+	return true;
+}
+
+void CallerApi::issueTicket(const std::string& _workspace, const std::shared_ptr<HttpReply>& _reply)
+{
+	const auto ticket = this->traffic.issueTicket(_workspace);
+	if (!ticket.ok())
+	{
+		_reply->send(errorResponse(503, "too_many_tickets", std::string(ticket.status().message())));
+		return;
+	}
+	HttpResponse response;
+	response.status = 201;
+	response.body = toText(QJsonObject{{"ticket", QString::fromStdString(toText(*ticket))}});
+	_reply->send(std::move(response));
+}
+
+void CallerApi::submit(const HttpRequest& _request, const std::string& _workspace, const std::string& _pipeline,
+					   const std::shared_ptr<HttpReply>& _reply)
+{
+	auto submission = submissionFromBody(_workspace, _pipeline, _request.body);
+	if (!submission.ok())
+	{
+		_reply->send(errorResponse(400, "bad_request", std::string(submission.status().message())));
+		return;
+	}
+	submission->trace = traceFromHeader(headerValue(_request.headers, "traceparent"));
+	if (!submission->ticketGiven)
+	{
+		auto issued = this->traffic.issueTicket(_workspace);
+		if (!issued.ok())
+		{
+			_reply->send(errorResponse(503, "too_many_tickets", std::string(issued.status().message())));
+			return;
+		}
+		submission->ticket = *issued;
+		// Nobody can ask for the outcome of a request without a ticket, so that it ends with its caller.
+		_reply->onGone(
+			[&traffic = this->traffic, ticket = *issued]
+			{
+				traffic.callerGone(ticket);
+			});
+	}
+	auto sink = sinkFor(submission->stream, _reply);
+	const auto issuer = this->traffic.submit(_reply->thread(), *submission, sink);
+	if (!issuer)
+	{
+		return;
+	}
+	RelayRequest request;
+	request.kind = RelayKind::Submit;
+	request.ticket = toText(*submission->ticket);
+	request.workspace = _workspace;
+	request.pipeline = _pipeline;
+	request.body = _request.body;
+	request.trace = submission->trace.header();
+	const Micros timeout = submission->deadline.value_or(kRelayDefault) + kRelayGrace;
+	this->relay.pass(_reply->thread(), *issuer, std::move(request), timeout, std::move(sink));
+}
+
+void CallerApi::askOrCancel(const HttpRequest& _request, const std::string& _workspace, const std::string& _ticket,
+							const std::shared_ptr<HttpReply>& _reply)
+{
+	const auto ticket = ticketFromText(_ticket);
+	if (!ticket.ok())
+	{
+		_reply->send(errorResponse(400, "bad_request", std::string(ticket.status().message())));
+		return;
+	}
+	const bool cancels = _request.method == "DELETE";
+	auto sink = sinkFor(false, _reply);
+	const auto issuer =
+		cancels ? this->traffic.cancel(*ticket, _workspace, sink) : this->traffic.look(*ticket, _workspace, sink);
+	if (!issuer)
+	{
+		return;
+	}
+	RelayRequest request;
+	request.kind = cancels ? RelayKind::Cancel : RelayKind::Look;
+	request.ticket = _ticket;
+	request.workspace = _workspace;
+	this->relay.pass(_reply->thread(), *issuer, std::move(request), kAskTimeout, std::move(sink));
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/src/endpoint_book.h
@@ -0,0 +1,79 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// The endpoints of all pools as one node sees them.
+
+#ifndef ROADFERRY_ENDPOINT_BOOK_H_HEADER_GUARD
+#define ROADFERRY_ENDPOINT_BOOK_H_HEADER_GUARD
+
+#include <roadferry/roadferry.h>
+
+namespace roadferry
+{
+
+/// Room in one pool.
+struct PoolRoom
+{
+	double slots = 0; ///< Slots of all usable endpoints.
+	double used = 0;  ///< Calls in flight on them, of all nodes.
+	std::size_t usable = 0;
+};
+
+/// Keeps the state of each endpoint, and decides which may receive work.
+class EndpointBook
+{
+public:
+	explicit EndpointBook(const DispatcherConfig& _config);
+
+	void setEndpoints(const std::vector<Endpoint>& _endpoints);
+	void markLeaving(const std::string& _endpoint);
+	void reportLoad(const std::string& _endpoint, const LoadReport& _report);
+
+	/// Chooses an endpoint with room.
+	/// @param[in] _pool Name of the pool.
+	/// @param[in] _prefix Hash of the prompt's prefix, 0 for none.
+	/// @param[in] _work Predicted service time in microseconds.
+	/// @param[in] _avoid Endpoint that failed this request before; taken only when there is no other.
+	/// @returns The endpoint, or null when none has room.
+	EndpointState* choose(const std::string& _pool, std::uint64_t _prefix, double _work, const std::string& _avoid,
+						  Micros _now);
+
+	/// Counts a call as begun or ended on an endpoint.
+	void began(EndpointState& _endpoint, double _work, Micros _now);
+	void ended(const std::string& _endpoint, double _work);
+
+	/// Learns from how a call went.
+	void succeeded(const std::string& _endpoint, double _measuredOverPredicted, Micros _now);
+	void failed(const std::string& _endpoint, Micros _now);
+
+	[[nodiscard]] PoolRoom room(const std::string& _pool, Micros _now) const;
+	[[nodiscard]] bool anyLive(const std::string& _pool) const;
+	[[nodiscard]] std::vector<EndpointState> all() const;
+
+private:
+	struct Pool
+	{
+		std::vector<EndpointState*> members;
+		std::size_t turn = 0;
+	};
+
+	[[nodiscard]] EndpointState* find(const std::string& _endpoint);
+	[[nodiscard]] bool hasRoom(const EndpointState& _endpoint) const;
+	[[nodiscard]] bool maySetAside(const std::string& _pool, Micros _now) const;
+	void setAside(EndpointState& _endpoint, Micros _now);
+	void rebuildPools();
+
+	DispatcherConfig config;
+	const PlacementPolicy* policy;
+	std::minstd_rand random;
+	std::unordered_map<std::string, std::unique_ptr<EndpointState>> endpoints;
+	std::unordered_map<std::string, Pool> pools;
+	std::set<std::string> left; ///< Endpoints that are leaving; the mark is never taken back.
+};
+
+} // namespace roadferry
+
+#endif // ROADFERRY_ENDPOINT_BOOK_H_HEADER_GUARD
--- /dev/null
+++ b/src/http_client.cpp
@@ -0,0 +1,336 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// HTTP client on Boost.Beast. Compiled as C++17.
+///
+/// QNetworkAccessManager is not used for calls to endpoints, since it sends a POST again by itself when a kept
+/// connection closes under it (docs/design/at-most-once.md).
+
+#include "http_client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/optional.hpp>
+
+#include <chrono>
+#include <unordered_map>
+#include <vector>
+
+namespace roadferry
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using Error = boost::system::error_code;
+
+constexpr int kHttpVersion = 11;
+constexpr std::size_t kIdlePerAddress = 64;
+constexpr std::size_t kReadSize = 16 * 1024;
+
+using Idle = std::unordered_map<std::string, std::vector<std::unique_ptr<Tcp::socket>>>;
+
+/// @returns Whether a kept connection is still open and silent.
+bool isQuiet(Tcp::socket& _socket)
+{
+	char byte = 0;
+	Error error;
+	_socket.non_blocking(true, error);
+	_socket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+	return error == asio::error::would_block;
+}
+
+std::unique_ptr<Tcp::socket> takeIdle(Idle& _idle, const std::string& _address)
+{
+	auto& sockets = _idle[_address];
+	while (!sockets.empty())
+	{
+		auto socket = std::move(sockets.back());
+		sockets.pop_back();
+		if (isQuiet(*socket))
+		{
+			return socket;
+		}
+	}
+	return nullptr;
+}
+
+bool parseAddress(const std::string& _address, Tcp::endpoint& _endpoint)
+{
+	const std::size_t colon = _address.rfind(':');
+	if (colon == std::string::npos)
+	{
+		return false;
+	}
+	Error error;
+	const auto ip = asio::ip::make_address(_address.substr(0, colon), error);
+	const int port = std::atoi(_address.c_str() + colon + 1); // NOLINT(cert-err34-c): range is checked below
+	if (error || port <= 0 || port > 65'535)
+	{
+		return false;
+	}
+	_endpoint = Tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+	return true;
+}
+
+class Call final : public HttpCall, public std::enable_shared_from_this<Call>
+{
+public:
+	Call(asio::io_context& _context, Idle& _idle, CallSpec _spec, CallHandlers _handlers)
+		: context(_context), idle(_idle), spec(std::move(_spec)), handlers(std::move(_handlers)), timer(_context)
+	{
+	}
+
+	void start()
+	{
+		this->prepare();
+		this->armTimer();
+		if (!this->spec.fresh)
+		{
+			this->socket = takeIdle(this->idle, this->spec.address);
+		}
+		if (this->socket != nullptr)
+		{
+			this->write();
+			return;
+		}
+		this->connect();
+	}
+
+	void cancel() override
+	{
+		this->done = true;
+		this->handlers = CallHandlers{};
+		this->closeSocket();
+	}
+
+private:
+	void prepare()
+	{
+		this->request.method_string(this->spec.request.method);
+		this->request.target(this->spec.request.target);
+		this->request.version(kHttpVersion);
+		this->request.set(http::field::host, this->spec.address);
+		for (const auto& header : this->spec.request.headers)
+		{
+			this->request.set(header.first, header.second);
+		}
+		this->request.keep_alive(true);
+		this->request.body() = std::move(this->spec.request.body);
+		this->request.prepare_payload();
+		this->parser.body_limit(this->spec.responseLimit);
+		this->parser.eager(true);
+	}
+
+	void armTimer()
+	{
+		this->timer.expires_after(std::chrono::microseconds(std::max<std::int64_t>(0, this->spec.timeout)));
+		this->timer.async_wait(
+			[self = this->shared_from_this()](const Error& _error)
+			{
+				if (!_error)
+				{
+					self->fail("timed out");
+				}
+			});
+	}
+
+	void connect()
+	{
+		Tcp::endpoint endpoint;
+		if (!parseAddress(this->spec.address, endpoint))
+		{
+			// Never from inside start(), where the caller does not hold the call yet.
+			asio::post(this->context,
+					   [self = this->shared_from_this()]
+					   {
+						   self->fail("address is not IP:port");
+					   });
+			return;
+		}
+		this->socket = std::make_unique<Tcp::socket>(this->context);
+		this->socket->async_connect(endpoint,
+									[self = this->shared_from_this()](const Error& _error)
+									{
+										if (self->done)
+										{
+											return;
+										}
+										if (_error)
+										{
+											self->fail(_error.message());
+											return;
+										}
+										Error ignored;
+										self->socket->set_option(Tcp::no_delay(true), ignored);
+										self->write();
+									});
+	}
+
+	void write()
+	{
+		this->sent = true;
+		http::async_write(*this->socket, this->request,
+						  [self = this->shared_from_this()](const Error& _error, std::size_t)
+						  {
+							  if (self->done)
+							  {
+								  return;
+							  }
+							  // A server may answer before it has read everything; the answer is read all the same.
+							  if (_error && _error != asio::error::broken_pipe &&
+								  _error != asio::error::connection_reset)
+							  {
+								  self->fail(_error.message());
+								  return;
+							  }
+							  self->read();
+						  });
+	}
+
+	void read()
+	{
+		http::async_read_some(*this->socket, this->buffer, this->parser,
+							  [self = this->shared_from_this()](const Error& _error, std::size_t)
+							  {
+								  self->onRead(_error);
+							  });
+	}
+
+	void onRead(const Error& _error)
+	{
+		if (this->done)
+		{
+			return;
+		}
+		if (_error)
+		{
+			this->fail(_error.message());
+			return;
+		}
+		if (this->parser.is_header_done() && this->handlers.onData)
+		{
+			this->handOver();
+		}
+		if (this->done)
+		{
+			return;
+		}
+		if (this->parser.is_done())
+		{
+			this->complete();
+			return;
+		}
+		this->read();
+	}
+
+	void handOver()
+	{
+		std::string& body = this->parser.get().body();
+		if (body.empty())
+		{
+			return;
+		}
+		const std::string piece = std::exchange(body, std::string());
+		const auto handler = this->handlers.onData;
+		handler(piece);
+	}
+
+	void complete()
+	{
+		CallEnd end;
+		end.result = CallResult::Complete;
+		end.status = this->parser.get().result_int();
+		end.body = std::move(this->parser.get().body());
+		const bool keep = this->parser.get().keep_alive() && this->buffer.size() == 0;
+		auto& sockets = this->idle[this->spec.address];
+		if (keep && sockets.size() < kIdlePerAddress)
+		{
+			sockets.push_back(std::move(this->socket));
+		}
+		this->finish(end);
+	}
+
+	void fail(const std::string& _error)
+	{
+		if (this->done)
+		{
+			return;
+		}
+		CallEnd end;
+		end.result = this->sent ? CallResult::Cut : CallResult::NotSent;
+		end.error = _error;
+		this->finish(end);
+	}
+
+	void finish(const CallEnd& _end)
+	{
+		this->done = true;
+		this->closeSocket();
+		const auto handler = std::exchange(this->handlers, CallHandlers{}).onEnd;
+		if (handler)
+		{
+			handler(_end);
+		}
+	}
+
+	void closeSocket()
+	{
+		this->timer.cancel();
+		if (this->socket != nullptr)
+		{
+			Error ignored;
+			this->socket->close(ignored);
+		}
+	}
+
+	asio::io_context& context;
+	Idle& idle;
+	CallSpec spec;
+	CallHandlers handlers;
+	asio::steady_timer timer;
+	std::unique_ptr<Tcp::socket> socket;
+	http::request<http::string_body> request;
+	http::response_parser<http::string_body> parser;
+	beast::flat_buffer buffer{kReadSize * 4};
+	bool sent = false;
+	bool done = false;
+};
+
+} // namespace
+
+struct HttpClient::Impl
+{
+	explicit Impl(IoPool& _pool) : pool(_pool), idle(_pool.size())
+	{
+	}
+
+	IoPool& pool;
+	std::vector<Idle> idle; ///< Kept connections of each thread.
+};
+
+HttpClient::HttpClient(IoPool& _pool) : impl(std::make_unique<Impl>(_pool))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+std::shared_ptr<HttpCall> HttpClient::call(std::size_t _thread, CallSpec _spec, CallHandlers _handlers)
+{
+	auto call = std::make_shared<Call>(this->impl->pool.context(_thread), this->impl->idle.at(_thread),
+									   std::move(_spec), std::move(_handlers));
+	call->start();
+	return call;
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/src/http_server.cpp
@@ -0,0 +1,655 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// HTTP server on Boost.Beast. Compiled as C++17.
+
+#include "http_server.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/ssl.hpp>
+#include <boost/optional.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <deque>
+#include <sstream>
+
+namespace roadferry
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using Error = boost::system::error_code;
+
+constexpr int kHttpVersion = 11;
+constexpr std::int64_t kLingerTime = 1'000'000; ///< Microseconds.
+constexpr std::size_t kDiscardSize = 64 * 1024;
+constexpr std::chrono::milliseconds kIdleTick{250};
+constexpr std::chrono::milliseconds kIdleWhileClosing{1'000};
+
+/// What all connections of a server share.
+struct Shared
+{
+	HttpServerLimits limits;
+	HttpHandler handler;
+	std::atomic<std::size_t> connections{0};
+	std::atomic<bool> closing{false};
+};
+
+HttpResponse errorResponse(unsigned _status, const std::string& _code, const std::string& _message)
+{
+	HttpResponse response;
+	response.status = _status;
+	response.body = "{\"error\":{\"code\":\"" + _code + "\",\"message\":\"" + _message + "\"}}";
+	return response;
+}
+
+template<class Stream>
+class Connection final : public HttpReply, public std::enable_shared_from_this<Connection<Stream>>
+{
+public:
+	Connection(Stream _stream, std::shared_ptr<Shared> _shared, std::size_t _thread)
+		: stream(std::move(_stream)), shared(std::move(_shared)), timer(stream.get_executor()), threadIndex(_thread)
+	{
+		this->shared->connections += 1;
+	}
+
+	~Connection() override
+	{
+		this->shared->connections -= 1;
+	}
+
+	void start()
+	{
+		if constexpr (std::is_same_v<Stream, beast::ssl_stream<beast::tcp_stream>>)
+		{
+			this->armTimer(this->shared->limits.requestTimeout);
+			this->stream.async_handshake(asio::ssl::stream_base::server,
+										 [self = this->shared_from_this()](const Error& _error)
+										 {
+											 if (!_error)
+											 {
+												 self->awaitRequest();
+											 }
+										 });
+		}
+		else
+		{
+			this->awaitRequest();
+		}
+	}
+
+	void send(HttpResponse _response) override
+	{
+		this->onThread(
+			[this, response = std::move(_response)]() mutable
+			{
+				this->sendNow(std::move(response));
+			});
+	}
+
+	void startStream(unsigned _status, std::string _contentType) override
+	{
+		this->onThread(
+			[this, _status, type = std::move(_contentType)]
+			{
+				http::response<http::empty_body> head(static_cast<http::status>(_status), kHttpVersion);
+				head.set(http::field::content_type, type);
+				head.set(http::field::cache_control, "no-cache");
+				head.keep_alive(this->keepAlive());
+				head.chunked(true);
+				std::ostringstream text;
+				text << head.base();
+				this->enqueue(text.str(), false);
+			});
+	}
+
+	void write(std::string _data) override
+	{
+		this->onThread(
+			[this, data = std::move(_data)]
+			{
+				if (!data.empty())
+				{
+					this->enqueue(beast::buffers_to_string(http::make_chunk(asio::buffer(data))), false);
+				}
+			});
+	}
+
+	void endStream() override
+	{
+		this->onThread(
+			[this]
+			{
+				this->enqueue(beast::buffers_to_string(http::make_chunk_last()), true);
+			});
+	}
+
+	void abort() override
+	{
+		this->onThread(
+			[this]
+			{
+				this->close();
+			});
+	}
+
+	void onGone(std::function<void()> _function) override
+	{
+		this->onThread(
+			[this, function = std::move(_function)]() mutable
+			{
+				if (this->isClosed)
+				{
+					function();
+					return;
+				}
+				this->gone = std::move(function);
+			});
+	}
+
+	[[nodiscard]] std::size_t thread() const override
+	{
+		return this->threadIndex;
+	}
+
+private:
+	template<class Function>
+	void onThread(Function _function)
+	{
+		asio::dispatch(this->stream.get_executor(),
+					   [self = this->shared_from_this(), function = std::move(_function)]() mutable
+					   {
+						   function();
+					   });
+	}
+
+	Tcp::socket& socket()
+	{
+		return beast::get_lowest_layer(this->stream).socket();
+	}
+
+	[[nodiscard]] bool keepAlive() const
+	{
+		return this->requestKeepAlive && !this->shared->closing;
+	}
+
+	void armTimer(std::int64_t _microseconds)
+	{
+		this->timer.expires_after(std::chrono::microseconds(_microseconds));
+		this->timer.async_wait(
+			[self = this->shared_from_this()](const Error& _error)
+			{
+				if (!_error)
+				{
+					self->timedOut = true;
+					Error ignored;
+					self->socket().cancel(ignored);
+				}
+			});
+	}
+
+	/// Waits for the first byte of a request, for as long as a kept connection may be silent.
+	void awaitRequest()
+	{
+		this->parser.emplace();
+		this->parser->header_limit(static_cast<std::uint32_t>(this->shared->limits.headerBytes));
+		this->parser->body_limit(this->shared->limits.bodyBytes);
+		if (this->buffer.size() > 0)
+		{
+			this->readRequest();
+			return;
+		}
+		this->idleSince = std::chrono::steady_clock::now();
+		this->idleTick();
+		this->stream.async_read_some(this->buffer.prepare(this->shared->limits.headerBytes),
+									 [self = this->shared_from_this()](const Error& _error, std::size_t _bytes)
+									 {
+										 self->timer.cancel();
+										 if (_error)
+										 {
+											 self->close();
+											 return;
+										 }
+										 self->buffer.commit(_bytes);
+										 self->readRequest();
+									 });
+	}
+
+	/// Closes a kept connection that has been silent for too long, sooner during a planned stop.
+	void idleTick()
+	{
+		this->timer.expires_after(kIdleTick);
+		this->timer.async_wait(
+			[self = this->shared_from_this()](const Error& _error)
+			{
+				if (_error)
+				{
+					return;
+				}
+				const auto limit = self->shared->closing ? kIdleWhileClosing : self->idleLimit();
+				if (std::chrono::steady_clock::now() - self->idleSince < limit)
+				{
+					self->idleTick();
+					return;
+				}
+				Error ignored;
+				self->socket().cancel(ignored);
+			});
+	}
+
+	[[nodiscard]] std::chrono::microseconds idleLimit() const
+	{
+		return std::chrono::microseconds(this->shared->limits.idleTimeout);
+	}
+
+	void readRequest()
+	{
+		this->armTimer(this->shared->limits.requestTimeout);
+		http::async_read(this->stream, this->buffer, *this->parser,
+						 [self = this->shared_from_this()](const Error& _error, std::size_t)
+						 {
+							 self->timer.cancel();
+							 if (_error)
+							 {
+								 self->refuse(_error);
+								 return;
+							 }
+							 self->handle();
+						 });
+	}
+
+	void refuse(const Error& _error)
+	{
+		this->requestKeepAlive = false;
+		const std::string bodyLimit = std::to_string(this->shared->limits.bodyBytes);
+		const std::string headerLimit = std::to_string(this->shared->limits.headerBytes);
+		if (this->timedOut)
+		{
+			this->sendNow(errorResponse(408, "request_timeout", "the request was not sent whole in time"));
+		}
+		else if (_error == http::error::body_limit)
+		{
+			this->sendNow(errorResponse(413, "body_too_large", "body: must be at most " + bodyLimit + " bytes"));
+		}
+		else if (_error == http::error::header_limit)
+		{
+			this->sendNow(errorResponse(431, "header_too_large", "header: must be at most " + headerLimit + " bytes"));
+		}
+		else if (_error.category() == http::make_error_code(http::error::bad_method).category() &&
+				 _error != http::error::end_of_stream && _error != http::error::partial_message)
+		{
+			this->sendNow(errorResponse(400, "bad_request", "the request is not valid HTTP"));
+		}
+		else
+		{
+			this->close();
+		}
+	}
+
+	void handle()
+	{
+		auto message = this->parser->release();
+		HttpRequest request;
+		request.method = std::string(message.method_string());
+		request.target = std::string(message.target());
+		for (const auto& field : message)
+		{
+			request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+		}
+		request.body = std::move(message.body());
+		this->requestKeepAlive = message.keep_alive();
+		this->answering = true;
+		this->watch();
+		this->shared->handler(std::move(request), this->shared_from_this());
+	}
+
+	/// Notices when the caller closes while its request is being worked on.
+	void watch()
+	{
+		this->socket().async_wait(Tcp::socket::wait_read,
+								  [weak = this->weak_from_this(), turn = this->turn](const Error& _error)
+								  {
+									  const auto self = weak.lock();
+									  if (_error || self == nullptr || !self->answering || self->turn != turn)
+									  {
+										  return;
+									  }
+									  char byte = 0;
+									  Error error;
+									  self->socket().non_blocking(true, error);
+									  const std::size_t bytes = self->socket().receive(
+										  asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+									  if (bytes == 0 && error != asio::error::would_block)
+									  {
+										  self->close();
+									  }
+								  });
+	}
+
+	void sendNow(HttpResponse _response)
+	{
+		if (this->isClosed)
+		{
+			return;
+		}
+		http::response<http::string_body> message(static_cast<http::status>(_response.status), kHttpVersion);
+		message.set(http::field::content_type, _response.contentType);
+		for (const auto& header : _response.headers)
+		{
+			message.set(header.first, header.second);
+		}
+		message.keep_alive(this->keepAlive());
+		message.body() = std::move(_response.body);
+		message.prepare_payload();
+		this->response.emplace(std::move(message));
+		http::async_write(this->stream, *this->response,
+						  [self = this->shared_from_this()](const Error& _error, std::size_t)
+						  {
+							  self->finished(_error);
+						  });
+	}
+
+	void enqueue(std::string _data, bool _last)
+	{
+		if (this->isClosed)
+		{
+			return;
+		}
+		this->unsent += _data.size();
+		if (this->unsent > this->shared->limits.unsentBytes)
+		{
+			this->close();
+			return;
+		}
+		this->chunks.emplace_back(std::move(_data), _last);
+		if (this->chunks.size() == 1)
+		{
+			this->writeChunk();
+		}
+	}
+
+	void writeChunk()
+	{
+		asio::async_write(this->stream, asio::buffer(this->chunks.front().first),
+						  [self = this->shared_from_this()](const Error& _error, std::size_t)
+						  {
+							  self->chunkWritten(_error);
+						  });
+	}
+
+	void chunkWritten(const Error& _error)
+	{
+		if (_error || this->isClosed)
+		{
+			this->close();
+			return;
+		}
+		const bool last = this->chunks.front().second;
+		this->unsent -= this->chunks.front().first.size();
+		this->chunks.pop_front();
+		if (last)
+		{
+			this->finished(_error);
+			return;
+		}
+		if (!this->chunks.empty())
+		{
+			this->writeChunk();
+		}
+	}
+
+	void finished(const Error& _error)
+	{
+		this->answering = false;
+		this->turn += 1;
+		this->gone = nullptr;
+		this->response.reset();
+		if (_error || this->isClosed)
+		{
+			this->close();
+			return;
+		}
+		if (!this->keepAlive())
+		{
+			this->linger();
+			return;
+		}
+		this->awaitRequest();
+	}
+
+	/// Reads on for a while before closing: closing over unread bytes would reset the connection, and the caller would
+	/// lose the answer that is on its way.
+	void linger()
+	{
+		Error ignored;
+		this->socket().shutdown(Tcp::socket::shutdown_send, ignored);
+		this->buffer.clear();
+		this->armTimer(kLingerTime);
+		this->discard();
+	}
+
+	void discard()
+	{
+		this->socket().async_read_some(this->buffer.prepare(kDiscardSize),
+									   [self = this->shared_from_this()](const Error& _error, std::size_t)
+									   {
+										   if (_error)
+										   {
+											   self->close();
+											   return;
+										   }
+										   self->discard();
+									   });
+	}
+
+	void close()
+	{
+		if (this->isClosed)
+		{
+			return;
+		}
+		this->isClosed = true;
+		this->timer.cancel();
+		Error ignored;
+		this->socket().shutdown(Tcp::socket::shutdown_send, ignored);
+		this->socket().close(ignored);
+		if (auto function = std::exchange(this->gone, nullptr))
+		{
+			function();
+		}
+	}
+
+	Stream stream;
+	std::shared_ptr<Shared> shared;
+	asio::steady_timer timer;
+	std::size_t threadIndex;
+	beast::flat_buffer buffer;
+	boost::optional<http::request_parser<http::string_body>> parser;
+	boost::optional<http::response<http::string_body>> response;
+	std::deque<std::pair<std::string, bool>> chunks;
+	std::size_t unsent = 0;
+	std::function<void()> gone;
+	std::chrono::steady_clock::time_point idleSince;
+	std::uint64_t turn = 0;
+	bool requestKeepAlive = false;
+	bool answering = false;
+	bool timedOut = false;
+	bool isClosed = false;
+};
+
+} // namespace
+
+std::string headerValue(const HttpHeaders& _headers, const std::string& _name)
+{
+	for (const auto& header : _headers)
+	{
+		if (beast::iequals(header.first, _name))
+		{
+			return header.second;
+		}
+	}
+	return {};
+}
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
+{
+	Impl(IoPool& _pool, HttpServerLimits _limits, TlsFiles _tls, HttpHandler _handler)
+		: pool(_pool), shared(std::make_shared<Shared>()), tls(std::move(_tls)), acceptor(_pool.context(0))
+	{
+		this->shared->limits = _limits;
+		this->shared->handler = std::move(_handler);
+	}
+
+	void accept()
+	{
+		const std::size_t thread = this->nextThread;
+		this->nextThread = (this->nextThread + 1) % this->pool.size();
+		this->acceptor.async_accept(this->pool.context(thread),
+									[self = this->shared_from_this(), thread](const Error& _error, Tcp::socket _socket)
+									{
+										if (!self->acceptor.is_open())
+										{
+											return;
+										}
+										if (!_error)
+										{
+											self->begin(std::move(_socket), thread);
+										}
+										self->accept();
+									});
+	}
+
+	void begin(Tcp::socket _socket, std::size_t _thread)
+	{
+		if (this->shared->connections >= this->shared->limits.connections)
+		{
+			return;
+		}
+		Error ignored;
+		_socket.set_option(Tcp::no_delay(true), ignored);
+		beast::tcp_stream plain(std::move(_socket));
+		if (this->context == nullptr)
+		{
+			this->launch(std::make_shared<Connection<beast::tcp_stream>>(std::move(plain), this->shared, _thread),
+						 _thread);
+			return;
+		}
+		using TlsStream = beast::ssl_stream<beast::tcp_stream>;
+		TlsStream secure(std::move(plain), *this->context);
+		this->launch(std::make_shared<Connection<TlsStream>>(std::move(secure), this->shared, _thread), _thread);
+	}
+
+	template<class Pointer>
+	void launch(Pointer _connection, std::size_t _thread)
+	{
+		this->pool.post(_thread,
+						[connection = std::move(_connection)]
+						{
+							connection->start();
+						});
+	}
+
+	std::string loadCertificate()
+	{
+		if (this->tls.certificate.empty() && this->tls.key.empty())
+		{
+			return {};
+		}
+		this->context = std::make_unique<asio::ssl::context>(asio::ssl::context::tls_server);
+		Error error;
+		this->context->use_certificate_chain_file(this->tls.certificate, error);
+		if (error)
+		{
+			return "certificate " + this->tls.certificate + ": " + error.message();
+		}
+		this->context->use_private_key_file(this->tls.key, asio::ssl::context::pem, error);
+		return error ? "key " + this->tls.key + ": " + error.message() : std::string();
+	}
+
+	IoPool& pool;
+	std::shared_ptr<Shared> shared;
+	TlsFiles tls;
+	std::unique_ptr<asio::ssl::context> context;
+	Tcp::acceptor acceptor;
+	std::size_t nextThread = 0;
+	std::uint16_t boundPort = 0;
+};
+
+HttpServer::HttpServer(IoPool& _pool, HttpServerLimits _limits, TlsFiles _tls, HttpHandler _handler)
+	: impl(std::make_shared<Impl>(_pool, _limits, std::move(_tls), std::move(_handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+	this->stopAccepting();
+}
+
+std::string HttpServer::listen(const std::string& _ip, std::uint16_t _port)
+{
+	const std::string tlsFault = this->impl->loadCertificate();
+	if (!tlsFault.empty())
+	{
+		return tlsFault;
+	}
+	Error error;
+	const auto ip = asio::ip::make_address(_ip, error);
+	if (error)
+	{
+		return "listen address " + _ip + ": must be an IP number";
+	}
+	Tcp::acceptor& acceptor = this->impl->acceptor;
+	acceptor.open(ip.is_v6() ? Tcp::v6() : Tcp::v4(), error);
+	acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+	acceptor.bind(Tcp::endpoint(ip, _port), error);
+	if (error)
+	{
+		return "listen on " + _ip + ":" + std::to_string(_port) + ": " + error.message();
+	}
+	acceptor.listen(asio::socket_base::max_listen_connections, error);
+	if (error)
+	{
+		return "listen on " + _ip + ":" + std::to_string(_port) + ": " + error.message();
+	}
+	this->impl->boundPort = acceptor.local_endpoint().port();
+	this->impl->accept();
+	return {};
+}
+
+std::uint16_t HttpServer::port() const
+{
+	return this->impl->boundPort;
+}
+
+void HttpServer::stopAccepting()
+{
+	this->impl->shared->closing = true;
+	this->impl->pool.post(0,
+						  [impl = this->impl]
+						  {
+							  Error ignored;
+							  impl->acceptor.close(ignored);
+						  });
+}
+
+std::size_t HttpServer::connections() const
+{
+	return this->impl->shared->connections;
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/src/io_pool.cpp
@@ -0,0 +1,141 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Implementation of the traffic threads.
+
+#include "io_pool.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <thread>
+#include <vector>
+
+namespace roadferry
+{
+
+namespace
+{
+
+using Guard = boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
+
+struct Loop
+{
+	boost::asio::io_context context{1};
+	Guard guard = boost::asio::make_work_guard(context);
+	std::thread thread;
+};
+
+/// A timer that sets itself again.
+struct Periodic : std::enable_shared_from_this<Periodic>
+{
+	Periodic(boost::asio::io_context& _context, std::int64_t _period, std::function<void()> _function)
+		: timer(_context), period(_period), function(std::move(_function))
+	{
+	}
+
+	void arm()
+	{
+		this->timer.expires_after(this->period);
+		this->timer.async_wait(
+			[self = this->shared_from_this()](const boost::system::error_code& _error)
+			{
+				if (!_error)
+				{
+					self->function();
+					self->arm();
+				}
+			});
+	}
+
+	boost::asio::steady_timer timer;
+	std::chrono::microseconds period;
+	std::function<void()> function;
+};
+
+} // namespace
+
+struct IoPool::Impl
+{
+	std::vector<std::unique_ptr<Loop>> loops;
+};
+
+IoPool::IoPool(std::size_t _threads) : impl(std::make_unique<Impl>())
+{
+	for (std::size_t index = 0; index < _threads; ++index)
+	{
+		auto loop = std::make_unique<Loop>();
+		loop->thread = std::thread(
+			[context = &loop->context]
+			{
+				context->run();
+			});
+		this->impl->loops.push_back(std::move(loop));
+	}
+}
+
+IoPool::~IoPool()
+{
+	this->stop();
+}
+
+std::size_t IoPool::size() const
+{
+	return this->impl->loops.size();
+}
+
+boost::asio::io_context& IoPool::context(std::size_t _thread)
+{
+	return this->impl->loops.at(_thread)->context;
+}
+
+void IoPool::post(std::size_t _thread, std::function<void()> _function)
+{
+	boost::asio::post(this->context(_thread), std::move(_function));
+}
+
+void IoPool::after(std::size_t _thread, std::int64_t _delay, std::function<void()> _function)
+{
+	auto timer = std::make_shared<boost::asio::steady_timer>(this->context(_thread), std::chrono::microseconds(_delay));
+	timer->async_wait(
+		[timer, function = std::move(_function)](const boost::system::error_code& _error)
+		{
+			if (!_error)
+			{
+				function();
+			}
+		});
+}
+
+void IoPool::every(std::size_t _thread, std::int64_t _period, std::function<void()> _function)
+{
+	auto periodic = std::make_shared<Periodic>(this->context(_thread), _period, std::move(_function));
+	this->post(_thread,
+			   [periodic]
+			   {
+				   periodic->arm();
+			   });
+}
+
+void IoPool::stop()
+{
+	for (auto& loop : this->impl->loops)
+	{
+		loop->context.stop();
+	}
+	for (auto& loop : this->impl->loops)
+	{
+		if (loop->thread.joinable())
+		{
+			loop->thread.join();
+		}
+	}
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/src/node.cpp
@@ -0,0 +1,229 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Implementation of the daemon.
+
+#include "node.h"
+
+#include "logging.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace roadferry
+{
+
+namespace
+{
+
+constexpr int kReadyPeriodMs = 20;
+constexpr int kDrainPeriodMs = 20;
+constexpr Micros kBalancerNotice = 1500 * kMillisecond; ///< Longest time until the balancer has seen the failed check.
+
+} // namespace
+
+Node::Node(Settings _settings) : settings(std::move(_settings)), pool(settings.threads), peerPool(1), client(pool)
+{
+}
+
+Node::~Node()
+{
+	if (this->link != nullptr)
+	{
+		this->link->close();
+	}
+	this->peerPool.stop();
+	this->pool.stop();
+}
+
+absl::Status Node::start(std::function<void()> _stopped)
+{
+	this->stopped = std::move(_stopped);
+	PeerHandlers handlers;
+	handlers.onMessage = [this](const std::string& _peer, const std::string& _bytes)
+	{
+		this->onPeerMessage(_peer, _bytes);
+	};
+	handlers.onClosed = [this](const std::string& _peer)
+	{
+		this->relay->onPeerClosed(_peer);
+	};
+	this->link = std::make_unique<PeerLink>(this->peerPool, this->settings.peerSecret, handlers);
+	const std::string peerFault = this->link->listen(this->settings.ip, this->settings.peerPort);
+	if (!peerFault.empty())
+	{
+		return absl::UnavailableError(peerFault);
+	}
+	const auto sendPeer = [this](const std::string& _peer, const PeerMessage& _message)
+	{
+		this->link->send(_peer, encode(_message));
+	};
+	this->traces = std::make_unique<TraceWriter>(this->settings.traceFile, this->link->self());
+	TrafficSettings trafficSettings;
+	trafficSettings.self = Incarnation{this->link->self(), randomNumber()};
+	trafficSettings.dispatcher = this->settings.dispatcher;
+	trafficSettings.dispatcher.seed = randomNumber();
+	trafficSettings.answerBytes = this->settings.answerBytes;
+	this->traffic =
+		std::make_unique<Traffic>(this->pool, this->client, this->metrics, *this->traces, std::move(trafficSettings));
+	this->relay = std::make_unique<Relay>(this->pool, *this->traffic, sendPeer);
+	this->platform = std::make_unique<Platform>(this->settings.logAddress, this->settings.vmListAddress);
+	this->control = std::make_unique<Control>(*this->platform, *this->traffic, this->link->self(), sendPeer);
+	this->callerApi = std::make_unique<CallerApi>(this->settings, *this->traffic, *this->relay);
+	this->operatorApi = std::make_unique<OperatorApi>(this->settings, *this->control, *this->traffic, this->metrics,
+													  this->controlThread,
+													  [this]
+													  {
+														  this->drain();
+													  });
+	this->server =
+		std::make_unique<HttpServer>(this->pool, this->settings.http, this->settings.tls,
+									 [this](const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply)
+									 {
+										 this->handle(_request, _reply);
+									 });
+	const std::string fault = this->server->listen(this->settings.ip, this->settings.port);
+	if (!fault.empty())
+	{
+		return absl::UnavailableError(fault);
+	}
+	this->traffic->start();
+	this->control->start();
+	QObject::connect(&this->readyTimer, &QTimer::timeout,
+					 [this]
+					 {
+						 this->isReady = this->control->ready();
+					 });
+	this->readyTimer.start(kReadyPeriodMs);
+	return absl::OkStatus();
+}
+
+void Node::handle(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply)
+{
+	if (_request.target == "/health" || _request.target == "/ready")
+	{
+		this->handleHealth(_request, _reply);
+		return;
+	}
+	if (this->callerApi->handle(_request, _reply) || this->operatorApi->handle(_request, _reply))
+	{
+		return;
+	}
+	_reply->send(errorResponse(404, "not_found", "there is no such path"));
+}
+
+void Node::handleHealth(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply)
+{
+	const bool well = _request.target == "/health" || (this->isReady && !this->leaving);
+	HttpResponse response;
+	response.status = well ? 200 : 503;
+	response.body = well ? "{\"ready\":true}" : "{\"ready\":false}";
+	_reply->send(std::move(response));
+}
+
+void Node::onPeerMessage(const std::string& _peer, const std::string& _bytes)
+{
+	auto message = decode(_bytes);
+	if (!message.ok())
+	{
+		logWarning("peer", absl::StrCat(_peer, ": ", std::string(message.status().message())));
+		return;
+	}
+	const auto onControl = [this](std::function<void()> _function)
+	{
+		QMetaObject::invokeMethod(&this->controlThread, std::move(_function), Qt::QueuedConnection);
+	};
+	std::visit(
+		Overloaded{
+			[&](const RelayRequest& _typed)
+			{
+				this->relay->onRequest(_peer, _typed);
+			},
+			[&](const RelayToken& _typed)
+			{
+				this->relay->onToken(_typed);
+			},
+			[&](const RelayResult& _typed)
+			{
+				this->relay->onResult(_typed);
+			},
+			[&](const TableAsk& _typed)
+			{
+				onControl(
+					[this, _peer, _typed]
+					{
+						this->control->onTableAsk(_peer, _typed);
+					});
+			},
+			[&](const TableGive& _typed)
+			{
+				onControl(
+					[this, _typed]
+					{
+						this->control->onTableGive(_typed);
+					});
+			},
+			[&](const LeavingWord& _typed)
+			{
+				onControl(
+					[this, _typed]
+					{
+						this->control->onLeavingWord(_typed);
+					});
+			},
+		},
+		*message);
+}
+
+void Node::drain()
+{
+	if (this->leaving.exchange(true))
+	{
+		return;
+	}
+	logInfo("node", "planned stop begins");
+	this->drainBegan = monotonicNow();
+	QObject::connect(&this->drainTimer, &QTimer::timeout,
+					 [this]
+					 {
+						 this->awaitIdle();
+					 });
+	this->drainTimer.start(kDrainPeriodMs);
+}
+
+void Node::awaitIdle()
+{
+	const Micros waited = monotonicNow() - this->drainBegan;
+	if (waited < kBalancerNotice)
+	{
+		return;
+	}
+	// Requests that still come over open connections are served; each connection closes after its answer.
+	this->server->stopAccepting();
+	const bool idle = this->traffic->inFlight() == 0 && this->server->connections() == 0;
+	if (!idle && waited < this->settings.drainSeconds * kSecond)
+	{
+		return;
+	}
+	this->traffic->drain();
+	this->drainTimer.stop();
+	logInfo("node", absl::StrCat("planned stop ends with ", this->traffic->inFlight(), " requests in flight"));
+	if (this->stopped)
+	{
+		this->stopped();
+	}
+}
+
+std::string Node::callerAddress() const
+{
+	return absl::StrCat(this->settings.ip, ":", this->server->port());
+}
+
+std::string Node::peerAddress() const
+{
+	return this->link->self();
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/src/node.h
@@ -0,0 +1,72 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// One entry VM's daemon, put together from its parts.
+
+#ifndef ROADFERRY_NODE_H_HEADER_GUARD
+#define ROADFERRY_NODE_H_HEADER_GUARD
+
+#include "caller_api.h"
+#include "control.h"
+#include "operator_api.h"
+#include "settings.h"
+
+namespace roadferry
+{
+
+/// Owns all parts of the daemon. Made, started and stopped on the control thread.
+class Node
+{
+public:
+	explicit Node(Settings _settings);
+	~Node();
+	Node(const Node&) = delete;
+	Node& operator=(const Node&) = delete;
+
+	/// Listens and begins to work.
+	/// @param[in] _stopped Called when a planned stop has ended.
+	/// @returns Ok, or what went wrong.
+	absl::Status start(std::function<void()> _stopped);
+
+	/// Begins a planned stop: fails the balancer's check, takes no new connections once the balancer has
+	/// noticed, and ends when all requests are answered.
+	void drain();
+
+	[[nodiscard]] std::string callerAddress() const;
+	[[nodiscard]] std::string peerAddress() const;
+
+private:
+	void handle(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply);
+	void handleHealth(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply);
+	void onPeerMessage(const std::string& _peer, const std::string& _bytes);
+	void awaitIdle();
+
+	Settings settings;
+	QObject controlThread; ///< Receives what is to run on the control thread.
+	IoPool pool;
+	IoPool peerPool;
+	HttpClient client;
+	Metrics metrics;
+	std::unique_ptr<TraceWriter> traces;
+	std::unique_ptr<PeerLink> link;
+	std::unique_ptr<Traffic> traffic;
+	std::unique_ptr<Relay> relay;
+	std::unique_ptr<Platform> platform;
+	std::unique_ptr<Control> control;
+	std::unique_ptr<CallerApi> callerApi;
+	std::unique_ptr<OperatorApi> operatorApi;
+	std::unique_ptr<HttpServer> server;
+	std::atomic<bool> isReady{false};
+	std::atomic<bool> leaving{false};
+	std::function<void()> stopped;
+	Micros drainBegan = 0;
+	QTimer readyTimer;
+	QTimer drainTimer;
+};
+
+} // namespace roadferry
+
+#endif // ROADFERRY_NODE_H_HEADER_GUARD
--- /dev/null
+++ b/src/operator_api.cpp
@@ -0,0 +1,283 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Implementation of the interface for operators.
+
+#include "operator_api.h"
+
+#include "caller_api.h"
+#include "secret.h"
+#include "table_json.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/strip.h>
+
+#include <QUrl>
+
+namespace roadferry
+{
+
+namespace
+{
+
+constexpr const char* kPrefix = "/operator/";
+
+QString text(std::string_view _text)
+{
+	return QString::fromUtf8(_text.data(), static_cast<qsizetype>(_text.size()));
+}
+
+void sendJson(const std::shared_ptr<HttpReply>& _reply, unsigned _status, const QJsonObject& _object)
+{
+	HttpResponse response;
+	response.status = _status;
+	response.body = toText(_object);
+	_reply->send(std::move(response));
+}
+
+unsigned statusOf(const EditOutcome& _outcome)
+{
+	return std::visit(
+		Overloaded{
+			[](const EditAccepted&)
+			{
+				return 200U;
+			},
+			[](const EditConflict&)
+			{
+				return 409U;
+			},
+			[](const EditInvalid&)
+			{
+				return 400U;
+			},
+			[](const EditAlreadyApplied&)
+			{
+				return 409U;
+			},
+		},
+		_outcome);
+}
+
+} // namespace
+
+OperatorApi::OperatorApi(const Settings& _settings, Control& _control, Traffic& _traffic, Metrics& _metrics,
+						 QObject& _thread, std::function<void()> _drain)
+	: settings(_settings), control(_control), traffic(_traffic), metrics(_metrics), thread(_thread),
+	  drain(std::move(_drain))
+{
+}
+
+std::string OperatorApi::operatorOf(const HttpRequest& _request) const
+{
+	const std::string credential = bearerOf(headerValue(_request.headers, "Authorization"));
+	std::string name;
+	for (const auto& entry : this->settings.operators)
+	{
+		if (equalSecrets(entry.second, credential))
+		{
+			name = entry.first;
+		}
+	}
+	return name;
+}
+
+bool OperatorApi::handle(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply)
+{
+	if (_request.target == "/metrics")
+	{
+		HttpResponse response;
+		response.contentType = "text/plain; version=0.0.4";
+		response.body = this->metrics.text(this->traffic.counters(), this->traffic.inFlight());
+		_reply->send(std::move(response));
+		return true;
+	}
+	if (!absl::StartsWith(_request.target, kPrefix))
+	{
+		return false;
+	}
+	const std::string name = this->operatorOf(_request);
+	if (name.empty())
+	{
+		_reply->send(
+			errorResponse(401, "unauthorized", "header Authorization: must be Bearer and an operator's credential"));
+		return true;
+	}
+	QMetaObject::invokeMethod(
+		&this->thread,
+		[this, _request, name, _reply]
+		{
+			this->serve(_request, name, _reply);
+		},
+		Qt::QueuedConnection);
+	return true;
+}
+
+void OperatorApi::serve(const HttpRequest& _request, const std::string& _operator,
+						const std::shared_ptr<HttpReply>& _reply)
+{
+	const std::string path = _request.target.substr(std::string(kPrefix).size());
+	absl::string_view rest = path;
+	if (path == "table" && _request.method == "GET")
+	{
+		sendJson(_reply, 200, toJson(this->control.log().table().snapshot()));
+	}
+	else if (path == "table/edits" && _request.method == "POST")
+	{
+		this->edit(_request, _operator, _reply);
+	}
+	else if (path == "table/history")
+	{
+		sendJson(_reply, 200, this->history());
+	}
+	else if (absl::ConsumePrefix(&rest, "table/edits/"))
+	{
+		this->editOutcome(std::string(rest), _reply);
+	}
+	else if (path == "status")
+	{
+		sendJson(_reply, 200, this->status());
+	}
+	else if (path == "endpoints")
+	{
+		sendJson(_reply, 200, this->endpoints());
+	}
+	else if (path == "drain" && _request.method == "POST")
+	{
+		sendJson(_reply, 202, QJsonObject{{"draining", true}});
+		this->drain();
+	}
+	else if (absl::ConsumePrefix(&rest, "requests/"))
+	{
+		this->explain(std::string(rest), _reply);
+	}
+	else
+	{
+		_reply->send(errorResponse(404, "not_found", "there is no such path in the operators' interface"));
+	}
+}
+
+void OperatorApi::edit(const HttpRequest& _request, const std::string& _operator,
+					   const std::shared_ptr<HttpReply>& _reply)
+{
+	const auto object = parseObject(_request.body);
+	auto parsed = object.ok() ? editFromJson(*object) : object.status();
+	if (!parsed.ok())
+	{
+		_reply->send(errorResponse(400, "bad_request", std::string(parsed.status().message())));
+		return;
+	}
+	parsed->author = _operator;
+	this->control.edit(*parsed,
+					   [_reply, id = parsed->id](const std::optional<EditOutcome>& _outcome)
+					   {
+						   if (_outcome)
+						   {
+							   sendJson(_reply, statusOf(*_outcome), toJson(*_outcome));
+							   return;
+						   }
+						   sendJson(
+							   _reply, 504,
+							   QJsonObject{{"result", "unknown"},
+										   {"id", text(id)},
+										   {"message", "the log has not told in time; the edit may still take effect: "
+													   "ask again with its id before sending another"}});
+					   });
+}
+
+void OperatorApi::editOutcome(const std::string& _id, const std::shared_ptr<HttpReply>& _reply) const
+{
+	const auto outcome = this->control.log().outcomeOf(_id);
+	if (!outcome)
+	{
+		_reply->send(errorResponse(404, "not_found", "no edit of that id was read from the log lately"));
+		return;
+	}
+	sendJson(_reply, 200, toJson(*outcome));
+}
+
+void OperatorApi::explain(const std::string& _ticket, const std::shared_ptr<HttpReply>& _reply)
+{
+	const auto ticket = ticketFromText(QUrl::fromPercentEncoding(QByteArray::fromStdString(_ticket)).toStdString());
+	if (!ticket.ok())
+	{
+		_reply->send(errorResponse(400, "bad_request", std::string(ticket.status().message())));
+		return;
+	}
+	if (ticket->issuer != this->traffic.self())
+	{
+		_reply->send(
+			errorResponse(421, "elsewhere", "ask the node " + ticket->issuer.node + ", which issued the ticket"));
+		return;
+	}
+	const auto found = this->traffic.explain(*ticket);
+	if (!found)
+	{
+		_reply->send(errorResponse(404, "not_found", "nothing is kept of that request"));
+		return;
+	}
+	HttpResponse response;
+	response.body = *found;
+	_reply->send(std::move(response));
+}
+
+QJsonObject OperatorApi::history() const
+{
+	QJsonArray edits;
+	for (const EditHistory& entry : this->control.log().history())
+	{
+		QJsonObject object = toJson(entry.edit);
+		object["offset"] = static_cast<qint64>(entry.offset);
+		object["outcome"] = toJson(entry.outcome);
+		edits.append(object);
+	}
+	return QJsonObject{{"edits", edits}};
+}
+
+QJsonObject OperatorApi::status() const
+{
+	QJsonArray peers;
+	for (const std::string& peer : this->control.peers())
+	{
+		peers.append(text(peer));
+	}
+	const DispatcherCounters counters = this->traffic.counters();
+	return QJsonObject{{"node", text(this->traffic.self().node)},
+					   {"failure_domain", text(this->settings.failureDomain)},
+					   {"ready", this->control.ready()},
+					   {"draining", this->traffic.draining()},
+					   {"table_offset", static_cast<qint64>(this->control.log().table().snapshot().offset)},
+					   {"log_gap", this->control.log().hasGap()},
+					   {"in_flight", static_cast<qint64>(this->traffic.inFlight())},
+					   {"submitted", static_cast<qint64>(counters.submitted)},
+					   {"answered", static_cast<qint64>(counters.answered)},
+					   {"not_run", static_cast<qint64>(counters.notRun)},
+					   {"unknown", static_cast<qint64>(counters.unknown)},
+					   {"retries", static_cast<qint64>(counters.retries)},
+					   {"peers", peers}};
+}
+
+QJsonObject OperatorApi::endpoints() const
+{
+	QJsonArray list;
+	for (const EndpointState& state : this->traffic.endpoints())
+	{
+		const bool aside = state.asideUntil > monotonicNow();
+		const char* word = state.endpoint.leaving ? "leaving" : (aside ? "set_aside" : "live");
+		list.append(QJsonObject{{"id", text(state.endpoint.id)},
+								{"address", text(state.endpoint.address)},
+								{"pool", text(state.endpoint.pool)},
+								{"failure_domain", text(state.endpoint.failureDomain)},
+								{"slots", static_cast<qint64>(state.endpoint.slots)},
+								{"own", static_cast<qint64>(state.own)},
+								{"others", static_cast<qint64>(state.others)},
+								{"slowness", state.slowness},
+								{"state", word}});
+	}
+	return QJsonObject{{"endpoints", list}};
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/src/operator_api.h
@@ -0,0 +1,52 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// HTTP interface for operators.
+
+#ifndef ROADFERRY_OPERATOR_API_H_HEADER_GUARD
+#define ROADFERRY_OPERATOR_API_H_HEADER_GUARD
+
+#include "control.h"
+#include "http_server.h"
+#include "settings.h"
+
+#include <QObject>
+
+namespace roadferry
+{
+
+/// Serves what the command line roadferry asks for. Requests are handled on the control thread.
+class OperatorApi
+{
+public:
+	/// @param[in] _thread Object that lives on the control thread.
+	OperatorApi(const Settings& _settings, Control& _control, Traffic& _traffic, Metrics& _metrics, QObject& _thread,
+				std::function<void()> _drain);
+
+	/// @returns Whether the request was for this interface.
+	bool handle(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply);
+
+private:
+	[[nodiscard]] std::string operatorOf(const HttpRequest& _request) const;
+	void serve(const HttpRequest& _request, const std::string& _operator, const std::shared_ptr<HttpReply>& _reply);
+	void edit(const HttpRequest& _request, const std::string& _operator, const std::shared_ptr<HttpReply>& _reply);
+	void editOutcome(const std::string& _id, const std::shared_ptr<HttpReply>& _reply) const;
+	void explain(const std::string& _ticket, const std::shared_ptr<HttpReply>& _reply);
+	[[nodiscard]] QJsonObject history() const;
+	[[nodiscard]] QJsonObject status() const;
+	[[nodiscard]] QJsonObject endpoints() const;
+
+	const Settings& settings;
+	Control& control;
+	Traffic& traffic;
+	Metrics& metrics;
+	QObject& thread;
+	std::function<void()> drain;
+};
+
+} // namespace roadferry
+
+#endif // ROADFERRY_OPERATOR_API_H_HEADER_GUARD
--- /dev/null
+++ b/src/placement_baselines.cpp
@@ -0,0 +1,48 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Placement policies kept for comparison: taking turns, least in flight, the better of two drawn at random.
+
+#include <roadferry/roadferry.h>
+
+#include <algorithm>
+
+namespace roadferry
+{
+
+namespace
+{
+
+EndpointState* chooseRoundRobin(const PlacementInput& _input)
+{
+	const std::size_t index = _input.turn % _input.candidates.size();
+	_input.turn += 1;
+	return _input.candidates[index];
+}
+
+EndpointState* chooseLeastInFlight(const PlacementInput& _input)
+{
+	return *std::min_element(_input.candidates.begin(), _input.candidates.end(),
+							 [](const EndpointState* _left, const EndpointState* _right)
+							 {
+								 return _left->own < _right->own;
+							 });
+}
+
+EndpointState* choosePowerOfTwo(const PlacementInput& _input)
+{
+	EndpointState* first = _input.candidates[_input.random() % _input.candidates.size()];
+	EndpointState* second = _input.candidates[_input.random() % _input.candidates.size()];
+	return second->load() < first->load() ? second : first;
+}
+
+const bool s_roundRobin = registerPlacement({"round_robin", &chooseRoundRobin});
+const bool s_leastInFlight = registerPlacement({"least_in_flight", &chooseLeastInFlight});
+const bool s_powerOfTwo = registerPlacement({"power_of_two", &choosePowerOfTwo});
+
+} // namespace
+
+} // namespace roadferry
--- /dev/null
+++ b/src/placement_finish.cpp
@@ -0,0 +1,38 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Placement by least predicted finish: load of all nodes, and how slow the endpoint has been of late.
+
+#include <roadferry/roadferry.h>
+
+#include <algorithm>
+
+namespace roadferry
+{
+
+namespace
+{
+
+/// Predicted time until the call is done, relative to an idle endpoint of usual speed.
+double predictedFinish(const EndpointState& _endpoint)
+{
+	return _endpoint.slowness * (1.0 + _endpoint.load());
+}
+
+EndpointState* chooseLeastFinish(const PlacementInput& _input)
+{
+	return *std::min_element(_input.candidates.begin(), _input.candidates.end(),
+							 [](const EndpointState* _left, const EndpointState* _right)
+							 {
+								 return predictedFinish(*_left) < predictedFinish(*_right);
+							 });
+}
+
+const bool s_leastFinish = registerPlacement({"least_finish", &chooseLeastFinish});
+
+} // namespace
+
+} // namespace roadferry
--- /dev/null
+++ b/src/pool_queue.h
@@ -0,0 +1,83 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Requests that wait for a pool, and the order in which they leave.
+
+#ifndef ROADFERRY_POOL_QUEUE_H_HEADER_GUARD
+#define ROADFERRY_POOL_QUEUE_H_HEADER_GUARD
+
+#include <roadferry/roadferry.h>
+
+namespace roadferry
+{
+
+/// One request that waits.
+struct Waiting
+{
+	std::uint64_t request = 0;
+	std::string workspace;
+	Micros deadline = 0;
+	double work = 0; ///< Predicted service time of the stage in microseconds.
+	bool urgent = false;
+};
+
+/// Queue of one pool. Urgent requests leave first, earliest deadline first. The others leave by start-time fair
+/// queueing over workspaces, with the workspace's weight, and earliest deadline first within one.
+class PoolQueue
+{
+public:
+	explicit PoolQueue(Ordering _ordering);
+
+	/// Adds a request.
+	/// @param[in] _waiting The request.
+	/// @param[in] _weight Weight of its workspace, above zero.
+	void push(const Waiting& _waiting, double _weight);
+
+	/// Removes a request if it waits here.
+	void remove(const Waiting& _waiting);
+
+	/// @returns The request that is to leave next, or nothing.
+	[[nodiscard]] std::optional<Waiting> front() const;
+
+	/// Takes out what front() returned and charges its workspace for it.
+	void popFront();
+
+	[[nodiscard]] std::size_t size() const;
+
+	/// Work that a new request would find before it.
+	/// @param[in] _workspace Workspace of the new request.
+	/// @param[in] _weight Its weight.
+	/// @param[in] _urgent Whether it is urgent.
+	/// @returns Predicted microseconds of service that leave the queue before it.
+	[[nodiscard]] double workBefore(const std::string& _workspace, double _weight, bool _urgent) const;
+
+private:
+	using Key = std::pair<Micros, std::uint64_t>;
+
+	struct Group
+	{
+		std::map<Key, Waiting> waiting;
+		double weight = 1;
+		double virtualTime = 0;
+		double work = 0;
+	};
+
+	[[nodiscard]] std::string groupOf(const Waiting& _waiting) const;
+	[[nodiscard]] Key keyOfWaiting(const Waiting& _waiting) const;
+	[[nodiscard]] const Group* nextGroup() const;
+
+	Ordering ordering;
+	Group urgent;
+	std::map<std::string, Group> groups;
+	double virtualNow = 0;
+	double totalWork = 0;
+	double totalWeight = 0;
+	std::size_t count = 0;
+};
+
+} // namespace roadferry
+
+#endif // ROADFERRY_POOL_QUEUE_H_HEADER_GUARD
--- /dev/null
+++ b/src/relay.cpp
@@ -0,0 +1,199 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Implementation of relayed calls.
+
+#include "relay.h"
+
+#include "table_json.h"
+
+namespace roadferry
+{
+
+namespace
+{
+
+/// Sends what a request yields back to the node that passed it on.
+class PeerSink final : public AnswerSink
+{
+public:
+	PeerSink(std::string _peer, std::uint64_t _relay, std::function<void(const std::string&, const PeerMessage&)> _send)
+		: peer(std::move(_peer)), relay(_relay), send(std::move(_send))
+	{
+	}
+
+	void token(std::int64_t _position, const std::string& _text) override
+	{
+		this->send(this->peer, RelayToken{this->relay, _position, _text});
+	}
+
+	void result(unsigned _status, Micros _retryAfter, const std::string& _json) override
+	{
+		this->send(this->peer, RelayResult{this->relay, static_cast<std::int64_t>(_status), _retryAfter, _json});
+	}
+
+private:
+	std::string peer;
+	std::uint64_t relay;
+	std::function<void(const std::string&, const PeerMessage&)> send;
+};
+
+void giveOutcome(AnswerSink& _sink, const std::string& _ticket, const Outcome& _outcome)
+{
+	QJsonObject object = toJson(_outcome);
+	object["request"] = QString::fromStdString(_ticket);
+	_sink.result(httpStatusOf(_outcome), _outcome.retryAfter, toText(object));
+}
+
+Outcome unreachable()
+{
+	return Outcome{Verdict::Unknown, Reason::IssuerUnreachable, false, 0, {}};
+}
+
+} // namespace
+
+Relay::Relay(IoPool& _pool, Traffic& _traffic, std::function<void(const std::string&, const PeerMessage&)> _send)
+	: pool(_pool), traffic(_traffic), send(std::move(_send))
+{
+}
+
+void Relay::pass(std::size_t _thread, const Incarnation& _issuer, RelayRequest _request, Micros _timeout,
+				 std::shared_ptr<AnswerSink> _sink)
+{
+	std::uint64_t relay = 0;
+	{
+		const std::lock_guard<std::mutex> guard(this->lock);
+		relay = ++this->lastRelay;
+		this->pending.emplace(relay, Pending{_thread, _issuer.node, _request.ticket, std::move(_sink)});
+	}
+	_request.relay = relay;
+	this->send(_issuer.node, _request);
+	this->pool.after(_thread, _timeout,
+					 [this, relay]
+					 {
+						 this->fail(relay);
+					 });
+}
+
+std::optional<Relay::Pending> Relay::take(std::uint64_t _relay)
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	const auto found = this->pending.find(_relay);
+	if (found == this->pending.end())
+	{
+		return std::nullopt;
+	}
+	Pending taken = std::move(found->second);
+	this->pending.erase(found);
+	return taken;
+}
+
+void Relay::fail(std::uint64_t _relay)
+{
+	const std::optional<Pending> taken = this->take(_relay);
+	if (taken)
+	{
+		this->pool.post(taken->thread,
+						[entry = *taken]
+						{
+							giveOutcome(*entry.sink, entry.ticket, unreachable());
+						});
+	}
+}
+
+void Relay::onRequest(const std::string& _peer, const RelayRequest& _request)
+{
+	auto sink = std::make_shared<PeerSink>(_peer, _request.relay, this->send);
+	const auto ticket = ticketFromText(_request.ticket);
+	if (!ticket.ok())
+	{
+		giveOutcome(*sink, _request.ticket, unreachable());
+		return;
+	}
+	std::optional<Incarnation> elsewhere;
+	if (_request.kind == RelayKind::Look)
+	{
+		elsewhere = this->traffic.look(*ticket, _request.workspace, sink);
+	}
+	else if (_request.kind == RelayKind::Cancel)
+	{
+		elsewhere = this->traffic.cancel(*ticket, _request.workspace, sink);
+	}
+	else
+	{
+		auto submission = submissionFromBody(_request.workspace, _request.pipeline, _request.body);
+		if (!submission.ok())
+		{
+			giveOutcome(*sink, _request.ticket, unreachable());
+			return;
+		}
+		submission->trace = traceFromHeader(_request.trace);
+		const std::size_t thread = this->nextThread++ % this->pool.size();
+		this->pool.post(thread,
+						[this, thread, given = *std::move(submission), sink, text = _request.ticket]
+						{
+							if (this->traffic.submit(thread, given, sink))
+							{
+								giveOutcome(*sink, text, unreachable());
+							}
+						});
+	}
+	if (elsewhere)
+	{
+		// The address is the issuer's, the incarnation is not: that process is gone, and what it did cannot be known.
+		giveOutcome(*sink, _request.ticket, unreachable());
+	}
+}
+
+void Relay::onToken(const RelayToken& _token)
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	const auto found = this->pending.find(_token.relay);
+	if (found == this->pending.end())
+	{
+		return;
+	}
+	this->pool.post(found->second.thread,
+					[sink = found->second.sink, token = _token]
+					{
+						sink->token(token.position, token.text);
+					});
+}
+
+void Relay::onResult(const RelayResult& _result)
+{
+	const std::optional<Pending> taken = this->take(_result.relay);
+	if (!taken)
+	{
+		return;
+	}
+	this->pool.post(taken->thread,
+					[sink = taken->sink, result = _result]
+					{
+						sink->result(static_cast<unsigned>(result.status), result.retryAfter, result.json);
+					});
+}
+
+void Relay::onPeerClosed(const std::string& _peer)
+{
+	std::vector<std::uint64_t> ended;
+	{
+		const std::lock_guard<std::mutex> guard(this->lock);
+		for (const auto& entry : this->pending)
+		{
+			if (entry.second.peer == _peer)
+			{
+				ended.push_back(entry.first);
+			}
+		}
+	}
+	for (const std::uint64_t relay : ended)
+	{
+		this->fail(relay);
+	}
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,54 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Settings of the daemon, from flags and environment variables.
+
+#ifndef ROADFERRY_SETTINGS_H_HEADER_GUARD
+#define ROADFERRY_SETTINGS_H_HEADER_GUARD
+
+#include "http_server.h"
+
+#include <roadferry/roadferry.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace roadferry
+{
+
+/// Checked settings of one daemon.
+struct Settings
+{
+	std::string ip;
+	std::uint16_t port = 0;
+	std::uint16_t peerPort = 0;
+	std::string failureDomain;
+	std::string logAddress;
+	std::string vmListAddress;
+	std::map<std::string, std::string> callers;   ///< Credential by workspace.
+	std::map<std::string, std::string> operators; ///< Credential by operator's name.
+	std::string peerSecret;
+	TlsFiles tls;
+	std::size_t threads = 2;
+	std::string traceFile;
+	std::int64_t drainSeconds = 30;
+	std::size_t answerBytes = 64 * 1024 * 1024;
+	HttpServerLimits http;
+	DispatcherConfig dispatcher;
+};
+
+/// Reads the flags, which gflags has parsed, after taking each one that was not given from the environment variable
+/// ROADFERRY_ with the flag's name in capitals.
+/// @returns The settings, or InvalidArgument that names every fault, one to a line.
+absl::StatusOr<Settings> readSettings();
+
+/// @returns One line for each setting: name, value, default, description. Credentials are not shown.
+std::string describeSettings();
+
+} // namespace roadferry
+
+#endif // ROADFERRY_SETTINGS_H_HEADER_GUARD
--- /dev/null
+++ b/src/standin_fault.cpp
@@ -0,0 +1,91 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// The fault interface of the stand-ins.
+
+#include "standin.h"
+
+#include <map>
+
+namespace roadferry
+{
+
+namespace
+{
+
+const std::map<std::string, FaultMode>& faultModes()
+{
+	static const std::map<std::string, FaultMode> s_modes = {{"none", FaultMode::None},
+															 {"slow", FaultMode::Slow},
+															 {"drop", FaultMode::Drop},
+															 {"cut", FaultMode::Cut},
+															 {"freeze", FaultMode::Freeze},
+															 {"refuse", FaultMode::Refuse},
+															 {"wrong_attempt", FaultMode::WrongAttempt},
+															 {"out", FaultMode::Out}};
+	return s_modes;
+}
+
+constexpr std::int64_t kMost = 1'000'000'000;
+
+} // namespace
+
+std::string FaultSwitch::set(const std::string& _body)
+{
+	const auto object = parseObject(_body);
+	if (!object.ok())
+	{
+		return std::string(object.status().message());
+	}
+	JsonReader reader(*object);
+	const std::string name = reader.text("mode", 20);
+	const std::int64_t delayMs = reader.integerOr("ms", 0, kMost, 0);
+	const std::int64_t count = reader.integerOr("count", 0, kMost, 0);
+	const auto found = faultModes().find(name);
+	if (found == faultModes().end())
+	{
+		reader.fault("mode", "one of none, slow, drop, cut, freeze, refuse, wrong_attempt, out");
+	}
+	if (!reader.status().ok())
+	{
+		return std::string(reader.status().message());
+	}
+	const std::lock_guard<std::mutex> guard(this->lock);
+	this->mode = found->second;
+	this->delay = delayMs;
+	this->left = count == 0 ? -1 : count;
+	return {};
+}
+
+FaultMode FaultSwitch::next()
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	if (this->left == 0)
+	{
+		return FaultMode::None;
+	}
+	if (this->left > 0)
+	{
+		this->left -= 1;
+	}
+	return this->mode;
+}
+
+std::int64_t FaultSwitch::milliseconds() const
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	return this->delay;
+}
+
+HttpResponse jsonResponse(unsigned _status, const QJsonObject& _body)
+{
+	HttpResponse response;
+	response.status = _status;
+	response.body = toText(_body);
+	return response;
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/src/standin_vmlist.cpp
@@ -0,0 +1,100 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Stand-in for the platform's VM list: GET /vms, and PUT or DELETE /vms/ID to change it.
+
+#include "standin.h"
+
+#include <map>
+
+namespace roadferry
+{
+
+namespace
+{
+
+constexpr const char* kPrefix = "/vms/";
+
+class VmListStandin final : public Standin
+{
+public:
+	void handle(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply) override
+	{
+		if (_request.target == "/fault")
+		{
+			const std::string fault = this->faults.set(_request.body);
+			_reply->send(
+				jsonResponse(fault.empty() ? 200 : 400, QJsonObject{{"error", QString::fromStdString(fault)}}));
+			return;
+		}
+		if (_request.target == "/vms")
+		{
+			this->list(_reply);
+			return;
+		}
+		if (_request.target.rfind(kPrefix, 0) != 0)
+		{
+			_reply->send(jsonResponse(404, {}));
+			return;
+		}
+		this->change(_request, _request.target.substr(std::string(kPrefix).size()), _reply);
+	}
+
+private:
+	void list(const std::shared_ptr<HttpReply>& _reply)
+	{
+		const FaultMode fault = this->faults.next();
+		if (fault == FaultMode::Out || fault == FaultMode::Drop)
+		{
+			_reply->abort();
+			return;
+		}
+		if (fault != FaultMode::Freeze)
+		{
+			this->published = this->current;
+		}
+		// A frozen list goes on answering with what it was.
+		QJsonArray array;
+		for (const auto& entry : this->published)
+		{
+			array.append(entry.second);
+		}
+		_reply->send(jsonResponse(200, QJsonObject{{"vms", array}}));
+	}
+
+	void change(const HttpRequest& _request, const std::string& _id, const std::shared_ptr<HttpReply>& _reply)
+	{
+		if (_request.method == "DELETE")
+		{
+			this->current.erase(_id);
+			_reply->send(jsonResponse(200, {}));
+			return;
+		}
+		auto object = parseObject(_request.body);
+		if (!object.ok())
+		{
+			const QString message = QString::fromStdString(std::string(object.status().message()));
+			_reply->send(jsonResponse(400, QJsonObject{{"error", message}}));
+			return;
+		}
+		object->insert("id", QString::fromStdString(_id));
+		this->current[_id] = *object;
+		_reply->send(jsonResponse(200, {}));
+	}
+
+	FaultSwitch faults;
+	std::map<std::string, QJsonObject> current;
+	std::map<std::string, QJsonObject> published;
+};
+
+} // namespace
+
+std::unique_ptr<Standin> makeVmListStandin()
+{
+	return std::make_unique<VmListStandin>();
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/src/submission.cpp
@@ -0,0 +1,116 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Reads a caller's request, and maps outcomes to HTTP statuses.
+
+#include "traffic.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <xxhash.h>
+
+namespace roadferry
+{
+
+namespace
+{
+
+constexpr std::int64_t kDeadlineMostMs = 600'000;
+constexpr std::int64_t kTokensMost = 1'000'000;
+constexpr std::size_t kTextLimit = 256;
+
+} // namespace
+
+absl::StatusOr<Submission> submissionFromBody(const std::string& _workspace, const std::string& _pipeline,
+											  const std::string& _body)
+{
+	const auto object = parseObject(_body);
+	if (!object.ok())
+	{
+		return object.status();
+	}
+	JsonReader reader(*object);
+	reader.onlyFields({"workspace", "deadline_ms", "repeatable", "ticket", "stream", "prompt_tokens", "max_tokens",
+					   "prefix", "input"});
+	Submission submission;
+	submission.workspace = reader.textOr("workspace", kTextLimit, _workspace);
+	if (submission.workspace != _workspace)
+	{
+		reader.fault("workspace", "the workspace of the credential");
+	}
+	submission.pipeline = _pipeline;
+	const std::int64_t deadlineMs = reader.integerOr("deadline_ms", 1, kDeadlineMostMs, 0);
+	if (deadlineMs > 0)
+	{
+		submission.deadline = deadlineMs * kMillisecond;
+	}
+	submission.repeatable = reader.booleanOr("repeatable", true);
+	submission.stream = reader.booleanOr("stream", false);
+	submission.promptTokens = reader.integerOr("prompt_tokens", 0, kTokensMost, 0);
+	submission.maxTokens = reader.integerOr("max_tokens", 0, kTokensMost, 0);
+	const std::string prefix = reader.textOr("prefix", kTextLimit, "");
+	submission.prefix = prefix.empty() ? 0 : XXH3_64bits(prefix.data(), prefix.size());
+	const std::string ticket = reader.textOr("ticket", kTextLimit, "");
+	submission.input = object->value("input");
+	if (submission.input.isUndefined())
+	{
+		reader.fault("input", "given");
+	}
+	if (!submission.repeatable && ticket.empty())
+	{
+		reader.fault("ticket", "given when repeatable is false; get one from POST /v1/tickets");
+	}
+	if (!reader.status().ok())
+	{
+		return reader.status();
+	}
+	if (!ticket.empty())
+	{
+		auto parsed = ticketFromText(ticket);
+		if (!parsed.ok())
+		{
+			return parsed.status();
+		}
+		submission.ticket = *std::move(parsed);
+		submission.ticketGiven = true;
+	}
+	const std::string digested = absl::StrCat(_pipeline, "\n", _body);
+	submission.digest = XXH3_64bits(digested.data(), digested.size());
+	return submission;
+}
+
+unsigned httpStatusOf(const Outcome& _outcome)
+{
+	if (_outcome.verdict == Verdict::Answered)
+	{
+		return 200;
+	}
+	switch (_outcome.reason)
+	{
+	case Reason::UnknownPipeline:
+		return 404;
+	case Reason::WrongWorkspace:
+		return 403;
+	case Reason::WorkspaceLimit:
+		return 429;
+	case Reason::TicketMismatch:
+	case Reason::TicketSealed:
+	case Reason::Cancelled:
+		return 409;
+	case Reason::TicketExpired:
+		return 410;
+	case Reason::DeadlinePassed:
+		return 504;
+	case Reason::CutWhileRunning:
+	case Reason::AttemptsExhausted:
+	case Reason::IssuerUnreachable:
+		return 502;
+	default:
+		return 503;
+	}
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/src/traffic.cpp
@@ -0,0 +1,672 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Implementation of the requests in flight.
+
+#include "traffic.h"
+
+#include "stage_call.h"
+#include "table_json.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
+#include <QRandomGenerator>
+
+#include <chrono>
+
+namespace roadferry
+{
+
+namespace
+{
+
+constexpr Micros kTickPeriod = 5 * kMillisecond;
+constexpr double kMicrosPerSecond = 1e6;
+constexpr std::int64_t kNanosPerMicro = 1'000;
+
+QString text(std::string_view _text)
+{
+	return QString::fromUtf8(_text.data(), static_cast<qsizetype>(_text.size()));
+}
+
+/// What one stage of a request cost.
+struct StageReport
+{
+	std::string stage;
+	std::string endpoint;
+	std::int64_t attempts = 0;
+	Micros held = 0; ///< Time that endpoints were held, all attempts together.
+	std::int64_t tokens = 0;
+	std::string error; ///< Of the last attempt that failed.
+};
+
+QJsonObject toJson(const StageReport& _report)
+{
+	QJsonObject object{{"stage", text(_report.stage)},
+					   {"endpoint", text(_report.endpoint)},
+					   {"attempts", static_cast<qint64>(_report.attempts)},
+					   {"held_ms", static_cast<double>(_report.held) / static_cast<double>(kMillisecond)},
+					   {"tokens", static_cast<qint64>(_report.tokens)}};
+	if (!_report.error.empty())
+	{
+		object["error"] = text(_report.error);
+	}
+	return object;
+}
+
+} // namespace
+
+/// A request under way. Touched on its own thread only, apart from the fields that never change.
+struct Traffic::Active
+{
+	std::uint64_t id = 0;
+	std::size_t thread = 0;
+	Ticket ticket;
+	std::string ticketText;
+	Submission submission;
+	RequestSpec spec;
+	Micros arrived = 0;
+	Span span;
+
+	std::vector<std::shared_ptr<AnswerSink>> sinks;
+	std::vector<std::string> tokens;
+	QJsonValue previous = QJsonValue(QJsonValue::Undefined);
+	std::vector<StageReport> stages;
+	std::uint64_t attempt = 0; ///< The one whose answer is wanted, 0 for none.
+	Micros attemptBegan = 0;
+	Span attemptSpan;
+	std::shared_ptr<HttpCall> call;
+};
+
+/// A result kept for later questions.
+struct Traffic::Kept
+{
+	unsigned status = 0;
+	Micros retryAfter = 0;
+	std::shared_ptr<const std::string> json;
+	std::vector<std::string> tokens;
+};
+
+Micros monotonicNow()
+{
+	const auto now = std::chrono::steady_clock::now().time_since_epoch();
+	return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+}
+
+std::uint64_t randomNumber()
+{
+	return QRandomGenerator::system()->generate64();
+}
+
+Traffic::Traffic(IoPool& _pool, HttpClient& _client, Metrics& _metrics, TraceWriter& _traces, TrafficSettings _settings)
+	: pool(_pool), client(_client), metrics(_metrics), traces(_traces), settings(std::move(_settings)),
+	  dispatcher(settings.dispatcher), tickets(settings.self, settings.tickets), table(std::make_shared<Table>())
+{
+}
+
+Traffic::~Traffic() = default;
+
+void Traffic::start()
+{
+	this->pool.every(0, kTickPeriod,
+					 [this]
+					 {
+						 this->tick();
+					 });
+}
+
+void Traffic::tick()
+{
+	Actions actions;
+	{
+		const std::lock_guard<std::mutex> guard(this->lock);
+		actions = this->dispatcher.tick(monotonicNow());
+		this->tickets.expire(monotonicNow());
+	}
+	this->perform(0, actions);
+}
+
+absl::StatusOr<Ticket> Traffic::issueTicket(const std::string& _workspace)
+{
+	const std::uint64_t nonce = randomNumber();
+	const std::lock_guard<std::mutex> guard(this->lock);
+	return this->tickets.issue(_workspace, nonce, monotonicNow());
+}
+
+Traffic::ActivePointer Traffic::makeActive(std::size_t _thread, const Submission& _submission, const Ticket& _ticket)
+{
+	auto active = std::make_shared<Active>();
+	active->id = ++this->lastRequest;
+	active->thread = _thread;
+	active->ticket = _ticket;
+	active->ticketText = toText(_ticket);
+	active->submission = _submission;
+	active->arrived = monotonicNow();
+	const PipelineRow* pipeline = this->table->pipeline(_submission.pipeline);
+	const Micros most = pipeline == nullptr ? kSecond : pipeline->deadlineMs * kMillisecond;
+	active->spec = RequestSpec{active->id,
+							   _submission.workspace,
+							   _submission.pipeline,
+							   active->arrived + std::min(most, _submission.deadline.value_or(most)),
+							   _submission.repeatable,
+							   _submission.promptTokens,
+							   _submission.maxTokens,
+							   _submission.prefix};
+	active->span.context = childOf(_submission.trace);
+	active->span.parentSpanId = _submission.trace.spanId;
+	active->span.name = absl::StrCat("request ", _submission.pipeline);
+	active->span.beginNs = wallNanoseconds();
+	return active;
+}
+
+void Traffic::begin(std::size_t _thread, const ActivePointer& _active, Actions& _actions)
+{
+	this->actives.emplace(_active->id, _active);
+	this->requestOfSerial.emplace(_active->ticket.serial, _active->id);
+	_active->thread = _thread;
+	_actions = this->dispatcher.submit(_active->spec, _active->arrived);
+}
+
+std::optional<Incarnation> Traffic::submit(std::size_t _thread, const Submission& _submission,
+										   const std::shared_ptr<AnswerSink>& _sink)
+{
+	const Micros now = monotonicNow();
+	const Ticket& ticket = *_submission.ticket;
+	TicketDecision decision = TicketRun{};
+	Actions actions;
+	{
+		const std::lock_guard<std::mutex> guard(this->lock);
+		decision = this->tickets.present(ticket, _submission.workspace, _submission.digest, now);
+		if (std::holds_alternative<TicketRun>(decision))
+		{
+			const ActivePointer active = this->makeActive(_thread, _submission, ticket);
+			active->sinks.push_back(_sink);
+			this->begin(_thread, active, actions);
+		}
+	}
+	if (std::holds_alternative<TicketRun>(decision))
+	{
+		this->perform(_thread, actions);
+		return std::nullopt;
+	}
+	return this->answerDecision(ticket, decision, _sink);
+}
+
+std::optional<Incarnation> Traffic::answerDecision(const Ticket& _ticket, const TicketDecision& _decision,
+												   const std::shared_ptr<AnswerSink>& _sink)
+{
+	const std::string ticketText = roadferry::toText(_ticket);
+	std::optional<Incarnation> elsewhere;
+	std::visit(
+		Overloaded{
+			[](const TicketRun&) {},
+			[&](const TicketAttach&)
+			{
+				this->attach(_ticket.serial, ticketText, Outcome{}, _sink);
+			},
+			[&](const TicketReplay& _typed)
+			{
+				this->attach(_ticket.serial, ticketText, _typed.outcome, _sink);
+			},
+			[&](const TicketElsewhere& _typed)
+			{
+				elsewhere = _typed.issuer;
+			},
+			[&](const TicketRefused& _typed)
+			{
+				this->deliverKept(0, ticketText, _typed.outcome, _sink);
+			},
+		},
+		_decision);
+	return elsewhere;
+}
+
+void Traffic::attach(std::uint64_t _serial, const std::string& _ticket, const Outcome& _outcome,
+					 const std::shared_ptr<AnswerSink>& _sink)
+{
+	ActivePointer active;
+	{
+		const std::lock_guard<std::mutex> guard(this->lock);
+		const auto request = this->requestOfSerial.find(_serial);
+		if (request != this->requestOfSerial.end())
+		{
+			active = this->actives.at(request->second);
+		}
+	}
+	if (active == nullptr)
+	{
+		this->deliverKept(_serial, _ticket, _outcome, _sink);
+		return;
+	}
+	this->pool.post(active->thread,
+					[this, active, _serial, _ticket, _sink]
+					{
+						bool running = false;
+						Outcome outcome;
+						{
+							const std::lock_guard<std::mutex> guard(this->lock);
+							running = this->actives.count(active->id) > 0;
+							outcome = this->tickets.look(active->ticket, active->submission.workspace).second;
+						}
+						if (!running)
+						{
+							this->deliverKept(_serial, _ticket, outcome, _sink);
+							return;
+						}
+						for (std::size_t index = 0; index < active->tokens.size(); ++index)
+						{
+							_sink->token(static_cast<std::int64_t>(index), active->tokens[index]);
+						}
+						active->sinks.push_back(_sink);
+					});
+}
+
+void Traffic::deliverKept(std::uint64_t _serial, const std::string& _ticket, const Outcome& _outcome,
+						  const std::shared_ptr<AnswerSink>& _sink)
+{
+	Kept found;
+	{
+		const std::lock_guard<std::mutex> guard(this->lock);
+		const auto entry = this->kept.find(_serial);
+		if (entry != this->kept.end())
+		{
+			found = entry->second;
+		}
+	}
+	if (found.json == nullptr)
+	{
+		// The outcome is known longer than the answer is kept.
+		QJsonObject object = roadferry::toJson(_outcome);
+		object["request"] = text(_ticket);
+		if (_outcome.verdict == Verdict::Answered)
+		{
+			object["answer_expired"] = true;
+		}
+		_sink->result(httpStatusOf(_outcome), _outcome.retryAfter, roadferry::toText(object));
+		return;
+	}
+	for (std::size_t index = 0; index < found.tokens.size(); ++index)
+	{
+		_sink->token(static_cast<std::int64_t>(index), found.tokens[index]);
+	}
+	_sink->result(found.status, found.retryAfter, *found.json);
+}
+
+void Traffic::onRequestThread(std::size_t _thread, const ActivePointer& _active, std::function<void()> _function)
+{
+	if (_thread == _active->thread)
+	{
+		_function();
+		return;
+	}
+	this->pool.post(_active->thread, std::move(_function));
+}
+
+void Traffic::perform(std::size_t _thread, const Actions& _actions)
+{
+	std::vector<ActivePointer> owners;
+	owners.reserve(_actions.size());
+	{
+		const std::lock_guard<std::mutex> guard(this->lock);
+		for (const Action& action : _actions)
+		{
+			const std::uint64_t request = std::visit(
+				[](const auto& _typed)
+				{
+					return _typed.request;
+				},
+				action);
+			const auto found = this->actives.find(request);
+			owners.push_back(found == this->actives.end() ? nullptr : found->second);
+		}
+	}
+	for (std::size_t index = 0; index < _actions.size(); ++index)
+	{
+		const ActivePointer& owner = owners[index];
+		if (owner == nullptr)
+		{
+			continue;
+		}
+		this->onRequestThread(_thread, owner,
+							  [this, owner, action = _actions[index]]
+							  {
+								  std::visit(
+									  Overloaded{
+										  [&](const StartAttempt& _typed)
+										  {
+											  this->startAttempt(owner, _typed);
+										  },
+										  [&](const CancelAttempt& _typed)
+										  {
+											  this->cancelAttempt(owner, _typed);
+										  },
+										  [&](const FinishRequest& _typed)
+										  {
+											  this->finish(owner, _typed.outcome);
+										  },
+									  },
+									  action);
+							  });
+	}
+}
+
+void Traffic::startAttempt(const ActivePointer& _active, const StartAttempt& _attempt)
+{
+	Active& active = *_active;
+	active.attempt = _attempt.attempt;
+	active.attemptBegan = monotonicNow();
+	if (active.stages.size() <= _attempt.stageIndex)
+	{
+		active.stages.resize(_attempt.stageIndex + 1);
+	}
+	StageReport& report = active.stages[_attempt.stageIndex];
+	report.stage = _attempt.stage;
+	report.endpoint = _attempt.endpoint;
+	report.attempts += 1;
+	active.attemptSpan = Span{};
+	active.attemptSpan.context = childOf(active.span.context);
+	active.attemptSpan.parentSpanId = active.span.context.spanId;
+	active.attemptSpan.name = absl::StrCat("stage ", _attempt.stage);
+	active.attemptSpan.beginNs = wallNanoseconds();
+	active.attemptSpan.attributes = {{"endpoint", _attempt.endpoint}};
+
+	StageCallSpec spec;
+	spec.attempt = _attempt;
+	spec.attemptText = absl::StrCat(absl::Hex(this->settings.self.number), "-", _attempt.attempt);
+	spec.requestText = active.ticketText;
+	spec.input = active.submission.input;
+	spec.previous = active.previous;
+	spec.maxTokens = active.submission.maxTokens;
+	spec.resume = static_cast<std::int64_t>(active.tokens.size());
+	spec.timeout = _attempt.giveUpAt - active.attemptBegan;
+	spec.trace = active.attemptSpan.context;
+
+	StageCallHandlers handlers;
+	handlers.onToken = [_active](std::int64_t _position, const std::string& _text)
+	{
+		_active->tokens.push_back(_text);
+		for (const auto& sink : _active->sinks)
+		{
+			sink->token(_position, _text);
+		}
+	};
+	handlers.onEnd = [this, _active, number = _attempt.attempt, index = _attempt.stageIndex](const StageResult& _result)
+	{
+		if (_active->attempt != number)
+		{
+			return;
+		}
+		StageReport& ended = _active->stages[index];
+		ended.error = _result.error;
+		if (std::holds_alternative<AttemptAnswered>(_result.end))
+		{
+			_active->previous = _result.output;
+		}
+		_active->attemptSpan.failed = !_result.error.empty();
+		this->attemptEnded(_active, number, _result.end);
+	};
+	active.call = startStageCall(this->client, active.thread, spec, std::move(handlers));
+}
+
+void Traffic::cancelAttempt(const ActivePointer& _active, const CancelAttempt& _attempt)
+{
+	if (_active->attempt != _attempt.attempt)
+	{
+		return;
+	}
+	_active->attempt = 0;
+	if (_active->call != nullptr)
+	{
+		_active->call->cancel();
+		_active->call = nullptr;
+	}
+	StageReport& report = _active->stages.back();
+	report.held += monotonicNow() - _active->attemptBegan;
+	report.error = "cancelled";
+}
+
+void Traffic::attemptEnded(const ActivePointer& _active, std::uint64_t _attempt, const AttemptEnd& _end)
+{
+	const Micros now = monotonicNow();
+	StageReport& report = _active->stages.back();
+	const Micros held = now - _active->attemptBegan;
+	report.held += held;
+	report.tokens = static_cast<std::int64_t>(_active->tokens.size());
+	_active->attempt = 0;
+	_active->call = nullptr;
+	_active->attemptSpan.endNs = wallNanoseconds();
+	this->traces.write(_active->attemptSpan);
+	this->metrics.stageEnded(_active->submission.pipeline, report.stage, static_cast<double>(held) / kMicrosPerSecond,
+							 report.tokens);
+	Actions actions;
+	{
+		const std::lock_guard<std::mutex> guard(this->lock);
+		actions = this->dispatcher.attemptEnded(_attempt, _end, now);
+	}
+	this->perform(_active->thread, actions);
+}
+
+void Traffic::finish(const ActivePointer& _active, const Outcome& _outcome)
+{
+	const Micros now = monotonicNow();
+	const Micros elapsed = now - _active->arrived;
+	QJsonObject object = roadferry::toJson(_outcome);
+	object["request"] = text(_active->ticketText);
+	object["elapsed_ms"] = static_cast<double>(elapsed) / static_cast<double>(kMillisecond);
+	QJsonArray stages;
+	for (const StageReport& report : _active->stages)
+	{
+		stages.append(toJson(report));
+	}
+	object["stages"] = stages;
+	if (_outcome.verdict == Verdict::Answered)
+	{
+		const bool generated = !_active->tokens.empty();
+		object["answer"] = generated ? QJsonValue(QJsonObject{{"text", text(absl::StrJoin(_active->tokens, ""))},
+															  {"tokens", static_cast<qint64>(_active->tokens.size())}})
+									 : _active->previous;
+	}
+	Kept result;
+	result.status = httpStatusOf(_outcome);
+	result.retryAfter = _outcome.retryAfter;
+	result.json = std::make_shared<const std::string>(roadferry::toText(object));
+	result.tokens = std::move(_active->tokens);
+	_active->tokens.clear();
+	{
+		const std::lock_guard<std::mutex> guard(this->lock);
+		this->tickets.end(_active->ticket, _outcome, now);
+		this->actives.erase(_active->id);
+		this->requestOfSerial.erase(_active->ticket.serial);
+		this->keep(_active->ticket.serial, result);
+	}
+	for (const auto& sink : _active->sinks)
+	{
+		sink->result(result.status, result.retryAfter, *result.json);
+	}
+	_active->sinks.clear();
+	this->metrics.requestEnded(_active->submission.pipeline, _outcome, static_cast<double>(elapsed) / kMicrosPerSecond);
+	_active->span.endNs = _active->span.beginNs + elapsed * kNanosPerMicro;
+	_active->span.failed = _outcome.verdict != Verdict::Answered;
+	_active->span.attributes = {{"outcome", std::string(nameOf(_outcome.verdict))},
+								{"reason", std::string(nameOf(_outcome.reason))},
+								{"request", _active->ticketText}};
+	this->traces.write(_active->span);
+}
+
+void Traffic::keep(std::uint64_t _serial, const Kept& _kept)
+{
+	this->keptBytes += _kept.json->size() * 2;
+	this->keptOrder.push_back(_serial);
+	this->kept.emplace(_serial, _kept);
+	while (this->keptBytes > this->settings.answerBytes && this->keptOrder.size() > 1)
+	{
+		const auto oldest = this->kept.find(this->keptOrder.front());
+		this->keptBytes -= oldest->second.json->size() * 2;
+		this->kept.erase(oldest);
+		this->keptOrder.pop_front();
+	}
+}
+
+std::optional<Incarnation> Traffic::look(const Ticket& _ticket, const std::string& _workspace,
+										 const std::shared_ptr<AnswerSink>& _sink)
+{
+	std::pair<TicketState, Outcome> found;
+	{
+		const std::lock_guard<std::mutex> guard(this->lock);
+		found = this->tickets.look(_ticket, _workspace);
+	}
+	const std::string ticketText = roadferry::toText(_ticket);
+	switch (found.first)
+	{
+	case TicketState::Elsewhere:
+		return _ticket.issuer;
+	case TicketState::Unused:
+	case TicketState::Running:
+	{
+		const char* state = found.first == TicketState::Unused ? "unused" : "running";
+		_sink->result(202, 0, roadferry::toText(QJsonObject{{"request", text(ticketText)}, {"state", state}}));
+		return std::nullopt;
+	}
+	case TicketState::Forgotten:
+		this->deliverKept(0, ticketText, found.second, _sink);
+		return std::nullopt;
+	case TicketState::Ended:
+		this->deliverKept(_ticket.serial, ticketText, found.second, _sink);
+		return std::nullopt;
+	}
+	return std::nullopt;
+}
+
+std::optional<Incarnation> Traffic::cancel(const Ticket& _ticket, const std::string& _workspace,
+										   const std::shared_ptr<AnswerSink>& _sink)
+{
+	TicketDecision decision = TicketAttach{};
+	Actions actions;
+	{
+		const std::lock_guard<std::mutex> guard(this->lock);
+		decision = this->tickets.seal(_ticket, _workspace, monotonicNow());
+		const auto request = this->requestOfSerial.find(_ticket.serial);
+		if (std::holds_alternative<TicketAttach>(decision) && request != this->requestOfSerial.end())
+		{
+			actions = this->dispatcher.cancel(request->second, monotonicNow());
+		}
+	}
+	// The sink is attached first, so that it hears of the end that the cancel brings about.
+	const auto elsewhere = this->answerDecision(_ticket, decision, _sink);
+	this->perform(this->pool.size(), actions);
+	return elsewhere;
+}
+
+void Traffic::callerGone(const Ticket& _ticket)
+{
+	Actions actions;
+	{
+		const std::lock_guard<std::mutex> guard(this->lock);
+		const auto request = this->requestOfSerial.find(_ticket.serial);
+		if (request != this->requestOfSerial.end())
+		{
+			actions = this->dispatcher.cancel(request->second, monotonicNow());
+		}
+	}
+	this->perform(this->pool.size(), actions);
+}
+
+std::optional<std::string> Traffic::explain(const Ticket& _ticket)
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	const auto found = this->kept.find(_ticket.serial);
+	if (found != this->kept.end())
+	{
+		return *found->second.json;
+	}
+	const auto request = this->requestOfSerial.find(_ticket.serial);
+	if (request == this->requestOfSerial.end())
+	{
+		return std::nullopt;
+	}
+	const Active& active = *this->actives.at(request->second);
+	const double elapsed = static_cast<double>(monotonicNow() - active.arrived) / static_cast<double>(kMillisecond);
+	return roadferry::toText(QJsonObject{{"request", text(active.ticketText)},
+										 {"state", "running"},
+										 {"pipeline", text(active.submission.pipeline)},
+										 {"elapsed_ms", elapsed}});
+}
+
+void Traffic::setTable(const std::shared_ptr<const Table>& _table)
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	this->table = _table;
+	this->dispatcher.setTable(_table);
+}
+
+void Traffic::setEndpoints(const std::vector<Endpoint>& _endpoints)
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	this->dispatcher.setEndpoints(_endpoints);
+}
+
+void Traffic::markLeaving(const std::string& _endpoint)
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	this->dispatcher.markLeaving(_endpoint);
+}
+
+void Traffic::reportLoad(const std::string& _endpoint, const LoadReport& _report)
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	this->dispatcher.reportLoad(_endpoint, _report);
+}
+
+void Traffic::setShare(const std::string& _workspace, std::int64_t _inFlight)
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	this->dispatcher.setShare(_workspace, _inFlight);
+}
+
+void Traffic::drain()
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	this->isDraining = true;
+	this->dispatcher.drain();
+}
+
+bool Traffic::draining() const
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	return this->isDraining;
+}
+
+std::size_t Traffic::inFlight() const
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	return this->actives.size();
+}
+
+std::map<std::string, std::int64_t> Traffic::inFlightByWorkspace() const
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	return this->dispatcher.inFlightByWorkspace();
+}
+
+DispatcherCounters Traffic::counters() const
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	return this->dispatcher.counters();
+}
+
+std::vector<EndpointState> Traffic::endpoints() const
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	return this->dispatcher.endpoints();
+}
+
+const Incarnation& Traffic::self() const
+{
+	return this->settings.self;
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/tests/deployment.cpp
@@ -0,0 +1,311 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Implementation of the processes under test.
+
+#include "deployment.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <csignal>
+#include <future>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace roadferry
+{
+
+namespace
+{
+
+constexpr std::int64_t kCallTimeout = 20'000'000;
+constexpr std::chrono::seconds kAwaitLimit{20};
+constexpr std::chrono::milliseconds kAwaitPause{10};
+constexpr int kCannotStart = 127;
+constexpr const char* kSecret = "peer-credential-of-tests";
+
+Answer answerOf(const CallEnd& _end)
+{
+	Answer answer;
+	answer.result = _end.result;
+	answer.status = _end.status;
+	answer.body = _end.body;
+	const auto object = parseObject(_end.body);
+	answer.json = object.ok() ? *object : QJsonObject();
+	return answer;
+}
+
+CallSpec specOf(const std::string& _address, const std::string& _method, const std::string& _target,
+				const std::string& _body, const std::string& _credential)
+{
+	CallSpec spec;
+	spec.address = _address;
+	spec.request.method = _method;
+	spec.request.target = _target;
+	spec.request.body = _body;
+	spec.request.headers = {{"Authorization", "Bearer " + _credential}};
+	spec.timeout = kCallTimeout;
+	spec.fresh = true;
+	return spec;
+}
+
+} // namespace
+
+Process::Process(const std::string& _program, std::vector<std::string> _arguments)
+{
+	int pipes[2] = {-1, -1};
+	cr_assert_eq(pipe(pipes), 0);
+	const std::string path = absl::StrCat(ROADFERRY_BIN, "/", _program);
+	std::vector<char*> arguments = {const_cast<char*>(path.c_str())};
+	for (std::string& argument : _arguments)
+	{
+		arguments.push_back(argument.data());
+	}
+	arguments.push_back(nullptr);
+	this->pid = fork();
+	if (this->pid == 0)
+	{
+		// A test that fails leaves without running destructors; its processes end with it.
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		dup2(pipes[1], STDOUT_FILENO);
+		close(pipes[0]);
+		close(pipes[1]);
+		execv(path.c_str(), arguments.data());
+		_exit(kCannotStart);
+	}
+	close(pipes[1]);
+	cr_assert_gt(this->pid, 0, "cannot start %s", path.c_str());
+	this->readAddresses(pipes[0]);
+	close(pipes[0]);
+}
+
+void Process::readAddresses(int _output)
+{
+	std::string line;
+	char character = 0;
+	while (read(_output, &character, 1) == 1 && character != '\n')
+	{
+		line += character;
+	}
+	const std::vector<std::string> words = absl::StrSplit(line, ' ');
+	cr_assert_geq(words.size(), 2, "no address from a process: %s", line.c_str());
+	this->address = words[1];
+	this->peer = words.size() >= 4 ? words[3] : std::string();
+}
+
+Process::~Process()
+{
+	this->kill();
+}
+
+void Process::signal(int _signal) const
+{
+	::kill(this->pid, _signal);
+}
+
+void Process::kill()
+{
+	if (this->pid > 0)
+	{
+		::kill(this->pid, SIGKILL);
+		waitpid(this->pid, nullptr, 0);
+		this->pid = -1;
+	}
+}
+
+int Process::wait()
+{
+	int status = 0;
+	waitpid(this->pid, &status, 0);
+	this->pid = -1;
+	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+Deployment::Deployment()
+	: log(std::make_unique<Process>("roadferry-standin", std::vector<std::string>{"--kind=log"})),
+	  vmList(std::make_unique<Process>("roadferry-standin", std::vector<std::string>{"--kind=vmlist"}))
+{
+}
+
+Deployment::~Deployment()
+{
+	this->pool.stop();
+}
+
+void Deployment::list(const std::string& _id, const std::string& _body)
+{
+	const Answer answer = this->call(this->vmList->address, "PUT", "/vms/" + _id, _body);
+	cr_assert_eq(answer.status, 200);
+}
+
+Process& Deployment::endpoint(const std::string& _id, const std::string& _kind, std::vector<std::string> _flags)
+{
+	_flags.push_back("--kind=" + _kind);
+	_flags.push_back("--id=" + _id);
+	this->endpoints.push_back(std::make_unique<Process>("roadferry-standin", _flags));
+	this->list(_id, absl::StrCat("{\"address\":\"", this->endpoints.back()->address, "\",\"pool\":\"", _kind,
+								 "\",\"failure_domain\":\"howrah\",\"slots\":8}"));
+	return *this->endpoints.back();
+}
+
+Process& Deployment::daemon(const std::vector<std::string>& _flags)
+{
+	std::vector<std::string> flags = {"--failure_domain=howrah",
+									  "--log_address=" + this->log->address,
+									  "--vm_list_address=" + this->vmList->address,
+									  absl::StrCat("--callers=hall=", kCaller, ",other=other-credential"),
+									  absl::StrCat("--operators=ana=", kOperator),
+									  absl::StrCat("--peer_secret=", kSecret)};
+	flags.insert(flags.end(), _flags.begin(), _flags.end());
+	this->nodes.push_back(std::make_unique<Process>("roadferryd", flags));
+	Process& node = *this->nodes.back();
+	this->list(absl::StrCat("node-", this->nodes.size()),
+			   absl::StrCat("{\"address\":\"", node.peer, "\",\"role\":\"roadferry\"}"));
+	return node;
+}
+
+void Deployment::daemons(std::size_t _count, const std::vector<std::string>& _flags)
+{
+	for (std::size_t index = 0; index < _count; ++index)
+	{
+		this->daemon(_flags);
+	}
+	for (const auto& node : this->nodes)
+	{
+		await("daemon ready",
+			  [&]
+			  {
+				  return this->call(node->address, "GET", "/ready").status == 200;
+			  });
+		await("daemon knows its peers",
+			  [&]
+			  {
+				  const Answer status = this->call(node->address, "GET", "/operator/status", {}, kOperator);
+				  return status.json["peers"].toArray().size() + 1 == static_cast<qsizetype>(this->nodes.size());
+			  });
+	}
+}
+
+Answer Deployment::edit(std::size_t _daemon, const std::string& _body)
+{
+	return this->call(this->nodes.at(_daemon)->address, "POST", "/operator/table/edits", _body, kOperator);
+}
+
+void Deployment::writeTable()
+{
+	const auto stage = [](const char* _name, const char* _kind)
+	{
+		return absl::StrCat(R"({"kind":"stage","name":")", _name, R"(","base":0,"row":{"name":")", _name,
+							R"(","stage_kind":")", _kind, R"(","pool":")", _kind, R"(","attempts":3}})");
+	};
+	const auto pipeline = [](const char* _name, const char* _stages)
+	{
+		return absl::StrCat(R"({"kind":"pipeline","name":")", _name, R"(","base":0,"row":{"name":")", _name,
+							R"(","workspace":"hall","stages":[)", _stages, R"(],"deadline_ms":5000}})");
+	};
+	const Answer answer = this->edit(
+		0,
+		absl::StrCat(R"({"id":"first","changes":[{"kind":"workspace","name":"hall","base":0,"row":{"name":"hall"}},)",
+					 stage("encode", "encoder"), ",", stage("retrieve", "retriever"), ",", stage("rerank", "reranker"),
+					 ",", stage("generate", "engine"), ",", stage("save", "service"), ",",
+					 pipeline("mark", R"("encode","retrieve","rerank","generate")"), ",",
+					 pipeline("checkin", R"("save")"), "]}"));
+	cr_assert_eq(answer.status, 200, "%s", answer.body.c_str());
+	for (const auto& node : this->nodes)
+	{
+		await("table at the daemon",
+			  [&]
+			  {
+				  const Answer status = this->call(node->address, "GET", "/operator/status", {}, kOperator);
+				  return status.json["table_offset"].toInteger() >= 1;
+			  });
+	}
+}
+
+Answer Deployment::call(const std::string& _address, const std::string& _method, const std::string& _target,
+						const std::string& _body, const std::string& _credential)
+{
+	std::promise<CallEnd> promise;
+	auto future = promise.get_future();
+	this->pool.post(0,
+					[&]
+					{
+						CallHandlers handlers;
+						handlers.onEnd = [&promise](const CallEnd& _end)
+						{
+							promise.set_value(_end);
+						};
+						this->client.call(0, specOf(_address, _method, _target, _body, _credential),
+										  std::move(handlers));
+					});
+	return answerOf(future.get());
+}
+
+void Deployment::callLater(const std::string& _address, const std::string& _target, const std::string& _body,
+						   std::function<void(const Answer&)> _done)
+{
+	this->pool.post(0,
+					[this, spec = specOf(_address, "POST", _target, _body, kCaller), done = std::move(_done)]
+					{
+						CallHandlers handlers;
+						handlers.onEnd = [done](const CallEnd& _end)
+						{
+							done(answerOf(_end));
+						};
+						this->client.call(0, spec, std::move(handlers));
+					});
+}
+
+std::string Deployment::ticket(std::size_t _daemon)
+{
+	const Answer answer = this->call(this->nodes.at(_daemon)->address, "POST", "/v1/tickets", "{}");
+	cr_assert_eq(answer.status, 201);
+	return answer.json["ticket"].toString().toStdString();
+}
+
+std::map<std::string, int> Deployment::effects()
+{
+	std::map<std::string, int> counts;
+	for (const auto& endpoint : this->endpoints)
+	{
+		const Answer ledger = this->call(endpoint->address, "GET", "/ledger");
+		for (const QJsonValue& effect : ledger.json["effects"].toArray())
+		{
+			counts[effect["marker"].toString().toStdString()] += 1;
+		}
+	}
+	return counts;
+}
+
+void Deployment::fault(const Process& _process, const std::string& _body)
+{
+	const Answer answer = this->call(_process.address, "POST", "/fault", _body);
+	cr_assert_eq(answer.status, 200, "%s", answer.body.c_str());
+}
+
+void Deployment::expectText(const QJsonValue& _value, const std::string& _expected)
+{
+	const std::string actual = _value.toString().toStdString();
+	cr_assert(actual == _expected, "is \"%s\", should be \"%s\"", actual.c_str(), _expected.c_str());
+}
+
+void Deployment::await(const std::string& _what, const std::function<bool()>& _condition)
+{
+	const auto begin = std::chrono::steady_clock::now();
+	while (!_condition())
+	{
+		cr_assert(std::chrono::steady_clock::now() - begin < kAwaitLimit, "waited in vain: %s", _what.c_str());
+		std::this_thread::sleep_for(kAwaitPause);
+	}
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/tests/test_path.cpp
@@ -0,0 +1,119 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// The whole path, as separate processes: from a caller through the balancer and a daemon to all stages and back.
+
+#include "deployment.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <criterion/criterion.h>
+
+namespace
+{
+
+using roadferry::Answer;
+using roadferry::Deployment;
+using roadferry::Process;
+
+void addEndpoints(Deployment& _deployment)
+{
+	for (const char* kind : {"encoder", "retriever", "reranker", "engine", "service"})
+	{
+		_deployment.endpoint(absl::StrCat(kind, "-1"), kind);
+	}
+}
+
+std::string textOf(const std::string& _marker, int _tokens)
+{
+	std::string text;
+	for (int position = 0; position < _tokens; ++position)
+	{
+		absl::StrAppend(&text, _marker, ":", position, " ");
+	}
+	return text;
+}
+
+} // namespace
+
+Test(path, request_passes_all_stages_and_comes_back_whole)
+{
+	Deployment deployment;
+	addEndpoints(deployment);
+	deployment.daemons(3);
+	deployment.writeTable();
+	const Process balancer(
+		"roadferry-standin",
+		{"--kind=balancer", absl::StrCat("--backends=", deployment.nodes[0]->address, ",", deployment.nodes[1]->address,
+										 ",", deployment.nodes[2]->address)});
+	Deployment::await("balancer has seen the daemons",
+					  [&]
+					  {
+						  return deployment.call(balancer.address, "GET", "/ready").status == 200;
+					  });
+
+	const Answer answer = deployment.call(balancer.address, "POST", "/v1/pipelines/mark/requests",
+										  R"({"input":{"marker":"script-7"},"max_tokens":4})");
+	cr_assert_eq(answer.status, 200, "%s", answer.body.c_str());
+	Deployment::expectText(answer.json["outcome"], "answered");
+	Deployment::expectText(answer.json["answer"]["text"], textOf("script-7", 4));
+	cr_assert_eq(answer.json["stages"].toArray().size(), 4);
+	cr_assert_eq(deployment.effects()["script-7"], 4);
+
+	const Answer stream = deployment.call(balancer.address, "POST", "/v1/pipelines/mark/requests",
+										  R"({"input":{"marker":"s"},"max_tokens":2,"stream":true})");
+	cr_assert_neq(stream.body.find("event: token\ndata: {\"position\":1,\"text\":\"s:1 \"}"), std::string::npos);
+	cr_assert_neq(stream.body.find("event: outcome"), std::string::npos);
+}
+
+Test(path, failing_stage_gives_a_typed_refusal)
+{
+	Deployment deployment;
+	addEndpoints(deployment);
+	deployment.daemons(1);
+	deployment.writeTable();
+	deployment.fault(*deployment.endpoints[2], R"({"mode":"refuse"})");
+	const Answer answer = deployment.call(deployment.nodes[0]->address, "POST", "/v1/pipelines/mark/requests",
+										  R"({"input":{"marker":"m"},"max_tokens":4})");
+	cr_assert_eq(answer.status, 502, "%s", answer.body.c_str());
+	Deployment::expectText(answer.json["outcome"], "unknown");
+	Deployment::expectText(answer.json["reason"], "attempts_exhausted");
+	Deployment::expectText(answer.json["stage"], "rerank");
+	cr_assert(answer.json["repeat_safe"].toBool());
+}
+
+Test(path, bad_requests_name_the_field_and_the_limit)
+{
+	Deployment deployment;
+	addEndpoints(deployment);
+	deployment.daemons(1);
+	deployment.writeTable();
+	const std::string address = deployment.nodes[0]->address;
+	const std::string target = "/v1/pipelines/mark/requests";
+	const auto message = [&](const std::string& _body)
+	{
+		const Answer answer = deployment.call(address, "POST", target, _body);
+		cr_assert_eq(answer.status, 400);
+		return answer.json["error"]["message"];
+	};
+	Deployment::expectText(message(R"({"input":1,"deadline_ms":-5})"),
+						   "deadline_ms: must be a whole number from 1 to 600000");
+	Deployment::expectText(message(R"({"input":1,"max_tokens":1e300})"),
+						   "max_tokens: must be a whole number from 0 to 1000000");
+	Deployment::expectText(message(R"({"input":1,"repeatable":false})"),
+						   "ticket: must be given when repeatable is false; get one from POST /v1/tickets");
+	Deployment::expectText(message(R"({"input":1,"workspace":"other"})"),
+						   "workspace: must be the workspace of the credential");
+	Deployment::expectText(message(R"({"input":1,"colour":"red"})"),
+						   "colour: must be left out: there is no such field here");
+	cr_assert_neq(message(std::string(5000, '[')).toString().toStdString().find("not valid JSON"), std::string::npos);
+	cr_assert_eq(deployment.call(address, "POST", target, R"({"input":1})", "wrong-credential").status, 401);
+	cr_assert_eq(deployment.call(address, "POST", target, R"({"input":1})", "other-credential").status, 403);
+	cr_assert_eq(deployment.call(address, "POST", "/v1/pipelines/none/requests", R"({"input":1})").status, 404);
+	cr_assert_eq(deployment.call(address, "POST", target, std::string(5 * 1024 * 1024, 'x')).status, 413);
+	cr_assert_eq(deployment.call(address, "POST", "/operator/table/edits", "{}", Deployment::kCaller).status, 401);
+	cr_assert_eq(deployment.call(address, "POST", target, R"({"input":{"marker":"m"},"max_tokens":2})").status, 200);
+}
--- /dev/null
+++ b/tools/roadferry_standin.cpp
@@ -0,0 +1,135 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// roadferry-standin: one process that takes the place of one system outside roadferry, for tests and the demo.
+
+#include "standin.h"
+#include "standin_balancer.h"
+
+#include <absl/strings/str_split.h>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+
+DEFINE_string(kind, "", "log, vmlist, balancer, engine, encoder, retriever, reranker or service");
+DEFINE_string(id, "", "name of this endpoint");
+DEFINE_string(ip, "127.0.0.1", "IP number to listen on");
+DEFINE_int32(port, 0, "port, 0 for one that is free");
+DEFINE_int64(service_ms, 5, "milliseconds that a call takes; for an engine the time to the first token");
+DEFINE_int64(token_ms, 1, "milliseconds between two tokens of an engine");
+DEFINE_int64(slots, 8, "calls that an endpoint runs at once");
+DEFINE_int64(retain, 0, "records that the log keeps, 0 for all");
+DEFINE_int64(rate, 100, "appends a second that the log takes");
+DEFINE_string(backends, "", "addresses that the balancer passes connections to, parted by commas");
+
+namespace
+{
+
+constexpr std::size_t kLedgerSafeBody = 64 * 1024 * 1024;
+
+/// Waits until the process is told to end.
+void waitForSignal()
+{
+	sigset_t signals;
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	int received = 0;
+	sigwait(&signals, &received);
+}
+
+void blockSignals()
+{
+	sigset_t signals;
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+int report(const std::string& _fault, std::uint16_t _port)
+{
+	if (!_fault.empty())
+	{
+		std::cerr << "roadferry-standin: " << _fault << std::endl;
+		return 1;
+	}
+	std::cout << "listening " << FLAGS_ip << ":" << _port << std::endl;
+	waitForSignal();
+	return 0;
+}
+
+int runBalancer(roadferry::IoPool& _pool)
+{
+	const std::vector<std::string> backends = absl::StrSplit(FLAGS_backends, ',', absl::SkipEmpty());
+	roadferry::StandinBalancer balancer(_pool, backends);
+	const std::string fault = balancer.listen(FLAGS_ip, static_cast<std::uint16_t>(FLAGS_port));
+	const int code = report(fault, fault.empty() ? balancer.port() : 0);
+	_pool.stop();
+	return code;
+}
+
+std::unique_ptr<roadferry::Standin> makeStandin(roadferry::IoPool& _pool)
+{
+	roadferry::StandinSettings settings;
+	settings.kind = FLAGS_kind;
+	settings.id = FLAGS_id;
+	settings.serviceMs = FLAGS_service_ms;
+	settings.tokenMs = FLAGS_token_ms;
+	settings.slots = FLAGS_slots;
+	settings.retain = FLAGS_retain;
+	settings.rate = FLAGS_rate;
+	if (FLAGS_kind == "log")
+	{
+		return roadferry::makeLogStandin(_pool, settings);
+	}
+	if (FLAGS_kind == "vmlist")
+	{
+		return roadferry::makeVmListStandin();
+	}
+	const std::vector<std::string> endpointKinds = {"engine", "encoder", "retriever", "reranker", "service"};
+	if (std::find(endpointKinds.begin(), endpointKinds.end(), FLAGS_kind) == endpointKinds.end())
+	{
+		return nullptr;
+	}
+	return roadferry::makeEndpointStandin(_pool, settings);
+}
+
+} // namespace
+
+int main(int _argc, char** _argv)
+{
+	gflags::SetUsageMessage("takes the place of one system outside roadferry");
+	gflags::ParseCommandLineFlags(&_argc, &_argv, true);
+	blockSignals();
+	roadferry::IoPool pool(1);
+	if (FLAGS_kind == "balancer")
+	{
+		return runBalancer(pool);
+	}
+	const auto standin = makeStandin(pool);
+	if (standin == nullptr)
+	{
+		std::cerr << "roadferry-standin: kind: must be log, vmlist, balancer, engine, encoder, retriever, reranker or "
+					 "service"
+				  << std::endl;
+		return 2;
+	}
+	roadferry::HttpServerLimits limits;
+	limits.bodyBytes = kLedgerSafeBody;
+	roadferry::HttpServer server(
+		pool, limits, {},
+		[&standin](roadferry::HttpRequest _request, std::shared_ptr<roadferry::HttpReply> _reply)
+		{
+			standin->handle(_request, _reply);
+		});
+	const std::string fault = server.listen(FLAGS_ip, static_cast<std::uint16_t>(FLAGS_port));
+	const int code = report(fault, server.port());
+	pool.stop();
+	return code;
+}
