--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -432,6 +432,32 @@
 	bool operator==(const TicketLimits&) const = default;
 };
 
+/// Last word of an incarnation that has stopped as planned. It runs nothing after this.
+struct Farewell
+{
+	Incarnation issuer;
+	std::uint64_t forgottenUpTo = 0; ///< Of serials up to this one that are not listed, nothing is known.
+	std::map<std::uint64_t, Outcome> ended;
+	bool operator==(const Farewell&) const = default;
+};
+
+/// Answers for incarnations that have said farewell.
+class FarewellBook
+{
+public:
+	/// @param[in] _life How long a farewell is kept, at least as long as tickets and outcomes live.
+	explicit FarewellBook(Micros _life);
+
+	void add(const Farewell& _farewell, Micros _now);
+
+	/// @returns Outcome of the ticket, or nothing when its issuer has not said farewell.
+	[[nodiscard]] std::optional<Outcome> look(const Ticket& _ticket, Micros _now) const;
+
+private:
+	Micros life;
+	std::map<Incarnation, std::pair<Micros, Farewell>> farewells;
+};
+
 /// The tickets that one incarnation has issued. A ticket never moves to another node, so no lease can lapse and no
 /// two nodes can disagree about it.
 class TicketBook
@@ -466,6 +492,10 @@
 	/// Forgets what is older than the limits allow.
 	void expire(Micros _now);
 
+	/// Seals all unused tickets for good, at the end of a planned stop with nothing running.
+	/// @returns What other nodes need to answer for this incarnation when it is gone.
+	Farewell farewell(Micros _now);
+
 	[[nodiscard]] std::size_t size() const;
 	[[nodiscard]] const Incarnation& self() const;
 
@@ -485,10 +515,269 @@
 	Incarnation identity;
 	TicketLimits limits;
 	std::uint64_t lastSerial = 0;
+	std::uint64_t forgottenUpTo = 0; ///< Highest serial that was forgotten.
 	std::unordered_map<std::uint64_t, Entry> entries;
 	std::deque<std::pair<Micros, std::uint64_t>> expiry; ///< Time of the next look at a serial, oldest first.
 };
 
+// ---------------------------------------------------------------------------------------------------------------
+// Membership: which nodes are alive.
+// ---------------------------------------------------------------------------------------------------------------
+
+enum class MemberState
+{
+	Alive,
+	Suspect, ///< Did not answer; counts as alive until its time to object has passed.
+	Dead,
+	Left ///< Has stopped as planned.
+};
+
+std::string_view nameOf(MemberState _state);
+
+/// What is told of one node.
+struct Member
+{
+	std::string address;
+	std::uint64_t version = 0; ///< Grows with each start of the process and each objection to a false suspicion.
+	MemberState state = MemberState::Alive;
+	std::uint64_t tableOffset = 0; ///< Offset of the table in force there.
+	bool operator==(const Member&) const = default;
+};
+
+enum class GossipKind
+{
+	Ping,
+	Ack,
+	PingRequest ///< Asks the receiver to ping a third node, and to pass its answer back.
+};
+
+/// A heartbeat with news of some members.
+struct Gossip
+{
+	GossipKind kind = GossipKind::Ping;
+	std::uint64_t sequence = 0; ///< Echoed by the answer.
+	std::string target;         ///< Of a PingRequest; empty otherwise.
+	std::vector<Member> news;   ///< The sender itself first.
+	bool operator==(const Gossip&) const = default;
+};
+
+/// Send a gossip message.
+struct SendGossip
+{
+	std::string to;
+	Gossip message;
+	bool operator==(const SendGossip&) const = default;
+};
+
+/// Times and sizes of Membership.
+struct MembershipConfig
+{
+	Micros period = kSecond;                ///< Between two probes.
+	Micros ackTimeout = 300 * kMillisecond; ///< Until other nodes are asked to probe.
+	Micros suspicion = 3 * kSecond;         ///< Time to object, for up to eight nodes; grows with their logarithm.
+	std::size_t helpers = 3;                ///< Nodes asked to probe.
+	std::size_t newsPerMessage = 8;
+	Micros seedPeriod = 5 * kSecond;    ///< Between two tries to reach a listed node that is not alive.
+	Micros forgetAfter = 600 * kSecond; ///< How long a node that is gone is remembered.
+	bool operator==(const MembershipConfig&) const = default;
+};
+
+/// Which nodes are alive, by probes and gossip; each node spends the same however many there are. The view decides
+/// shares and who appends snapshots, and never who may run a ticket.
+class Membership
+{
+public:
+	/// @param[in] _address Own address.
+	/// @param[in] _version First version, above that of earlier processes at this address: wall clock at start.
+	Membership(std::string _address, std::uint64_t _version, MembershipConfig _config, std::uint64_t _seed);
+
+	/// Tells of nodes that the VM list shows, which may or may not be alive.
+	void setSeeds(const std::vector<std::string>& _addresses);
+
+	/// Tells other nodes which offset is in force here.
+	void setTableOffset(std::uint64_t _offset);
+
+	std::vector<SendGossip> receive(const std::string& _from, const Gossip& _message, Micros _now);
+	std::vector<SendGossip> tick(Micros _now);
+
+	/// Tells some nodes that this one leaves as planned.
+	std::vector<SendGossip> leave(Micros _now);
+
+	/// @returns All members that are known, this node among them, by address.
+	[[nodiscard]] const std::map<std::string, Member>& members() const;
+
+	/// @returns Addresses of the nodes that count as alive, this one among them, sorted.
+	[[nodiscard]] std::vector<std::string> alive() const;
+
+private:
+	struct Probe
+	{
+		std::string target;
+		std::uint64_t sequence = 0;
+		Micros sentAt = 0;
+		bool helped = false;
+		bool answered = false;
+	};
+
+	struct Rumour
+	{
+		std::size_t sends = 0;
+	};
+
+	void hear(const Member& _news, Micros _now);
+	void store(const Member& _news, Micros _now);
+	void suspect(const std::string& _address, Micros _now);
+	void expireSuspects(Micros _now);
+	void nextProbe(Micros _now, std::vector<SendGossip>& _out);
+	void askHelpers(Micros _now, std::vector<SendGossip>& _out);
+	void trySeed(Micros _now, std::vector<SendGossip>& _out);
+	std::vector<Member> takeNews();
+	SendGossip message(const std::string& _to, GossipKind _kind, std::uint64_t _sequence);
+	[[nodiscard]] std::size_t logarithm() const;
+
+	std::string self;
+	MembershipConfig config;
+	std::minstd_rand random;
+	std::map<std::string, Member> known;
+	std::map<std::string, Micros> changedAt;
+	std::map<std::string, Rumour> rumours; ///< News still to be told, with how often each was told.
+	std::vector<std::string> seeds;
+	std::vector<std::string> order; ///< Nodes still to be probed in this round.
+	std::optional<Probe> probe;
+	std::map<std::uint64_t, std::pair<std::string, std::uint64_t>> relayed; ///< Probes made for others.
+	std::uint64_t lastSequence = 0;
+	Micros nextProbeAt = 0;
+	Micros nextSeedAt = 0;
+};
+
+// ---------------------------------------------------------------------------------------------------------------
+// Shares: a workspace's limit split over nodes.
+// ---------------------------------------------------------------------------------------------------------------
+
+/// What one node wants of the workspaces that a meter looks after. A workspace that is not listed is wanted by nobody
+/// there.
+struct DemandReport
+{
+	bool fallback = false; ///< The sender has not heard of the meter for long, and uses its even split.
+	std::map<std::string, std::int64_t> demand; ///< Requests in flight and refused of late, by workspace.
+	bool operator==(const DemandReport&) const = default;
+};
+
+/// Shares that a meter grants to one node.
+struct ShareGrant
+{
+	std::map<std::string, std::int64_t> shares;
+	bool operator==(const ShareGrant&) const = default;
+};
+
+struct SendDemand
+{
+	std::string to;
+	DemandReport report;
+	bool operator==(const SendDemand&) const = default;
+};
+
+struct SendGrant
+{
+	std::string to;
+	ShareGrant grant;
+	bool operator==(const SendGrant&) const = default;
+};
+
+using ShareAction = std::variant<SendDemand, SendGrant>;
+
+/// Times of ShareMeter.
+struct ShareConfig
+{
+	Micros period = 500 * kMillisecond; ///< Between two reports, for up to 50 nodes; grows with their number.
+	Micros lease = 3 * kSecond;         ///< How long a grant holds, as a least; six periods when that is more.
+	std::size_t nodesPerMeter = 20;     ///< Each workspace has one meter; there is one for so many nodes.
+	bool operator==(const ShareConfig&) const = default;
+};
+
+/// Splits each workspace's limit over the nodes by demand.
+///
+/// Each node may always use a floor, a quarter of an even split. The rest of the limit is given out by one node for
+/// each workspace, the meter, under leases. A node that its meter does not answer stops reporting, waits until the
+/// meter has forgotten its reports, and falls back to the even split, which the meter sets aside for each listed node
+/// that does not report. So the sum over all nodes is at most the limit, or one for each node where that is more, also
+/// while nodes cannot talk. It may be exceeded for one lease after the list of nodes has changed.
+class ShareMeter
+{
+public:
+	ShareMeter(std::string _self, ShareConfig _config);
+
+	/// @param[in] _listed All nodes of the VM list, alive or not, this one among them.
+	/// @param[in] _alive Those that count as alive.
+	void setNodes(const std::vector<std::string>& _listed, const std::vector<std::string>& _alive, Micros _now);
+
+	/// @param[in] _limits Limit of each workspace that has one.
+	void setLimits(const std::map<std::string, std::int64_t>& _limits);
+
+	/// Tells what this node wants.
+	void setDemand(const std::map<std::string, std::int64_t>& _demand);
+
+	std::vector<ShareAction> tick(Micros _now);
+	void receiveDemand(const std::string& _from, const DemandReport& _report, Micros _now);
+	void receiveGrant(const std::string& _from, const ShareGrant& _grant, Micros _now);
+
+	/// @returns This node's share of each limited workspace.
+	[[nodiscard]] std::map<std::string, std::int64_t> shares(Micros _now) const;
+
+	/// @returns The node that looks after a workspace.
+	[[nodiscard]] std::string meterOf(const std::string& _workspace) const;
+
+private:
+	struct Reported
+	{
+		std::map<std::string, std::int64_t> demand;
+		Micros at = 0;
+	};
+
+	struct Held
+	{
+		std::int64_t share = 0;
+		Micros until = 0;
+	};
+
+	/// How this node stands with one meter.
+	struct MeterLink
+	{
+		Micros heardAt = 0;
+		std::optional<Micros> silentSince; ///< Since when no true report has been sent.
+	};
+
+	void updateLinks(Micros _now);
+	[[nodiscard]] static std::int64_t promised(const std::vector<Held>& _grants);
+	static void promise(std::vector<Held>& _grants, const Held& _grant);
+	[[nodiscard]] Micros period() const;
+	[[nodiscard]] Micros lease() const;
+	[[nodiscard]] std::int64_t evenSplit(std::int64_t _limit) const;
+	[[nodiscard]] std::int64_t floorOf(std::int64_t _limit) const;
+	void rebuildMeters();
+	void report(Micros _now, std::vector<ShareAction>& _out);
+	void grant(Micros _now, std::vector<ShareAction>& _out);
+	void grantWorkspace(const std::string& _workspace, std::int64_t _limit, Micros _now,
+						std::map<std::string, ShareGrant>& _grants);
+
+	std::string self;
+	ShareConfig config;
+	std::vector<std::string> listed;
+	std::vector<std::string> aliveNodes;
+	std::vector<std::string> meters;
+	std::map<std::string, std::string> meterByWorkspace;
+	std::map<std::string, std::int64_t> limits;
+	std::map<std::string, std::int64_t> demand;
+	std::map<std::string, Held> held;        ///< Own grants by workspace.
+	std::map<std::string, Reported> reports; ///< By node, as a meter.
+	std::set<std::string> askers;            ///< Nodes that have sent something since the last grants.
+	std::map<std::string, std::map<std::string, std::vector<Held>>> granted; ///< By workspace and node, as a meter.
+	std::map<std::string, MeterLink> links;                                  ///< By meter.
+	Micros nextAt = 0;
+	bool started = false;  ///< Whether the nodes were set at least once.
+	Micros quietUntil = 0; ///< As a meter: grants of an earlier meter may still hold until then.
+};
+
 // ---------------------------------------------------------------------------------------------------------------
 // Endpoints: which are live, which are leaving, how busy each one is.
 // ---------------------------------------------------------------------------------------------------------------
--- a/src/caller_api.cpp
+++ b/src/caller_api.cpp
@@ -214,11 +214,7 @@
 		}
 		submission->ticket = *issued;
 		// Nobody can ask for the outcome of a request without a ticket, so that it ends with its caller.
-		_reply->onGone(
-			[&traffic = this->traffic, ticket = *issued]
-			{
-				traffic.callerGone(ticket);
-			});
+		_reply->onGone([&traffic = this->traffic, ticket = *issued] { traffic.callerGone(ticket); });
 	}
 	auto sink = sinkFor(submission->stream, _reply);
 	const auto issuer = this->traffic.submit(_reply->thread(), *submission, sink);
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -28,25 +28,13 @@
 
 } // namespace
 
-Control::Control(Platform& _platform, Traffic& _traffic, std::string _self,
+Control::Control(Platform& _platform, Traffic& _traffic, ClusterView& _view, std::string _self,
 				 std::function<void(const std::string&, const PeerMessage&)> _send)
-	: platform(_platform), traffic(_traffic), self(std::move(_self)), send(std::move(_send))
+	: platform(_platform), traffic(_traffic), view(_view), self(std::move(_self)), send(std::move(_send))
 {
-	QObject::connect(&this->logTimer, &QTimer::timeout,
-					 [this]
-					 {
-						 this->readLog();
-					 });
-	QObject::connect(&this->vmTimer, &QTimer::timeout,
-					 [this]
-					 {
-						 this->readVmList();
-					 });
-	QObject::connect(&this->loadTimer, &QTimer::timeout,
-					 [this]
-					 {
-						 this->readLoads();
-					 });
+	QObject::connect(&this->logTimer, &QTimer::timeout, [this] { this->readLog(); });
+	QObject::connect(&this->vmTimer, &QTimer::timeout, [this] { this->readVmList(); });
+	QObject::connect(&this->loadTimer, &QTimer::timeout, [this] { this->readLoads(); });
 }
 
 void Control::start()
@@ -139,16 +127,14 @@
 void Control::publishTable()
 {
 	this->traffic.setTable(std::make_shared<const Table>(this->fold.table()));
+	this->view.setTable(this->fold.table());
 	logInfo("control", absl::StrCat("table in force at offset ", this->fold.table().snapshot().offset));
 }
 
 std::size_t Control::rank() const
 {
-	return static_cast<std::size_t>(std::count_if(this->peerList.begin(), this->peerList.end(),
-												  [this](const std::string& _peer)
-												  {
-													  return _peer < this->self;
-												  }));
+	const std::vector<std::string> alive = this->view.members().alive();
+	return static_cast<std::size_t>(std::lower_bound(alive.begin(), alive.end(), this->self) - alive.begin());
 }
 
 void Control::considerSnapshot()
@@ -229,11 +215,7 @@
 
 void Control::readVmList()
 {
-	this->platform.readVmList(
-		[this](const absl::StatusOr<VmList>& _list)
-		{
-			this->onVmList(_list);
-		});
+	this->platform.readVmList([this](const absl::StatusOr<VmList>& _list) { this->onVmList(_list); });
 }
 
 void Control::onVmList(const absl::StatusOr<VmList>& _list)
@@ -245,10 +227,10 @@
 	this->vmListRead = true;
 	this->peerList.clear();
 	std::copy_if(_list->peers.begin(), _list->peers.end(), std::back_inserter(this->peerList),
-				 [this](const std::string& _peer)
-				 {
-					 return _peer != this->self;
-				 });
+				 [this](const std::string& _peer) { return _peer != this->self; });
+	std::vector<std::string> nodes = this->peerList;
+	nodes.push_back(this->self);
+	this->view.setListed(nodes);
 	for (const Endpoint& endpoint : _list->endpoints)
 	{
 		if (endpoint.leaving)
@@ -267,11 +249,8 @@
 {
 	for (const Endpoint& endpoint : this->endpointList)
 	{
-		this->platform.readLoad(endpoint.address,
-								[this, id = endpoint.id](const absl::StatusOr<LoadReport>& _report)
-								{
-									this->onLoad(id, _report);
-								});
+		this->platform.readLoad(endpoint.address, [this, id = endpoint.id](const absl::StatusOr<LoadReport>& _report)
+								{ this->onLoad(id, _report); });
 	}
 }
 
--- a/src/control.h
+++ b/src/control.h
@@ -9,6 +9,7 @@
 #ifndef ROADFERRY_CONTROL_H_HEADER_GUARD
 #define ROADFERRY_CONTROL_H_HEADER_GUARD
 
+#include "cluster_view.h"
 #include "peer_messages.h"
 #include "platform.h"
 #include "traffic.h"
@@ -26,7 +27,7 @@
 {
 public:
 	/// @param[in] _self Address of this node, as other nodes know it.
-	Control(Platform& _platform, Traffic& _traffic, std::string _self,
+	Control(Platform& _platform, Traffic& _traffic, ClusterView& _view, std::string _self,
 			std::function<void(const std::string&, const PeerMessage&)> _send);
 
 	/// Begins to read the log and the VM list.
@@ -72,6 +73,7 @@
 
 	Platform& platform;
 	Traffic& traffic;
+	ClusterView& view;
 	std::string self;
 	std::function<void(const std::string&, const PeerMessage&)> send;
 	LogFold fold;
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -225,8 +225,7 @@
 
 std::optional<Outcome> Dispatcher::State::refusalOf(const RequestSpec& _request, Flight& _flight, Micros _now)
 {
-	const auto refuse = [](Reason _reason, Micros _retryAfter)
-	{
+	const auto refuse = [](Reason _reason, Micros _retryAfter) {
 		return Outcome{Verdict::NotRun, _reason, true, _retryAfter, {}};
 	};
 	if (this->draining)
@@ -553,22 +552,10 @@
 	Flight& flight = self.flights.at(found->second);
 	std::visit(
 		Overloaded{
-			[&](const AttemptAnswered&)
-			{
-				self.answered(flight, _now, actions);
-			},
-			[&](const AttemptNotSent&)
-			{
-				self.retryOrGiveUp(flight, false, _now, actions);
-			},
-			[&](const AttemptRefused&)
-			{
-				self.retryOrGiveUp(flight, false, _now, actions);
-			},
-			[&](const AttemptCut&)
-			{
-				self.retryOrGiveUp(flight, true, _now, actions);
-			},
+			[&](const AttemptAnswered&) { self.answered(flight, _now, actions); },
+			[&](const AttemptNotSent&) { self.retryOrGiveUp(flight, false, _now, actions); },
+			[&](const AttemptRefused&) { self.retryOrGiveUp(flight, false, _now, actions); },
+			[&](const AttemptCut&) { self.retryOrGiveUp(flight, true, _now, actions); },
 		},
 		_end);
 	return actions;
--- a/src/endpoint_book.cpp
+++ b/src/endpoint_book.cpp
@@ -72,10 +72,7 @@
 		slot->endpoint.leaving = this->left.count(listed.id) > 0;
 	}
 	std::erase_if(this->endpoints,
-				  [](const auto& _entry)
-				  {
-					  return !_entry.second->listed && _entry.second->own == 0;
-				  });
+				  [](const auto& _entry) { return !_entry.second->listed && _entry.second->own == 0; });
 	this->rebuildPools();
 }
 
@@ -93,9 +90,7 @@
 	{
 		std::sort(pool.second.members.begin(), pool.second.members.end(),
 				  [](const EndpointState* _left, const EndpointState* _right)
-				  {
-					  return _left->endpoint.id < _right->endpoint.id;
-				  });
+				  { return _left->endpoint.id < _right->endpoint.id; });
 	}
 }
 
@@ -235,10 +230,7 @@
 	}
 	const auto& members = found->second.members;
 	const auto aside = std::count_if(members.begin(), members.end(),
-									 [_now](const EndpointState* _member)
-									 {
-										 return _now < _member->asideUntil;
-									 });
+									 [_now](const EndpointState* _member) { return _now < _member->asideUntil; });
 	return static_cast<double>(aside + 1) <= this->config.setAsideShare * static_cast<double>(members.size());
 }
 
@@ -277,10 +269,7 @@
 		return false;
 	}
 	return std::any_of(found->second.members.begin(), found->second.members.end(),
-					   [](const EndpointState* _member)
-					   {
-						   return _member->listed && !_member->endpoint.leaving;
-					   });
+					   [](const EndpointState* _member) { return _member->listed && !_member->endpoint.leaving; });
 }
 
 std::vector<EndpointState> EndpointBook::all() const
@@ -293,9 +282,7 @@
 	}
 	std::sort(result.begin(), result.end(),
 			  [](const EndpointState& _left, const EndpointState& _right)
-			  {
-				  return _left.endpoint.id < _right.endpoint.id;
-			  });
+			  { return _left.endpoint.id < _right.endpoint.id; });
 	return result;
 }
 
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -151,11 +151,7 @@
 		if (!parseAddress(this->spec.address, endpoint))
 		{
 			// Never from inside start(), where the caller does not hold the call yet.
-			asio::post(this->context,
-					   [self = this->shared_from_this()]
-					   {
-						   self->fail("address is not IP:port");
-					   });
+			asio::post(this->context, [self = this->shared_from_this()] { self->fail("address is not IP:port"); });
 			return;
 		}
 		this->socket = std::make_unique<Tcp::socket>(this->context);
@@ -202,9 +198,7 @@
 	{
 		http::async_read_some(*this->socket, this->buffer, this->parser,
 							  [self = this->shared_from_this()](const Error& _error, std::size_t)
-							  {
-								  self->onRead(_error);
-							  });
+							  { self->onRead(_error); });
 	}
 
 	void onRead(const Error& _error)
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -95,11 +95,7 @@
 
 	void send(HttpResponse _response) override
 	{
-		this->onThread(
-			[this, response = std::move(_response)]() mutable
-			{
-				this->sendNow(std::move(response));
-			});
+		this->onThread([this, response = std::move(_response)]() mutable { this->sendNow(std::move(response)); });
 	}
 
 	void startStream(unsigned _status, std::string _contentType) override
@@ -132,20 +128,12 @@
 
 	void endStream() override
 	{
-		this->onThread(
-			[this]
-			{
-				this->enqueue(beast::buffers_to_string(http::make_chunk_last()), true);
-			});
+		this->onThread([this] { this->enqueue(beast::buffers_to_string(http::make_chunk_last()), true); });
 	}
 
 	void abort() override
 	{
-		this->onThread(
-			[this]
-			{
-				this->close();
-			});
+		this->onThread([this] { this->close(); });
 	}
 
 	void onGone(std::function<void()> _function) override
@@ -172,10 +160,7 @@
 	void onThread(Function _function)
 	{
 		asio::dispatch(this->stream.get_executor(),
-					   [self = this->shared_from_this(), function = std::move(_function)]() mutable
-					   {
-						   function();
-					   });
+					   [self = this->shared_from_this(), function = std::move(_function)]() mutable { function(); });
 	}
 
 	Tcp::socket& socket()
@@ -359,9 +344,7 @@
 		this->response.emplace(std::move(message));
 		http::async_write(this->stream, *this->response,
 						  [self = this->shared_from_this()](const Error& _error, std::size_t)
-						  {
-							  self->finished(_error);
-						  });
+						  { self->finished(_error); });
 	}
 
 	void enqueue(std::string _data, bool _last)
@@ -387,9 +370,7 @@
 	{
 		asio::async_write(this->stream, asio::buffer(this->chunks.front().first),
 						  [self = this->shared_from_this()](const Error& _error, std::size_t)
-						  {
-							  self->chunkWritten(_error);
-						  });
+						  { self->chunkWritten(_error); });
 	}
 
 	void chunkWritten(const Error& _error)
@@ -557,11 +538,7 @@
 	template<class Pointer>
 	void launch(Pointer _connection, std::size_t _thread)
 	{
-		this->pool.post(_thread,
-						[connection = std::move(_connection)]
-						{
-							connection->start();
-						});
+		this->pool.post(_thread, [connection = std::move(_connection)] { connection->start(); });
 	}
 
 	std::string loadCertificate()
--- a/src/io_pool.cpp
+++ b/src/io_pool.cpp
@@ -71,11 +71,7 @@
 	for (std::size_t index = 0; index < _threads; ++index)
 	{
 		auto loop = std::make_unique<Loop>();
-		loop->thread = std::thread(
-			[context = &loop->context]
-			{
-				context->run();
-			});
+		loop->thread = std::thread([context = &loop->context] { context->run(); });
 		this->impl->loops.push_back(std::move(loop));
 	}
 }
@@ -116,11 +112,7 @@
 void IoPool::every(std::size_t _thread, std::int64_t _period, std::function<void()> _function)
 {
 	auto periodic = std::make_shared<Periodic>(this->context(_thread), _period, std::move(_function));
-	this->post(_thread,
-			   [periodic]
-			   {
-				   periodic->arm();
-			   });
+	this->post(_thread, [periodic] { periodic->arm(); });
 }
 
 void IoPool::stop()
--- a/src/json.cpp
+++ b/src/json.cpp
@@ -158,11 +158,8 @@
 {
 	const QJsonValue value = this->object.value(QLatin1String(_name));
 	const QJsonArray array = value.toArray();
-	const bool onlyObjects = std::all_of(array.begin(), array.end(),
-										 [](const QJsonValue& _element)
-										 {
-											 return _element.isObject();
-										 });
+	const bool onlyObjects =
+		std::all_of(array.begin(), array.end(), [](const QJsonValue& _element) { return _element.isObject(); });
 	if (!value.isArray() || !onlyObjects || static_cast<std::size_t>(array.size()) > _countLimit)
 	{
 		this->fault(_name, absl::StrCat("a list of at most ", _countLimit, " objects"));
--- a/src/log_fold.cpp
+++ b/src/log_fold.cpp
@@ -133,10 +133,7 @@
 std::optional<EditOutcome> LogFold::outcomeOf(const std::string& _editId) const
 {
 	const auto found = std::find_if(this->edits.begin(), this->edits.end(),
-									[&](const EditHistory& _entry)
-									{
-										return _entry.edit.id == _editId;
-									});
+									[&](const EditHistory& _entry) { return _entry.edit.id == _editId; });
 	return found == this->edits.end() ? std::nullopt : std::optional(found->outcome);
 }
 
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -22,6 +22,8 @@
 constexpr int kDrainPeriodMs = 20;
 constexpr Micros kBalancerNotice = 1500 * kMillisecond; ///< Longest time until the balancer has seen the failed check.
 
+constexpr Micros kFarewellTime = 300 * kMillisecond; ///< For the last messages to leave.
+
 } // namespace
 
 Node::Node(Settings _settings) : settings(std::move(_settings)), pool(settings.threads), peerPool(1), client(pool)
@@ -43,13 +45,8 @@
 	this->stopped = std::move(_stopped);
 	PeerHandlers handlers;
 	handlers.onMessage = [this](const std::string& _peer, const std::string& _bytes)
-	{
-		this->onPeerMessage(_peer, _bytes);
-	};
-	handlers.onClosed = [this](const std::string& _peer)
-	{
-		this->relay->onPeerClosed(_peer);
-	};
+	{ this->onPeerMessage(_peer, _bytes); };
+	handlers.onClosed = [this](const std::string& _peer) { this->relay->onPeerClosed(_peer); };
 	this->link = std::make_unique<PeerLink>(this->peerPool, this->settings.peerSecret, handlers);
 	const std::string peerFault = this->link->listen(this->settings.ip, this->settings.peerPort);
 	if (!peerFault.empty())
@@ -57,9 +54,7 @@
 		return absl::UnavailableError(peerFault);
 	}
 	const auto sendPeer = [this](const std::string& _peer, const PeerMessage& _message)
-	{
-		this->link->send(_peer, encode(_message));
-	};
+	{ this->link->send(_peer, encode(_message)); };
 	this->traces = std::make_unique<TraceWriter>(this->settings.traceFile, this->link->self());
 	TrafficSettings trafficSettings;
 	trafficSettings.self = Incarnation{this->link->self(), randomNumber()};
@@ -70,20 +65,16 @@
 		std::make_unique<Traffic>(this->pool, this->client, this->metrics, *this->traces, std::move(trafficSettings));
 	this->relay = std::make_unique<Relay>(this->pool, *this->traffic, sendPeer);
 	this->platform = std::make_unique<Platform>(this->settings.logAddress, this->settings.vmListAddress);
-	this->control = std::make_unique<Control>(*this->platform, *this->traffic, this->link->self(), sendPeer);
+	this->view = std::make_unique<ClusterView>(*this->traffic, this->link->self(), sendPeer);
+	this->control =
+		std::make_unique<Control>(*this->platform, *this->traffic, *this->view, this->link->self(), sendPeer);
 	this->callerApi = std::make_unique<CallerApi>(this->settings, *this->traffic, *this->relay);
-	this->operatorApi = std::make_unique<OperatorApi>(this->settings, *this->control, *this->traffic, this->metrics,
-													  this->controlThread,
-													  [this]
-													  {
-														  this->drain();
-													  });
+	this->operatorApi = std::make_unique<OperatorApi>(this->settings, *this->control, *this->view, *this->traffic,
+													  this->metrics, this->controlThread, [this] { this->drain(); });
 	this->server =
 		std::make_unique<HttpServer>(this->pool, this->settings.http, this->settings.tls,
 									 [this](const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply)
-									 {
-										 this->handle(_request, _reply);
-									 });
+									 { this->handle(_request, _reply); });
 	const std::string fault = this->server->listen(this->settings.ip, this->settings.port);
 	if (!fault.empty())
 	{
@@ -91,11 +82,8 @@
 	}
 	this->traffic->start();
 	this->control->start();
-	QObject::connect(&this->readyTimer, &QTimer::timeout,
-					 [this]
-					 {
-						 this->isReady = this->control->ready();
-					 });
+	this->view->start();
+	QObject::connect(&this->readyTimer, &QTimer::timeout, [this] { this->isReady = this->control->ready(); });
 	this->readyTimer.start(kReadyPeriodMs);
 	return absl::OkStatus();
 }
@@ -132,47 +120,22 @@
 		return;
 	}
 	const auto onControl = [this](std::function<void()> _function)
-	{
-		QMetaObject::invokeMethod(&this->controlThread, std::move(_function), Qt::QueuedConnection);
-	};
+	{ QMetaObject::invokeMethod(&this->controlThread, std::move(_function), Qt::QueuedConnection); };
 	std::visit(
 		Overloaded{
-			[&](const RelayRequest& _typed)
-			{
-				this->relay->onRequest(_peer, _typed);
-			},
-			[&](const RelayToken& _typed)
-			{
-				this->relay->onToken(_typed);
-			},
-			[&](const RelayResult& _typed)
-			{
-				this->relay->onResult(_typed);
-			},
+			[&](const RelayRequest& _typed) { this->relay->onRequest(_peer, _typed); },
+			[&](const RelayToken& _typed) { this->relay->onToken(_typed); },
+			[&](const RelayResult& _typed) { this->relay->onResult(_typed); },
 			[&](const TableAsk& _typed)
-			{
-				onControl(
-					[this, _peer, _typed]
-					{
-						this->control->onTableAsk(_peer, _typed);
-					});
-			},
-			[&](const TableGive& _typed)
-			{
-				onControl(
-					[this, _typed]
-					{
-						this->control->onTableGive(_typed);
-					});
-			},
-			[&](const LeavingWord& _typed)
-			{
-				onControl(
-					[this, _typed]
-					{
-						this->control->onLeavingWord(_typed);
-					});
-			},
+			{ onControl([this, _peer, _typed] { this->control->onTableAsk(_peer, _typed); }); },
+			[&](const TableGive& _typed) { onControl([this, _typed] { this->control->onTableGive(_typed); }); },
+			[&](const LeavingWord& _typed) { onControl([this, _typed] { this->control->onLeavingWord(_typed); }); },
+			[&](const Farewell& _typed) { this->traffic->hearFarewell(_typed); },
+			[&](const Gossip& _typed) { onControl([this, _peer, _typed] { this->view->onGossip(_peer, _typed); }); },
+			[&](const DemandReport& _typed)
+			{ onControl([this, _peer, _typed] { this->view->onDemand(_peer, _typed); }); },
+			[&](const ShareGrant& _typed)
+			{ onControl([this, _peer, _typed] { this->view->onShares(_peer, _typed); }); },
 		},
 		*message);
 }
@@ -185,11 +148,7 @@
 	}
 	logInfo("node", "planned stop begins");
 	this->drainBegan = monotonicNow();
-	QObject::connect(&this->drainTimer, &QTimer::timeout,
-					 [this]
-					 {
-						 this->awaitIdle();
-					 });
+	QObject::connect(&this->drainTimer, &QTimer::timeout, [this] { this->awaitIdle(); });
 	this->drainTimer.start(kDrainPeriodMs);
 }
 
@@ -207,7 +166,15 @@
 	{
 		return;
 	}
-	this->traffic->drain();
+	if (this->farewellAt == 0)
+	{
+		this->sayFarewell();
+		return;
+	}
+	if (monotonicNow() - this->farewellAt < kFarewellTime)
+	{
+		return;
+	}
 	this->drainTimer.stop();
 	logInfo("node", absl::StrCat("planned stop ends with ", this->traffic->inFlight(), " requests in flight"));
 	if (this->stopped)
@@ -216,6 +183,18 @@
 	}
 }
 
+void Node::sayFarewell()
+{
+	this->farewellAt = monotonicNow();
+	this->traffic->drain();
+	const Farewell word = this->traffic->farewell();
+	for (const std::string& peer : this->control->peers())
+	{
+		this->link->send(peer, encode(word));
+	}
+	this->view->leave();
+}
+
 std::string Node::callerAddress() const
 {
 	return absl::StrCat(this->settings.ip, ":", this->server->port());
--- a/src/node.h
+++ b/src/node.h
@@ -43,6 +43,7 @@
 	void handleHealth(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply);
 	void onPeerMessage(const std::string& _peer, const std::string& _bytes);
 	void awaitIdle();
+	void sayFarewell();
 
 	Settings settings;
 	QObject controlThread; ///< Receives what is to run on the control thread.
@@ -55,6 +56,7 @@
 	std::unique_ptr<Traffic> traffic;
 	std::unique_ptr<Relay> relay;
 	std::unique_ptr<Platform> platform;
+	std::unique_ptr<ClusterView> view;
 	std::unique_ptr<Control> control;
 	std::unique_ptr<CallerApi> callerApi;
 	std::unique_ptr<OperatorApi> operatorApi;
@@ -63,6 +65,7 @@
 	std::atomic<bool> leaving{false};
 	std::function<void()> stopped;
 	Micros drainBegan = 0;
+	Micros farewellAt = 0;
 	QTimer readyTimer;
 	QTimer drainTimer;
 };
--- a/src/operator_api.cpp
+++ b/src/operator_api.cpp
@@ -42,31 +42,19 @@
 {
 	return std::visit(
 		Overloaded{
-			[](const EditAccepted&)
-			{
-				return 200U;
-			},
-			[](const EditConflict&)
-			{
-				return 409U;
-			},
-			[](const EditInvalid&)
-			{
-				return 400U;
-			},
-			[](const EditAlreadyApplied&)
-			{
-				return 409U;
-			},
+			[](const EditAccepted&) { return 200U; },
+			[](const EditConflict&) { return 409U; },
+			[](const EditInvalid&) { return 400U; },
+			[](const EditAlreadyApplied&) { return 409U; },
 		},
 		_outcome);
 }
 
 } // namespace
 
-OperatorApi::OperatorApi(const Settings& _settings, Control& _control, Traffic& _traffic, Metrics& _metrics,
-						 QObject& _thread, std::function<void()> _drain)
-	: settings(_settings), control(_control), traffic(_traffic), metrics(_metrics), thread(_thread),
+OperatorApi::OperatorApi(const Settings& _settings, Control& _control, ClusterView& _view, Traffic& _traffic,
+						 Metrics& _metrics, QObject& _thread, std::function<void()> _drain)
+	: settings(_settings), control(_control), view(_view), traffic(_traffic), metrics(_metrics), thread(_thread),
 	  drain(std::move(_drain))
 {
 }
@@ -107,12 +95,7 @@
 		return true;
 	}
 	QMetaObject::invokeMethod(
-		&this->thread,
-		[this, _request, name, _reply]
-		{
-			this->serve(_request, name, _reply);
-		},
-		Qt::QueuedConnection);
+		&this->thread, [this, _request, name, _reply] { this->serve(_request, name, _reply); }, Qt::QueuedConnection);
 	return true;
 }
 
@@ -244,12 +227,27 @@
 	{
 		peers.append(text(peer));
 	}
+	QJsonArray members;
+	for (const auto& entry : this->view.members().members())
+	{
+		members.append(QJsonObject{{"node", text(entry.first)},
+								   {"state", text(nameOf(entry.second.state))},
+								   {"table_offset", static_cast<qint64>(entry.second.tableOffset)}});
+	}
+	QJsonObject shares;
+	for (const auto& entry : this->view.shares())
+	{
+		shares[text(entry.first)] = static_cast<qint64>(entry.second);
+	}
 	const DispatcherCounters counters = this->traffic.counters();
 	return QJsonObject{{"node", text(this->traffic.self().node)},
 					   {"failure_domain", text(this->settings.failureDomain)},
 					   {"ready", this->control.ready()},
 					   {"draining", this->traffic.draining()},
 					   {"table_offset", static_cast<qint64>(this->control.log().table().snapshot().offset)},
+					   {"in_force_offset", static_cast<qint64>(this->view.inForce())},
+					   {"members", members},
+					   {"shares", shares},
 					   {"log_gap", this->control.log().hasGap()},
 					   {"in_flight", static_cast<qint64>(this->traffic.inFlight())},
 					   {"submitted", static_cast<qint64>(counters.submitted)},
--- a/src/operator_api.h
+++ b/src/operator_api.h
@@ -23,8 +23,8 @@
 {
 public:
 	/// @param[in] _thread Object that lives on the control thread.
-	OperatorApi(const Settings& _settings, Control& _control, Traffic& _traffic, Metrics& _metrics, QObject& _thread,
-				std::function<void()> _drain);
+	OperatorApi(const Settings& _settings, Control& _control, ClusterView& _view, Traffic& _traffic, Metrics& _metrics,
+				QObject& _thread, std::function<void()> _drain);
 
 	/// @returns Whether the request was for this interface.
 	bool handle(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply);
@@ -41,6 +41,7 @@
 
 	const Settings& settings;
 	Control& control;
+	ClusterView& view;
 	Traffic& traffic;
 	Metrics& metrics;
 	QObject& thread;
--- a/src/peer_link.cpp
+++ b/src/peer_link.cpp
@@ -67,26 +67,11 @@
 
 	void setHandlers()
 	{
-		this->server.set_validate_handler(
-			[this](Handle _handle)
-			{
-				return this->isPeer(_handle);
-			});
-		this->server.set_open_handler(
-			[this](Handle _handle)
-			{
-				this->accepted(_handle);
-			});
-		this->server.set_message_handler(
-			[this](Handle _handle, Server::message_ptr _message)
-			{
-				this->received(this->announced(_handle), _message->get_payload());
-			});
-		this->server.set_close_handler(
-			[this](Handle _handle)
-			{
-				this->closed(this->announced(_handle), _handle);
-			});
+		this->server.set_validate_handler([this](Handle _handle) { return this->isPeer(_handle); });
+		this->server.set_open_handler([this](Handle _handle) { this->accepted(_handle); });
+		this->server.set_message_handler([this](Handle _handle, Server::message_ptr _message)
+										 { this->received(this->announced(_handle), _message->get_payload()); });
+		this->server.set_close_handler([this](Handle _handle) { this->closed(this->announced(_handle), _handle); });
 		this->server.set_fail_handler([](Handle) {});
 	}
 
@@ -197,26 +182,11 @@
 		}
 		connection->append_header("Authorization", "Bearer " + this->secret);
 		connection->append_header(kPeerHeader, this->selfAddress);
-		connection->set_open_handler(
-			[this, _peer](Handle _handle)
-			{
-				this->opened(_peer, _handle);
-			});
-		connection->set_message_handler(
-			[this, _peer](Handle, Client::message_ptr _message)
-			{
-				this->received(_peer, _message->get_payload());
-			});
-		connection->set_close_handler(
-			[this, _peer](Handle _handle)
-			{
-				this->closed(_peer, _handle);
-			});
-		connection->set_fail_handler(
-			[this, _peer](Handle _handle)
-			{
-				this->closed(_peer, _handle);
-			});
+		connection->set_open_handler([this, _peer](Handle _handle) { this->opened(_peer, _handle); });
+		connection->set_message_handler([this, _peer](Handle, Client::message_ptr _message)
+										{ this->received(_peer, _message->get_payload()); });
+		connection->set_close_handler([this, _peer](Handle _handle) { this->closed(_peer, _handle); });
+		connection->set_fail_handler([this, _peer](Handle _handle) { this->closed(_peer, _handle); });
 		this->peers[_peer].handle = connection->get_handle();
 		this->client.connect(connection);
 	}
@@ -304,11 +274,8 @@
 
 void PeerLink::send(const std::string& _peer, std::string _message)
 {
-	this->impl->pool.post(0,
-						  [impl = this->impl, _peer, message = std::move(_message)]() mutable
-						  {
-							  impl->sendNow(_peer, std::move(message));
-						  });
+	this->impl->pool.post(0, [impl = this->impl, _peer, message = std::move(_message)]() mutable
+						  { impl->sendNow(_peer, std::move(message)); });
 }
 
 std::uint64_t PeerLink::bytes() const
@@ -318,11 +285,7 @@
 
 void PeerLink::close()
 {
-	this->impl->pool.post(0,
-						  [impl = this->impl]
-						  {
-							  impl->closeAll();
-						  });
+	this->impl->pool.post(0, [impl = this->impl] { impl->closeAll(); });
 }
 
 } // namespace roadferry
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -22,6 +22,10 @@
 
 constexpr const char* kTypeField = "type";
 constexpr std::int64_t kRelayKinds = 3;
+constexpr std::int64_t kGossipKinds = 3;
+constexpr std::int64_t kMemberStates = 4;
+constexpr std::int64_t kVerdicts = 3;
+constexpr std::int64_t kReasons = 18;
 
 QString text(const std::string& _text)
 {
@@ -67,6 +71,11 @@
 		return value.toInteger();
 	}
 
+	QCborValue value(const char* _name)
+	{
+		return this->map.value(QLatin1String(_name));
+	}
+
 	std::uint64_t natural(const char* _name)
 	{
 		return static_cast<std::uint64_t>(this->integer(_name));
@@ -80,13 +89,75 @@
 			this->fault(_name, "a list of texts");
 		}
 		std::vector<std::string> result;
-		for (const QCborValue& element : value.toArray())
+		const QCborArray array = value.toArray();
+		for (const QCborValue element : array)
 		{
 			result.push_back(element.toString().toStdString());
 		}
 		return result;
 	}
 
+	bool boolean(const char* _name)
+	{
+		const QCborValue value = this->map.value(QLatin1String(_name));
+		if (!value.isBool())
+		{
+			this->fault(_name, "true or false");
+		}
+		return value.toBool();
+	}
+
+	/// A list of lists of a certain length.
+	std::vector<QCborArray> arrays(const char* _name, qsizetype _length)
+	{
+		std::vector<QCborArray> result;
+		const QCborValue value = this->map.value(QLatin1String(_name));
+		if (!value.isArray())
+		{
+			this->fault(_name, "a list of lists");
+		}
+		const QCborArray outer = value.toArray();
+		for (const QCborValue element : outer)
+		{
+			const QCborArray inner = element.toArray();
+			if (inner.size() != _length)
+			{
+				this->fault(_name, "a list of lists of the right length");
+				return {};
+			}
+			result.push_back(inner);
+		}
+		return result;
+	}
+
+	std::map<std::string, std::int64_t> numbers(const char* _name)
+	{
+		std::map<std::string, std::int64_t> result;
+		const QCborValue value = this->map.value(QLatin1String(_name));
+		if (!value.isMap())
+		{
+			this->fault(_name, "a map of whole numbers");
+		}
+		const QCborMap inner = value.toMap();
+		for (const auto entry : inner)
+		{
+			result[entry.first.toString().toStdString()] = entry.second.toInteger();
+		}
+		return result;
+	}
+
+	/// A number that stands for one of an enumeration's values.
+	std::int64_t below(const QCborValue& _value, std::int64_t _limit, const char* _name)
+	{
+		const std::int64_t number = _value.toInteger(-1);
+		if (number < 0 || number >= _limit)
+		{
+			this->fault(_name, "a known value");
+			return 0;
+		}
+		return number;
+	}
+
 	void fault(const char* _name, const char* _limit)
 	{
 		if (this->status.ok())
@@ -150,15 +221,89 @@
 	return QCborMap{{"type", "leaving"}, {"endpoints", endpoints}};
 }
 
-RelayKind readKind(CborReader& _reader)
+QCborMap toCbor(const Farewell& _message)
 {
-	const std::int64_t kind = _reader.integer("kind");
-	if (kind < 0 || kind >= kRelayKinds)
+	QCborArray ended;
+	for (const auto& entry : _message.ended)
 	{
-		_reader.fault("kind", "0, 1 or 2");
-		return RelayKind::Look;
+		const Outcome& outcome = entry.second;
+		ended.append(QCborArray{static_cast<qint64>(entry.first), static_cast<qint64>(outcome.verdict),
+								static_cast<qint64>(outcome.reason), outcome.repeatSafe});
 	}
-	return static_cast<RelayKind>(kind);
+	return QCborMap{{"type", "farewell"},
+					{"node", text(_message.issuer.node)},
+					{"incarnation", static_cast<qint64>(_message.issuer.number)},
+					{"forgotten", static_cast<qint64>(_message.forgottenUpTo)},
+					{"ended", ended}};
+}
+
+QCborMap toCbor(const Gossip& _message)
+{
+	QCborArray news;
+	for (const Member& member : _message.news)
+	{
+		news.append(QCborArray{text(member.address), static_cast<qint64>(member.version),
+							   static_cast<qint64>(member.state), static_cast<qint64>(member.tableOffset)});
+	}
+	return QCborMap{{"type", "gossip"},
+					{"kind", static_cast<qint64>(_message.kind)},
+					{"sequence", static_cast<qint64>(_message.sequence)},
+					{"target", text(_message.target)},
+					{"news", news}};
+}
+
+QCborMap toCbor(const std::map<std::string, std::int64_t>& _numbers)
+{
+	QCborMap map;
+	for (const auto& entry : _numbers)
+	{
+		map.insert(text(entry.first), static_cast<qint64>(entry.second));
+	}
+	return map;
+}
+
+QCborMap toCbor(const DemandReport& _message)
+{
+	return QCborMap{{"type", "demand"}, {"fallback", _message.fallback}, {"demand", toCbor(_message.demand)}};
+}
+
+QCborMap toCbor(const ShareGrant& _message)
+{
+	return QCborMap{{"type", "shares"}, {"shares", toCbor(_message.shares)}};
+}
+
+Farewell readFarewell(CborReader& _reader)
+{
+	Farewell message;
+	message.issuer = Incarnation{_reader.text("node"), _reader.natural("incarnation")};
+	message.forgottenUpTo = _reader.natural("forgotten");
+	for (const QCborArray& entry : _reader.arrays("ended", 4))
+	{
+		Outcome outcome;
+		outcome.verdict = static_cast<Verdict>(_reader.below(entry.at(1), kVerdicts, "ended"));
+		outcome.reason = static_cast<Reason>(_reader.below(entry.at(2), kReasons, "ended"));
+		outcome.repeatSafe = entry.at(3).toBool();
+		message.ended.emplace(static_cast<std::uint64_t>(entry.at(0).toInteger()), outcome);
+	}
+	return message;
+}
+
+Gossip readGossip(CborReader& _reader)
+{
+	Gossip message;
+	message.kind = static_cast<GossipKind>(_reader.below(_reader.value("kind"), kGossipKinds, "kind"));
+	message.sequence = _reader.natural("sequence");
+	message.target = _reader.text("target");
+	for (const QCborArray& entry : _reader.arrays("news", 4))
+	{
+		Member member;
+		member.address = entry.at(0).toString().toStdString();
+		member.version = static_cast<std::uint64_t>(entry.at(1).toInteger());
+		member.state = static_cast<MemberState>(_reader.below(entry.at(2), kMemberStates, "news"));
+		member.tableOffset = static_cast<std::uint64_t>(entry.at(3).toInteger());
+		message.news.push_back(member);
+	}
+	return message;
 }
 
 PeerMessage readMessage(CborReader& _reader, const std::string& _type)
@@ -167,7 +312,7 @@
 	{
 		RelayRequest message;
 		message.relay = _reader.natural("relay");
-		message.kind = readKind(_reader);
+		message.kind = static_cast<RelayKind>(_reader.below(_reader.value("kind"), kRelayKinds, "kind"));
 		message.ticket = _reader.text("ticket");
 		message.workspace = _reader.text("workspace");
 		message.pipeline = _reader.text("pipeline");
@@ -196,6 +341,22 @@
 	{
 		return LeavingWord{_reader.texts("endpoints")};
 	}
+	if (_type == "farewell")
+	{
+		return readFarewell(_reader);
+	}
+	if (_type == "gossip")
+	{
+		return readGossip(_reader);
+	}
+	if (_type == "demand")
+	{
+		return DemandReport{_reader.boolean("fallback"), _reader.numbers("demand")};
+	}
+	if (_type == "shares")
+	{
+		return ShareGrant{_reader.numbers("shares")};
+	}
 	_reader.fault(kTypeField, "one that this version knows");
 	return TableAsk{};
 }
@@ -204,12 +365,7 @@
 
 std::string encode(const PeerMessage& _message)
 {
-	const QCborMap map = std::visit(
-		[](const auto& _typed)
-		{
-			return toCbor(_typed);
-		},
-		_message);
+	const QCborMap map = std::visit([](const auto& _typed) { return toCbor(_typed); }, _message);
 	return QCborValue(map).toCbor().toStdString();
 }
 
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -75,7 +75,8 @@
 	bool operator==(const LeavingWord&) const = default;
 };
 
-using PeerMessage = std::variant<RelayRequest, RelayToken, RelayResult, TableAsk, TableGive, LeavingWord>;
+using PeerMessage = std::variant<RelayRequest, RelayToken, RelayResult, TableAsk, TableGive, LeavingWord, Farewell,
+								 Gossip, DemandReport, ShareGrant>;
 
 /// @returns The message as CBOR.
 std::string encode(const PeerMessage& _message);
--- a/src/placement_baselines.cpp
+++ b/src/placement_baselines.cpp
@@ -27,9 +27,7 @@
 {
 	return *std::min_element(_input.candidates.begin(), _input.candidates.end(),
 							 [](const EndpointState* _left, const EndpointState* _right)
-							 {
-								 return _left->own < _right->own;
-							 });
+							 { return _left->own < _right->own; });
 }
 
 EndpointState* choosePowerOfTwo(const PlacementInput& _input)
--- a/src/placement_finish.cpp
+++ b/src/placement_finish.cpp
@@ -26,9 +26,7 @@
 {
 	return *std::min_element(_input.candidates.begin(), _input.candidates.end(),
 							 [](const EndpointState* _left, const EndpointState* _right)
-							 {
-								 return predictedFinish(*_left) < predictedFinish(*_right);
-							 });
+							 { return predictedFinish(*_left) < predictedFinish(*_right); });
 }
 
 const bool s_leastFinish = registerPlacement({"least_finish", &chooseLeastFinish});
--- a/src/platform.cpp
+++ b/src/platform.cpp
@@ -119,9 +119,7 @@
 														std::function<void(absl::StatusOr<Value>)> _done)
 {
 	return [_parse, done = std::move(_done)](absl::StatusOr<std::string> _body)
-	{
-		done(_body.ok() ? _parse(*_body) : absl::StatusOr<Value>(_body.status()));
-	};
+	{ done(_body.ok() ? _parse(*_body) : absl::StatusOr<Value>(_body.status())); };
 }
 
 } // namespace
@@ -160,10 +158,7 @@
 {
 	const QNetworkRequest request = requestTo(absl::StrCat("http://", this->logAddress, "/append"));
 	this->watch(this->network.post(request, QByteArray::fromStdString(_record)),
-				[done = std::move(_done)](const absl::StatusOr<std::string>& _body)
-				{
-					done(_body.status());
-				});
+				[done = std::move(_done)](const absl::StatusOr<std::string>& _body) { done(_body.status()); });
 }
 
 void Platform::readVmList(std::function<void(absl::StatusOr<VmList>)> _done)
--- a/src/pool_queue.cpp
+++ b/src/pool_queue.cpp
@@ -83,9 +83,7 @@
 	}
 	const auto least = std::min_element(this->groups.begin(), this->groups.end(),
 										[](const auto& _left, const auto& _right)
-										{
-											return _left.second.virtualTime < _right.second.virtualTime;
-										});
+										{ return _left.second.virtualTime < _right.second.virtualTime; });
 	return least == this->groups.end() ? nullptr : &least->second;
 }
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -71,11 +71,7 @@
 	}
 	_request.relay = relay;
 	this->send(_issuer.node, _request);
-	this->pool.after(_thread, _timeout,
-					 [this, relay]
-					 {
-						 this->fail(relay);
-					 });
+	this->pool.after(_thread, _timeout, [this, relay] { this->fail(relay); });
 }
 
 std::optional<Relay::Pending> Relay::take(std::uint64_t _relay)
@@ -96,11 +92,7 @@
 	const std::optional<Pending> taken = this->take(_relay);
 	if (taken)
 	{
-		this->pool.post(taken->thread,
-						[entry = *taken]
-						{
-							giveOutcome(*entry.sink, entry.ticket, unreachable());
-						});
+		this->pool.post(taken->thread, [entry = *taken] { giveOutcome(*entry.sink, entry.ticket, unreachable()); });
 	}
 }
 
@@ -157,10 +149,7 @@
 		return;
 	}
 	this->pool.post(found->second.thread,
-					[sink = found->second.sink, token = _token]
-					{
-						sink->token(token.position, token.text);
-					});
+					[sink = found->second.sink, token = _token] { sink->token(token.position, token.text); });
 }
 
 void Relay::onResult(const RelayResult& _result)
@@ -170,11 +159,8 @@
 	{
 		return;
 	}
-	this->pool.post(taken->thread,
-					[sink = taken->sink, result = _result]
-					{
-						sink->result(static_cast<unsigned>(result.status), result.retryAfter, result.json);
-					});
+	this->pool.post(taken->thread, [sink = taken->sink, result = _result]
+					{ sink->result(static_cast<unsigned>(result.status), result.retryAfter, result.json); });
 }
 
 void Relay::onPeerClosed(const std::string& _peer)
--- a/src/stage_call.cpp
+++ b/src/stage_call.cpp
@@ -219,15 +219,9 @@
 	CallHandlers handlers;
 	if (streams)
 	{
-		handlers.onData = [reader](const std::string& _piece)
-		{
-			reader->data(_piece);
-		};
+		handlers.onData = [reader](const std::string& _piece) { reader->data(_piece); };
 	}
-	handlers.onEnd = [reader, streams](const CallEnd& _end)
-	{
-		reader->end(_end, streams);
-	};
+	handlers.onEnd = [reader, streams](const CallEnd& _end) { reader->end(_end, streams); };
 	return _client.call(_thread, std::move(call), std::move(handlers));
 }
 
--- a/src/standin_endpoint.cpp
+++ b/src/standin_endpoint.cpp
@@ -132,11 +132,7 @@
 			_run->reply->send(jsonResponse(503, QJsonObject{{"not_begun", true}}));
 			return;
 		}
-		_run->reply->onGone(
-			[_run]
-			{
-				_run->gone = true;
-			});
+		_run->reply->onGone([_run] { _run->gone = true; });
 		if (this->running >= this->settings.slots)
 		{
 			this->waiting.push_back(_run);
@@ -162,11 +158,7 @@
 		{
 			delay += this->faults.milliseconds();
 		}
-		this->pool.after(0, delay * kMillisecondUs,
-						 [this, _run]
-						 {
-							 this->served(_run);
-						 });
+		this->pool.after(0, delay * kMillisecondUs, [this, _run] { this->served(_run); });
 	}
 
 	void releaseFrozen()
@@ -223,11 +215,7 @@
 		_run->reply->write(eventOf(QJsonObject{
 			{"attempt", text(_run->attempt)}, {"position", static_cast<qint64>(_run->position)}, {"text", token}}));
 		_run->position += 1;
-		this->pool.after(0, this->settings.tokenMs * kMillisecondUs,
-						 [this, _run]
-						 {
-							 this->stream(_run);
-						 });
+		this->pool.after(0, this->settings.tokenMs * kMillisecondUs, [this, _run] { this->stream(_run); });
 	}
 
 	void end()
--- a/src/table.cpp
+++ b/src/table.cpp
@@ -155,12 +155,7 @@
 RowKey keyOf(const Row& _row)
 {
 	const auto kind = static_cast<RowKind>(_row.index());
-	return RowKey{kind, std::visit(
-							[](const auto& _typed)
-							{
-								return _typed.name;
-							},
-							_row)};
+	return RowKey{kind, std::visit([](const auto& _typed) { return _typed.name; }, _row)};
 }
 
 std::optional<EditInvalid> checkRow(const RowKey& _key, const Row& _row)
@@ -175,18 +170,9 @@
 	}
 	return std::visit(
 		Overloaded{
-			[&](const WorkspaceRow& _typed)
-			{
-				return checkWorkspace(_key, _typed);
-			},
-			[&](const PipelineRow& _typed)
-			{
-				return checkPipeline(_key, _typed);
-			},
-			[&](const StageRow& _typed)
-			{
-				return checkStage(_key, _typed);
-			},
+			[&](const WorkspaceRow& _typed) { return checkWorkspace(_key, _typed); },
+			[&](const PipelineRow& _typed) { return checkPipeline(_key, _typed); },
+			[&](const StageRow& _typed) { return checkStage(_key, _typed); },
 		},
 		_row);
 }
--- a/src/table_json.cpp
+++ b/src/table_json.cpp
@@ -183,8 +183,7 @@
 {
 	return std::visit(
 		Overloaded{
-			[](const EditAccepted& _typed)
-			{
+			[](const EditAccepted& _typed) {
 				return QJsonObject{{"result", "accepted"}, {"offset", number(_typed.offset)}};
 			},
 			[](const EditConflict& _typed)
@@ -207,8 +206,7 @@
 								   {"field", text(_typed.field)},
 								   {"message", text(message)}};
 			},
-			[](const EditAlreadyApplied& _typed)
-			{
+			[](const EditAlreadyApplied& _typed) {
 				return QJsonObject{{"result", "already_applied"}, {"offset", number(_typed.tableOffset)}};
 			},
 		},
@@ -306,12 +304,7 @@
 
 std::string recordToText(const LogRecord& _record)
 {
-	QJsonObject object = std::visit(
-		[](const auto& _typed)
-		{
-			return toJson(_typed);
-		},
-		_record);
+	QJsonObject object = std::visit([](const auto& _typed) { return toJson(_typed); }, _record);
 	object["type"] = std::holds_alternative<TableEdit>(_record) ? "edit" : "snapshot";
 	return toText(object);
 }
--- a/src/ticket.cpp
+++ b/src/ticket.cpp
@@ -12,6 +12,8 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
+#include <algorithm>
+
 namespace roadferry
 {
 
@@ -198,10 +200,57 @@
 			this->expiry.emplace_back(_now + this->limits.outcomeLife, serial);
 			continue;
 		}
+		this->forgottenUpTo = std::max(this->forgottenUpTo, serial);
 		this->entries.erase(found);
 	}
 }
 
+Farewell TicketBook::farewell(Micros _now)
+{
+	Farewell word;
+	word.issuer = this->identity;
+	word.forgottenUpTo = this->forgottenUpTo;
+	for (auto& entry : this->entries)
+	{
+		if (entry.second.state == TicketState::Unused)
+		{
+			entry.second.state = TicketState::Ended;
+			entry.second.outcome = refusal(Reason::TicketSealed, true);
+			entry.second.since = _now;
+		}
+		// A request that is running has no outcome that others could give: it stays unknown.
+		const bool running = entry.second.state == TicketState::Running;
+		word.ended[entry.first] = running ? refusal(Reason::CutWhileRunning, false) : entry.second.outcome;
+	}
+	return word;
+}
+
+FarewellBook::FarewellBook(Micros _life) : life(_life)
+{
+}
+
+void FarewellBook::add(const Farewell& _farewell, Micros _now)
+{
+	std::erase_if(this->farewells, [&](const auto& _entry) { return _entry.second.first + this->life <= _now; });
+	this->farewells.emplace(_farewell.issuer, std::pair(_now, _farewell));
+}
+
+std::optional<Outcome> FarewellBook::look(const Ticket& _ticket, Micros _now) const
+{
+	const auto found = this->farewells.find(_ticket.issuer);
+	if (found == this->farewells.end() || found->second.first + this->life <= _now)
+	{
+		return std::nullopt;
+	}
+	const Farewell& word = found->second.second;
+	const auto ended = word.ended.find(_ticket.serial);
+	if (ended != word.ended.end())
+	{
+		return ended->second;
+	}
+	return refusal(Reason::TicketExpired, _ticket.serial > word.forgottenUpTo);
+}
+
 std::size_t TicketBook::size() const
 {
 	return this->entries.size();
--- a/src/trace.cpp
+++ b/src/trace.cpp
@@ -36,14 +36,8 @@
 bool isHex(const std::string& _text, std::size_t _length)
 {
 	const auto hex = [](char _character)
-	{
-		return (_character >= '0' && _character <= '9') || (_character >= 'a' && _character <= 'f');
-	};
-	const bool zero = std::all_of(_text.begin(), _text.end(),
-								  [](char _character)
-								  {
-									  return _character == '0';
-								  });
+	{ return (_character >= '0' && _character <= '9') || (_character >= 'a' && _character <= 'f'); };
+	const bool zero = std::all_of(_text.begin(), _text.end(), [](char _character) { return _character == '0'; });
 	return _text.size() == _length && !zero && std::all_of(_text.begin(), _text.end(), hex);
 }
 
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -104,7 +104,8 @@
 
 Traffic::Traffic(IoPool& _pool, HttpClient& _client, Metrics& _metrics, TraceWriter& _traces, TrafficSettings _settings)
 	: pool(_pool), client(_client), metrics(_metrics), traces(_traces), settings(std::move(_settings)),
-	  dispatcher(settings.dispatcher), tickets(settings.self, settings.tickets), table(std::make_shared<Table>())
+	  dispatcher(settings.dispatcher), tickets(settings.self, settings.tickets),
+	  farewells(settings.tickets.unusedLife + settings.tickets.outcomeLife), table(std::make_shared<Table>())
 {
 }
 
@@ -112,11 +113,7 @@
 
 void Traffic::start()
 {
-	this->pool.every(0, kTickPeriod,
-					 [this]
-					 {
-						 this->tick();
-					 });
+	this->pool.every(0, kTickPeriod, [this] { this->tick(); });
 }
 
 void Traffic::tick()
@@ -200,29 +197,32 @@
 												   const std::shared_ptr<AnswerSink>& _sink)
 {
 	const std::string ticketText = roadferry::toText(_ticket);
-	std::optional<Incarnation> elsewhere;
+	std::optional<Incarnation> issuer;
 	std::visit(
 		Overloaded{
 			[](const TicketRun&) {},
-			[&](const TicketAttach&)
-			{
-				this->attach(_ticket.serial, ticketText, Outcome{}, _sink);
-			},
-			[&](const TicketReplay& _typed)
-			{
-				this->attach(_ticket.serial, ticketText, _typed.outcome, _sink);
-			},
-			[&](const TicketElsewhere& _typed)
-			{
-				elsewhere = _typed.issuer;
-			},
-			[&](const TicketRefused& _typed)
-			{
-				this->deliverKept(0, ticketText, _typed.outcome, _sink);
-			},
+			[&](const TicketAttach&) { this->attach(_ticket.serial, ticketText, Outcome{}, _sink); },
+			[&](const TicketReplay& _typed) { this->attach(_ticket.serial, ticketText, _typed.outcome, _sink); },
+			[&](const TicketElsewhere&) { issuer = this->elsewhere(_ticket, _sink); },
+			[&](const TicketRefused& _typed) { this->deliverKept(0, ticketText, _typed.outcome, _sink); },
 		},
 		_decision);
-	return elsewhere;
+	return issuer;
+}
+
+std::optional<Incarnation> Traffic::elsewhere(const Ticket& _ticket, const std::shared_ptr<AnswerSink>& _sink)
+{
+	std::optional<Outcome> outcome;
+	{
+		const std::lock_guard<std::mutex> guard(this->lock);
+		outcome = this->farewells.look(_ticket, monotonicNow());
+	}
+	if (!outcome)
+	{
+		return _ticket.issuer;
+	}
+	this->deliverKept(0, roadferry::toText(_ticket), *outcome, _sink);
+	return std::nullopt;
 }
 
 void Traffic::attach(std::uint64_t _serial, const std::string& _ticket, const Outcome& _outcome,
@@ -314,12 +314,7 @@
 		const std::lock_guard<std::mutex> guard(this->lock);
 		for (const Action& action : _actions)
 		{
-			const std::uint64_t request = std::visit(
-				[](const auto& _typed)
-				{
-					return _typed.request;
-				},
-				action);
+			const std::uint64_t request = std::visit([](const auto& _typed) { return _typed.request; }, action);
 			const auto found = this->actives.find(request);
 			owners.push_back(found == this->actives.end() ? nullptr : found->second);
 		}
@@ -336,18 +331,9 @@
 							  {
 								  std::visit(
 									  Overloaded{
-										  [&](const StartAttempt& _typed)
-										  {
-											  this->startAttempt(owner, _typed);
-										  },
-										  [&](const CancelAttempt& _typed)
-										  {
-											  this->cancelAttempt(owner, _typed);
-										  },
-										  [&](const FinishRequest& _typed)
-										  {
-											  this->finish(owner, _typed.outcome);
-										  },
+										  [&](const StartAttempt& _typed) { this->startAttempt(owner, _typed); },
+										  [&](const CancelAttempt& _typed) { this->cancelAttempt(owner, _typed); },
+										  [&](const FinishRequest& _typed) { this->finish(owner, _typed.outcome); },
 									  },
 									  action);
 							  });
@@ -479,6 +465,10 @@
 	{
 		const std::lock_guard<std::mutex> guard(this->lock);
 		this->tickets.end(_active->ticket, _outcome, now);
+		if (_outcome.reason == Reason::WorkspaceLimit)
+		{
+			this->limitRefusals[_active->submission.workspace] += 1;
+		}
 		this->actives.erase(_active->id);
 		this->requestOfSerial.erase(_active->ticket.serial);
 		this->keep(_active->ticket.serial, result);
@@ -523,7 +513,7 @@
 	switch (found.first)
 	{
 	case TicketState::Elsewhere:
-		return _ticket.issuer;
+		return this->elsewhere(_ticket, _sink);
 	case TicketState::Unused:
 	case TicketState::Running:
 	{
@@ -556,9 +546,9 @@
 		}
 	}
 	// The sink is attached first, so that it hears of the end that the cancel brings about.
-	const auto elsewhere = this->answerDecision(_ticket, decision, _sink);
+	const auto issuer = this->answerDecision(_ticket, decision, _sink);
 	this->perform(this->pool.size(), actions);
-	return elsewhere;
+	return issuer;
 }
 
 void Traffic::callerGone(const Ticket& _ticket)
@@ -646,10 +636,28 @@
 	return this->actives.size();
 }
 
-std::map<std::string, std::int64_t> Traffic::inFlightByWorkspace() const
+std::map<std::string, std::int64_t> Traffic::takeDemand()
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	std::map<std::string, std::int64_t> demand = this->dispatcher.inFlightByWorkspace();
+	for (const auto& entry : this->limitRefusals)
+	{
+		demand[entry.first] += entry.second;
+	}
+	this->limitRefusals.clear();
+	return demand;
+}
+
+Farewell Traffic::farewell()
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	return this->tickets.farewell(monotonicNow());
+}
+
+void Traffic::hearFarewell(const Farewell& _farewell)
 {
 	const std::lock_guard<std::mutex> guard(this->lock);
-	return this->dispatcher.inFlightByWorkspace();
+	this->farewells.add(_farewell, monotonicNow());
 }
 
 DispatcherCounters Traffic::counters() const
--- a/src/traffic.h
+++ b/src/traffic.h
@@ -118,9 +118,17 @@
 	void setShare(const std::string& _workspace, std::int64_t _inFlight);
 	void drain();
 
+	/// Ends this incarnation: no ticket of it runs any more. Call when nothing is in flight.
+	/// @returns What other nodes need to answer for it.
+	Farewell farewell();
+
+	/// Takes the farewell of another incarnation.
+	void hearFarewell(const Farewell& _farewell);
+
 	[[nodiscard]] bool draining() const;
 	[[nodiscard]] std::size_t inFlight() const;
-	[[nodiscard]] std::map<std::string, std::int64_t> inFlightByWorkspace() const;
+	/// @returns Requests in flight and refused for their workspace's limit since the last call, by workspace.
+	[[nodiscard]] std::map<std::string, std::int64_t> takeDemand();
 	[[nodiscard]] DispatcherCounters counters() const;
 	[[nodiscard]] std::vector<EndpointState> endpoints() const;
 	[[nodiscard]] const Incarnation& self() const;
@@ -143,6 +151,7 @@
 				const std::shared_ptr<AnswerSink>& _sink);
 	void deliverKept(std::uint64_t _serial, const std::string& _ticket, const Outcome& _outcome,
 					 const std::shared_ptr<AnswerSink>& _sink);
+	std::optional<Incarnation> elsewhere(const Ticket& _ticket, const std::shared_ptr<AnswerSink>& _sink);
 	std::optional<Incarnation> answerDecision(const Ticket& _ticket, const TicketDecision& _decision,
 											  const std::shared_ptr<AnswerSink>& _sink);
 	void tick();
@@ -156,6 +165,8 @@
 	mutable std::mutex lock; ///< Guards everything below.
 	Dispatcher dispatcher;
 	TicketBook tickets;
+	FarewellBook farewells;
+	std::map<std::string, std::int64_t> limitRefusals;
 	std::shared_ptr<const Table> table;
 	std::unordered_map<std::uint64_t, ActivePointer> actives; ///< By request.
 	std::unordered_map<std::uint64_t, std::uint64_t> requestOfSerial;
--- a/tests/deployment.cpp
+++ b/tests/deployment.cpp
@@ -181,11 +181,7 @@
 	}
 	for (const auto& node : this->nodes)
 	{
-		await("daemon ready",
-			  [&]
-			  {
-				  return this->call(node->address, "GET", "/ready").status == 200;
-			  });
+		await("daemon ready", [&] { return this->call(node->address, "GET", "/ready").status == 200; });
 		await("daemon knows its peers",
 			  [&]
 			  {
@@ -240,10 +236,7 @@
 					[&]
 					{
 						CallHandlers handlers;
-						handlers.onEnd = [&promise](const CallEnd& _end)
-						{
-							promise.set_value(_end);
-						};
+						handlers.onEnd = [&promise](const CallEnd& _end) { promise.set_value(_end); };
 						this->client.call(0, specOf(_address, _method, _target, _body, _credential),
 										  std::move(handlers));
 					});
@@ -251,16 +244,13 @@
 }
 
 void Deployment::callLater(const std::string& _address, const std::string& _target, const std::string& _body,
-						   std::function<void(const Answer&)> _done)
+						   std::function<void(const Answer&)> _done, const std::string& _credential)
 {
 	this->pool.post(0,
-					[this, spec = specOf(_address, "POST", _target, _body, kCaller), done = std::move(_done)]
+					[this, spec = specOf(_address, "POST", _target, _body, _credential), done = std::move(_done)]
 					{
 						CallHandlers handlers;
-						handlers.onEnd = [done](const CallEnd& _end)
-						{
-							done(answerOf(_end));
-						};
+						handlers.onEnd = [done](const CallEnd& _end) { done(answerOf(_end)); };
 						this->client.call(0, spec, std::move(handlers));
 					});
 }
--- a/tests/deployment.h
+++ b/tests/deployment.h
@@ -84,7 +84,7 @@
 
 	/// Begins a request without waiting for its answer.
 	void callLater(const std::string& _address, const std::string& _target, const std::string& _body,
-				   std::function<void(const Answer&)> _done);
+				   std::function<void(const Answer&)> _done, const std::string& _credential = kCaller);
 
 	std::string ticket(std::size_t _daemon);
 
--- a/tests/test_dispatcher.cpp
+++ b/tests/test_dispatcher.cpp
@@ -19,10 +19,7 @@
 std::shared_ptr<const Table> makeTable(std::int64_t _limit)
 {
 	auto table = std::make_shared<Table>();
-	const auto put = [&](const Row& _row)
-	{
-		return RowChange{keyOf(_row), 0, _row};
-	};
+	const auto put = [&](const Row& _row) { return RowChange{keyOf(_row), 0, _row}; };
 	TableEdit edit;
 	edit.id = "first";
 	edit.changes = {put(WorkspaceRow{"hall", 4, _limit}),
@@ -148,18 +145,9 @@
 		{
 			std::visit(
 				Overloaded{
-					[&](const StartAttempt& _typed)
-					{
-						this->started(_typed);
-					},
-					[&](const CancelAttempt& _typed)
-					{
-						this->cancelled(_typed);
-					},
-					[&](const FinishRequest& _typed)
-					{
-						this->finished(_typed);
-					},
+					[&](const StartAttempt& _typed) { this->started(_typed); },
+					[&](const CancelAttempt& _typed) { this->cancelled(_typed); },
+					[&](const FinishRequest& _typed) { this->finished(_typed); },
 				},
 				action);
 		}
--- a/tests/test_path.cpp
+++ b/tests/test_path.cpp
@@ -50,10 +50,7 @@
 		{"--kind=balancer", absl::StrCat("--backends=", deployment.nodes[0]->address, ",", deployment.nodes[1]->address,
 										 ",", deployment.nodes[2]->address)});
 	Deployment::await("balancer has seen the daemons",
-					  [&]
-					  {
-						  return deployment.call(balancer.address, "GET", "/ready").status == 200;
-					  });
+					  [&] { return deployment.call(balancer.address, "GET", "/ready").status == 200; });
 
 	const Answer answer = deployment.call(balancer.address, "POST", "/v1/pipelines/mark/requests",
 										  R"({"input":{"marker":"script-7"},"max_tokens":4})");
--- /dev/null
+++ b/tests/virtual_network.h
@@ -0,0 +1,62 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// A network of nodes in virtual time, for tests and measurements of the pure code: messages take a while, links can be
+/// cut one way, nodes can be frozen.
+
+#ifndef ROADFERRY_VIRTUAL_NETWORK_H_HEADER_GUARD
+#define ROADFERRY_VIRTUAL_NETWORK_H_HEADER_GUARD
+
+#include <roadferry/roadferry.h>
+
+#include <functional>
+
+namespace roadferry
+{
+
+constexpr Micros kVirtualStep = 100 * kMillisecond;
+
+/// Delivers messages of one type between numbered nodes, one step after they were sent.
+template<class Message>
+class VirtualNetwork
+{
+public:
+	/// Takes a message on its way, unless the link is cut.
+	void send(std::size_t _from, std::size_t _to, Message _message)
+	{
+		if (this->cut.count({_from, _to}) == 0)
+		{
+			this->onTheWay.push_back(Delivery{_from, _to, std::move(_message)});
+		}
+	}
+
+	/// Hands over all messages that are on the way.
+	void deliver(const std::function<void(std::size_t, std::size_t, const Message&)>& _receive)
+	{
+		const std::vector<Delivery> now = std::move(this->onTheWay);
+		this->onTheWay.clear();
+		for (const Delivery& delivery : now)
+		{
+			_receive(delivery.from, delivery.to, delivery.message);
+		}
+	}
+
+	std::set<std::pair<std::size_t, std::size_t>> cut; ///< From and to.
+
+private:
+	struct Delivery
+	{
+		std::size_t from;
+		std::size_t to;
+		Message message;
+	};
+
+	std::vector<Delivery> onTheWay;
+};
+
+} // namespace roadferry
+
+#endif // ROADFERRY_VIRTUAL_NETWORK_H_HEADER_GUARD
--- a/tools/roadferryd.cpp
+++ b/tools/roadferryd.cpp
@@ -41,11 +41,7 @@
 int run(QCoreApplication& _application, const roadferry::Settings& _settings, int _signals)
 {
 	roadferry::Node node(_settings);
-	const absl::Status status = node.start(
-		[&_application]
-		{
-			_application.quit();
-		});
+	const absl::Status status = node.start([&_application] { _application.quit(); });
 	if (!status.ok())
 	{
 		std::cerr << "roadferryd: " << status.message() << std::endl;
