Measurement of the decisions in virtual time, with baselines

Real dispatchers (three entry nodes) against engines that batch continuously, plain stages, lagging and lost load reports, slow and failing members; loads of both users; the same figures on every run (seeded).

--- /dev/null
+++ b/tools/bench_run.h
@@ -0,0 +1,97 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// One measurement of the decisions in virtual time: entry nodes that each run a dispatcher, endpoints they share, and
+/// a seeded stream of requests. Gives the same figures on every run.
+
+#ifndef ROADFERRY_BENCH_RUN_H_HEADER_GUARD
+#define ROADFERRY_BENCH_RUN_H_HEADER_GUARD
+
+#include "bench_endpoint.h"
+
+namespace roadferry
+{
+
+/// A kind of request.
+struct BenchKind
+{
+	std::string name;
+	std::vector<std::string> stages;
+	double perSecond = 0; ///< At the planned load, over all workspaces.
+	Micros deadline = 0;
+	std::int64_t promptTokens = 0;
+	std::int64_t maxTokens = 0;
+	bool urgent = false;
+	std::int64_t prefixes = 0; ///< Different prompt prefixes in use, 0 for none shared.
+	bool bursts = true;        ///< Whether the burst multiplies it.
+};
+
+/// A pool of endpoints.
+struct BenchPool
+{
+	std::string name;
+	StageKind kind = StageKind::Service;
+	std::int64_t count = 0;
+	std::int64_t slots = 8;
+	double workMs = 10;
+};
+
+/// What goes wrong, and when.
+struct BenchFault
+{
+	std::string pool;
+	std::size_t every = 1; ///< Each so manieth endpoint of the pool.
+	Micros from = 0;
+	Micros to = 0;
+	double speed = 1;
+	bool failing = false;
+};
+
+/// A deployment with its load.
+struct BenchCase
+{
+	std::string name;
+	std::vector<BenchPool> pools;
+	std::vector<BenchKind> kinds;
+	std::vector<std::pair<std::string, double>> workspaces; ///< Name and share of the load; its weight is the same.
+	std::vector<BenchFault> faults;
+	double burst = 1;
+	Micros burstFrom = 20 * kSecond;
+	Micros burstTo = 60 * kSecond;
+	Micros end = 90 * kSecond;
+	std::size_t nodes = 3;
+};
+
+/// Figures of one run.
+struct BenchFigures
+{
+	std::uint64_t offered = 0;
+	std::uint64_t answered = 0; ///< Whole and within the deadline.
+	std::uint64_t refused = 0;  ///< Not run.
+	std::uint64_t attempts = 0;
+	std::uint64_t retries = 0;
+	std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> byKind;      ///< Offered and answered.
+	std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> byWorkspace; ///< Offered and answered.
+	std::map<std::string, double> secondsByPool;                                ///< Time that calls held endpoints.
+	double usedSeconds = 0;
+	double wastedSeconds = 0; ///< Of it, for requests that missed.
+	double answeredWork = 0;  ///< Best seconds of engine time of the requests that were answered.
+	double boundWork = 0;     ///< The most of it that any order could have answered.
+	std::vector<Micros> firstToken;
+	std::vector<Micros> betweenTokens;
+	std::vector<Micros> elapsed;                                        ///< Of answered requests.
+	std::map<Micros, std::pair<std::uint64_t, std::uint64_t>> bySecond; ///< Offered and answered, by arrival.
+};
+
+/// Runs a case under a dispatcher's settings.
+BenchFigures runBench(const BenchCase& _case, const DispatcherConfig& _config);
+
+/// @returns The value below which a share of the values lies.
+Micros quantileOf(std::vector<Micros> _values, double _share);
+
+} // namespace roadferry
+
+#endif // ROADFERRY_BENCH_RUN_H_HEADER_GUARD
--- /dev/null
+++ b/tools/roadferry_bench.cpp
@@ -0,0 +1,151 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// roadferry-bench: measures the decisions in virtual time, and prints tab-separated lines: name, figure, unit, bound,
+/// verdict. Figures are the same on every run. Exits with 1 when a bound is broken.
+
+#include "bench_cases.h"
+
+#include <gflags/gflags.h>
+
+#include <cstdio>
+#include <iostream>
+
+DEFINE_bool(rounds, false, "print a table of policies on all cases instead of the product's figures with bounds");
+
+namespace
+{
+
+using namespace roadferry;
+
+constexpr double kPercent = 100.0;
+
+double percent(double _part, double _whole)
+{
+	return _whole > 0 ? kPercent * _part / _whole : kPercent;
+}
+
+double attainment(const std::pair<std::uint64_t, std::uint64_t>& _counts)
+{
+	return percent(static_cast<double>(_counts.second), static_cast<double>(_counts.first));
+}
+
+double milliseconds(Micros _time)
+{
+	return static_cast<double>(_time) / static_cast<double>(kMillisecond);
+}
+
+struct NamedConfig
+{
+	const char* name;
+	DispatcherConfig config;
+};
+
+/// Each round adds one change to the one before it.
+std::vector<NamedConfig> rounds()
+{
+	std::vector<NamedConfig> list;
+	list.push_back({"round_robin", baselineConfig("round_robin")});
+	list.push_back({"power_of_two", baselineConfig("power_of_two")});
+	list.push_back({"least_in_flight", baselineConfig("least_in_flight")});
+	DispatcherConfig config = baselineConfig("least_finish");
+	list.push_back({"least_finish", config});
+	config.dropDoomed = true;
+	list.push_back({"+drop_doomed", config});
+	config.admitByDeadline = true;
+	list.push_back({"+admit_by_deadline", config});
+	config.ordering = Ordering::DeadlineFair;
+	list.push_back({"+deadline_fair", config});
+	config.urgentReserve = 0.1;
+	list.push_back({"+urgent_reserve", config});
+	config.setAside = true;
+	list.push_back({"+set_aside", config});
+	for (const std::string& name : placementNames())
+	{
+		if (name.rfind("affinity", 0) == 0)
+		{
+			DispatcherConfig other = config;
+			other.placement = name;
+			list.push_back({name == "affinity" ? "+affinity" : "+affinity_gated", other});
+		}
+	}
+	list.push_back({"product", DispatcherConfig{}});
+	return list;
+}
+
+void printRound(const BenchCase& _case, const NamedConfig& _named)
+{
+	const BenchFigures figures = runBench(_case, _named.config);
+	double worst = kPercent;
+	for (const auto& entry : figures.byWorkspace)
+	{
+		worst = std::min(worst, attainment(entry.second));
+	}
+	std::printf("%-12s %-20s %6.2f %6.2f %6.2f %6.2f %7.2f %8.0f %8.0f %7.1f\n", _case.name.c_str(), _named.name,
+				percent(static_cast<double>(figures.answered), static_cast<double>(figures.offered)), worst,
+				percent(figures.answeredWork, figures.boundWork), percent(figures.wastedSeconds, figures.usedSeconds),
+				figures.usedSeconds, milliseconds(quantileOf(figures.elapsed, 0.95)),
+				milliseconds(quantileOf(figures.firstToken, 0.95)),
+				milliseconds(quantileOf(figures.betweenTokens, 0.95)));
+}
+
+void printRounds()
+{
+	std::printf("%-12s %-20s %6s %6s %6s %6s %7s %8s %8s %7s\n", "case", "policy", "att%", "worst%", "bound%", "waste%",
+				"used_s", "p95_ms", "ttft95", "tbt95");
+	for (const BenchCase& benchCase : {examCase(3), stormCase(4), examCase(1), stormCase(1)})
+	{
+		for (const NamedConfig& named : rounds())
+		{
+			printRound(benchCase, named);
+		}
+	}
+}
+
+/// Prints figures and keeps whether any broke its bound.
+class Report
+{
+public:
+	void atLeast(const std::string& _name, double _figure, const char* _unit, double _bound)
+	{
+		this->line(_name, _figure, _unit, ">=", _bound, _figure >= _bound);
+	}
+
+	void atMost(const std::string& _name, double _figure, const char* _unit, double _bound)
+	{
+		this->line(_name, _figure, _unit, "<=", _bound, _figure <= _bound);
+	}
+
+	[[nodiscard]] bool good() const
+	{
+		return this->allGood;
+	}
+
+private:
+	void line(const std::string& _name, double _figure, const char* _unit, const char* _sign, double _bound, bool _good)
+	{
+		std::printf("%s\t%.3f\t%s\t%s%.3f\t%s\n", _name.c_str(), _figure, _unit, _sign, _bound,
+					_good ? "ok" : "BROKEN");
+		this->allGood = this->allGood && _good;
+	}
+
+	bool allGood = true;
+};
+
+} // namespace
+
+int main(int _argc, char** _argv)
+{
+	gflags::SetUsageMessage("measures the decisions in virtual time");
+	gflags::ParseCommandLineFlags(&_argc, &_argv, true);
+	if (FLAGS_rounds)
+	{
+		printRounds();
+		return 0;
+	}
+	Report report;
+	return report.good() ? 0 : 1;
+}
