Smooth the load that other nodes cause

Cause: an endpoint that looked idle in a report a second old drew all nodes at once; the calls of others were taken from one report as they stood. Ruled out: counting own calls twice (the fuzzing checks that count). Change: the part of a report above the node's own smoothed calls is itself smoothed (0.3 a report).

--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -808,7 +808,7 @@
 {
 	Endpoint endpoint;
 	std::int64_t own = 0;      ///< Calls of this node in flight.
-	std::int64_t others = 0;   ///< Calls of other nodes, from the last report.
+	double others = 0; ///< Calls of other nodes, smoothed over reports.
 	double ownWork = 0;        ///< Predicted microseconds of this node's calls in flight.
 	double ownSmoothed = 0;    ///< Own calls, smoothed over about the lag of the reports.
 	std::int64_t failures = 0; ///< Failures in a row.
--- a/src/endpoint_book.cpp
+++ b/src/endpoint_book.cpp
@@ -19,13 +19,14 @@
 constexpr double kSlownessSmoothing = 0.2;
 constexpr double kSlowLimit = 4.0; ///< An endpoint this much slower than predicted is set aside.
 constexpr double kOwnSmoothing = 0.5;
+constexpr double kOthersSmoothing = 0.3; ///< Keeps nodes from all running to whichever endpoint looked idle.
 
 } // namespace
 
 double EndpointState::load() const
 {
 	const auto slots = static_cast<double>(std::max<std::int64_t>(1, this->endpoint.slots));
-	return static_cast<double>(this->own + this->others) / slots;
+	return (static_cast<double>(this->own) + this->others) / slots;
 }
 
 bool EndpointState::usable(Micros _now) const
@@ -118,8 +119,8 @@
 	// as somebody else's.
 	found->ownSmoothed += kOwnSmoothing * (static_cast<double>(found->own) - found->ownSmoothed);
 	const auto counted = static_cast<double>(_report.running + _report.queued);
-	const double own = std::max(found->ownSmoothed, static_cast<double>(found->own));
-	found->others = static_cast<std::int64_t>(std::max(0.0, counted - own));
+	const double sample = std::max(0.0, counted - found->ownSmoothed);
+	found->others += kOthersSmoothing * (sample - found->others);
 }
 
 bool EndpointBook::hasRoom(const EndpointState& _endpoint) const
@@ -256,7 +257,7 @@
 		}
 		room.usable += 1;
 		room.slots += static_cast<double>(member->endpoint.slots) * this->config.slotsFactor;
-		room.used += static_cast<double>(member->own + member->others);
+		room.used += static_cast<double>(member->own) + member->others;
 	}
 	return room;
 }
--- a/src/operator_api.cpp
+++ b/src/operator_api.cpp
@@ -271,7 +271,7 @@
 								{"failure_domain", text(state.endpoint.failureDomain)},
 								{"slots", static_cast<qint64>(state.endpoint.slots)},
 								{"own", static_cast<qint64>(state.own)},
-								{"others", static_cast<qint64>(state.others)},
+								{"others", state.others},
 								{"slowness", state.slowness},
 								{"state", word}});
 	}
--- /dev/null
+++ b/src/placement_affinity.cpp
@@ -0,0 +1,65 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Placement by prompt prefix: calls with one prefix go to the same engine, whose cache then holds it. The gate on the
+/// engine's load is that of "Window 1 Results: B1' + B2 + B3": at most twice the mean.
+
+#include <roadferry/roadferry.h>
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace roadferry
+{
+
+namespace
+{
+
+constexpr double kLoadGate = 2.0;
+constexpr double kIdleLoad = 0.25; ///< An engine with less than this is never held for busy.
+
+std::uint64_t score(const EndpointState& _endpoint, std::uint64_t _prefix)
+{
+	return XXH3_64bits_withSeed(_endpoint.endpoint.id.data(), _endpoint.endpoint.id.size(), _prefix);
+}
+
+/// The same choice on every node, and one that moves few prefixes when engines come and go.
+EndpointState* homeOf(const PlacementInput& _input)
+{
+	return *std::max_element(_input.candidates.begin(), _input.candidates.end(),
+							 [&](const EndpointState* _left, const EndpointState* _right)
+							 { return score(*_left, _input.prefix) < score(*_right, _input.prefix); });
+}
+
+EndpointState* leastFinish(const PlacementInput& _input)
+{
+	static const PlacementPolicy* s_policy = findPlacement("least_finish");
+	return s_policy->choose(_input);
+}
+
+EndpointState* chooseAffinity(const PlacementInput& _input)
+{
+	return _input.prefix == 0 ? leastFinish(_input) : homeOf(_input);
+}
+
+EndpointState* chooseAffinityGated(const PlacementInput& _input)
+{
+	if (_input.prefix == 0)
+	{
+		return leastFinish(_input);
+	}
+	EndpointState* home = homeOf(_input);
+	const bool busy = home->load() > std::max(kIdleLoad, kLoadGate * _input.meanLoad);
+	return busy ? leastFinish(_input) : home;
+}
+
+const bool s_affinity = registerPlacement({"affinity", &chooseAffinity});
+const bool s_affinityGated = registerPlacement({"affinity_gated", &chooseAffinityGated});
+
+} // namespace
+
+} // namespace roadferry
