--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -808,7 +808,7 @@
 {
 	Endpoint endpoint;
 	std::int64_t own = 0;      ///< Calls of this node in flight.
-	double others = 0; ///< Calls of other nodes, smoothed over reports.
+	double others = 0;         ///< Calls of other nodes, smoothed over reports.
 	double ownWork = 0;        ///< Predicted microseconds of this node's calls in flight.
 	double ownSmoothed = 0;    ///< Own calls, smoothed over about the lag of the reports.
 	std::int64_t failures = 0; ///< Failures in a row.
@@ -944,7 +944,7 @@
 /// Settings of a dispatcher.
 struct DispatcherConfig
 {
-	std::string placement = "least_finish";
+	std::string placement = "affinity_gated";
 	Ordering ordering = Ordering::DeadlineFair;
 	bool admitByDeadline = true;     ///< Refuse what is predicted to be late.
 	bool dropDoomed = true;          ///< Stop work that can no longer finish in time.
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -37,7 +37,7 @@
 DEFINE_int32(body_limit_kb, 4096, "largest body of a request in KB (1 to 65536)");
 DEFINE_int32(connections, 4096, "most open connections of callers (16 to 65536)");
 DEFINE_int32(request_timeout_ms, 10000, "time a caller has to send a request whole, in ms (100 to 600000)");
-DEFINE_string(placement, "least_finish", "placement policy");
+DEFINE_string(placement, "affinity_gated", "placement policy");
 DEFINE_double(urgent_reserve, 0.1, "share of a pool's slots kept for urgent pipelines (0 to 0.9)");
 DEFINE_double(retry_share, 0.1, "retries earned by each first attempt (0 to 1)");
 DEFINE_bool(admit_by_deadline, true, "refuse requests that are predicted to miss their deadline");
--- a/tools/bench_endpoint.h
+++ b/tools/bench_endpoint.h
@@ -67,8 +67,10 @@
 
 	[[nodiscard]] LoadReport report() const;
 
-	/// @returns Seconds of this endpoint that one such call takes when it is used best.
-	[[nodiscard]] double bestSeconds(const BenchJob& _job) const;
+	/// @param[in] _budget Time that the call may take.
+	/// @returns Seconds of this endpoint that one such call takes when it is used best: with the largest batch at which
+	/// the call alone, its prefix cached, ends within its time. Nothing where it cannot.
+	[[nodiscard]] std::optional<double> bestSeconds(const BenchJob& _job, Micros _budget) const;
 
 	Endpoint endpoint;
 	double speed = 1;     ///< Below one for a slow endpoint.
