Let a call wait for its prefix's engine while others have a good place

Cause: at full load only an engine with a slot just free is a candidate, so that affinity was lost when it mattered: prompts were processed anew, and decoding on the same engine slowed by it. Ruled out: the gate on load (the ungated policy lost as much). Change: a policy may answer that a better endpoint has no room; the dispatcher then looks at the next 24 requests for one with a good place, and sends the first where there is room only when there is none.

--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -831,19 +831,42 @@
 /// What a placement policy may look at.
 struct PlacementInput
 {
-	const std::vector<EndpointState*>& candidates; ///< Endpoints with room, at least one.
+	const std::vector<EndpointState*>& candidates; ///< Endpoints with room for the call, at least one.
+	const std::vector<EndpointState*>& usable;     ///< These and the endpoints without room.
 	std::uint64_t prefix = 0;                      ///< Hash of the prompt's prefix, 0 for none.
-	double work = 1;                               ///< Predicted service time of the call in microseconds.
 	std::minstd_rand& random;                      ///< Seeded generator of the dispatcher.
 	std::size_t& turn;                             ///< Counter of the pool, for policies that take turns.
-	double meanLoad = 0;                           ///< Mean load of the pool's endpoints.
+	double meanLoad = 0;                           ///< Mean load of the usable endpoints.
 };
 
+/// Send the call to this endpoint.
+struct PlaceAt
+{
+	EndpointState* endpoint = nullptr;
+	bool operator==(const PlaceAt&) const = default;
+};
+
+/// Another endpoint would be better and has no room: let calls for which there is a good place go first, and send this
+/// one here when there are none.
+struct PlaceReluctantly
+{
+	EndpointState* endpoint = nullptr;
+	bool operator==(const PlaceReluctantly&) const = default;
+};
+
+/// No endpoint has room.
+struct PlaceNowhere
+{
+	bool operator==(const PlaceNowhere&) const = default;
+};
+
+using Placement = std::variant<PlaceNowhere, PlaceReluctantly, PlaceAt>;
+
 /// A named way to choose among endpoints.
 struct PlacementPolicy
 {
 	std::string_view name;
-	EndpointState* (*choose)(const PlacementInput& _input);
+	Placement (*choose)(const PlacementInput& _input);
 };
 
 /// Adds a policy under its name; called by the policies' own files before main.
@@ -947,6 +970,7 @@
 	std::string placement = "affinity_gated";
 	Ordering ordering = Ordering::DeadlineFair;
 	bool admitByDeadline = true;     ///< Refuse what is predicted to be late.
+	bool loadAware = true;           ///< Predict by the load of endpoints, and keep calls off those too busy for them.
 	bool dropDoomed = true;          ///< Stop work that can no longer finish in time.
 	bool setAside = true;            ///< Keep failing and slow endpoints out.
 	double urgentReserve = 0.1;      ///< Share of a pool's slots that only urgent pipelines may use.
@@ -954,6 +978,7 @@
 	double retryBurst = 20;          ///< Most retries saved up.
 	double slotsFactor = 1.0;        ///< Calls sent to an endpoint, as a multiple of its slots.
 	double lateMargin = 1.0;         ///< Deviations added to a predicted service time.
+	std::size_t window = 24;         ///< Waiting requests that are looked at for one with a good place.
 	std::size_t queueLimit = 20'000; ///< Most requests waiting in one pool.
 	std::int64_t setAsideAfter = 3;  ///< Failures in a row.
 	Micros setAsideFor = 2 * kSecond;
--- a/src/endpoint_book.cpp
+++ b/src/endpoint_book.cpp
@@ -128,27 +128,27 @@
 	return _endpoint.load() < this->config.slotsFactor;
 }
 
-EndpointState* EndpointBook::choose(const std::string& _pool, std::uint64_t _prefix, double _work,
-									const std::string& _avoid, Micros _now)
+Placement EndpointBook::choose(const std::string& _pool, std::uint64_t _prefix, double _loadLimit,
+							   const std::string& _avoid, Micros _now)
 {
 	const auto found = this->pools.find(_pool);
 	if (found == this->pools.end() || this->policy == nullptr)
 	{
-		return nullptr;
+		return PlaceNowhere{};
 	}
 	std::vector<EndpointState*> candidates;
+	std::vector<EndpointState*> usable;
 	EndpointState* avoided = nullptr;
 	double loads = 0;
-	std::size_t usable = 0;
 	for (EndpointState* member : found->second.members)
 	{
 		if (!member->usable(_now))
 		{
 			continue;
 		}
-		usable += 1;
+		usable.push_back(member);
 		loads += member->load();
-		if (!this->hasRoom(*member))
+		if (!this->hasRoom(*member) || member->load() >= _loadLimit)
 		{
 			continue;
 		}
@@ -161,10 +161,10 @@
 	}
 	if (candidates.empty())
 	{
-		return avoided;
+		return avoided == nullptr ? Placement(PlaceNowhere{}) : PlaceReluctantly{avoided};
 	}
-	const double mean = loads / static_cast<double>(usable);
-	return this->policy->choose(PlacementInput{candidates, _prefix, _work, this->random, found->second.turn, mean});
+	const double mean = loads / static_cast<double>(usable.size());
+	return this->policy->choose(PlacementInput{candidates, usable, _prefix, this->random, found->second.turn, mean});
 }
 
 void EndpointBook::began(EndpointState& _endpoint, double _work, Micros _now)
--- a/src/placement_affinity.cpp
+++ b/src/placement_affinity.cpp
@@ -30,23 +30,37 @@
 /// The same choice on every node, and one that moves few prefixes when engines come and go.
 EndpointState* homeOf(const PlacementInput& _input)
 {
-	return *std::max_element(_input.candidates.begin(), _input.candidates.end(),
+	return *std::max_element(_input.usable.begin(), _input.usable.end(),
 							 [&](const EndpointState* _left, const EndpointState* _right)
 							 { return score(*_left, _input.prefix) < score(*_right, _input.prefix); });
 }
 
-EndpointState* leastFinish(const PlacementInput& _input)
+Placement leastFinish(const PlacementInput& _input)
 {
 	static const PlacementPolicy* s_policy = findPlacement("least_finish");
 	return s_policy->choose(_input);
 }
 
-EndpointState* chooseAffinity(const PlacementInput& _input)
+bool hasRoom(const PlacementInput& _input, const EndpointState* _endpoint)
 {
-	return _input.prefix == 0 ? leastFinish(_input) : homeOf(_input);
+	return std::find(_input.candidates.begin(), _input.candidates.end(), _endpoint) != _input.candidates.end();
 }
 
-EndpointState* chooseAffinityGated(const PlacementInput& _input)
+Placement homeOrReluctantly(const PlacementInput& _input, EndpointState* _home)
+{
+	if (hasRoom(_input, _home))
+	{
+		return PlaceAt{_home};
+	}
+	return PlaceReluctantly{std::get<PlaceAt>(leastFinish(_input)).endpoint};
+}
+
+Placement chooseAffinity(const PlacementInput& _input)
+{
+	return _input.prefix == 0 ? leastFinish(_input) : homeOrReluctantly(_input, homeOf(_input));
+}
+
+Placement chooseAffinityGated(const PlacementInput& _input)
 {
 	if (_input.prefix == 0)
 	{
@@ -54,7 +68,7 @@
 	}
 	EndpointState* home = homeOf(_input);
 	const bool busy = home->load() > std::max(kIdleLoad, kLoadGate * _input.meanLoad);
-	return busy ? leastFinish(_input) : home;
+	return busy ? leastFinish(_input) : homeOrReluctantly(_input, home);
 }
 
 const bool s_affinity = registerPlacement({"affinity", &chooseAffinity});
--- a/src/placement_baselines.cpp
+++ b/src/placement_baselines.cpp
@@ -16,25 +16,25 @@
 namespace
 {
 
-EndpointState* chooseRoundRobin(const PlacementInput& _input)
+Placement chooseRoundRobin(const PlacementInput& _input)
 {
 	const std::size_t index = _input.turn % _input.candidates.size();
 	_input.turn += 1;
-	return _input.candidates[index];
+	return PlaceAt{_input.candidates[index]};
 }
 
-EndpointState* chooseLeastInFlight(const PlacementInput& _input)
+Placement chooseLeastInFlight(const PlacementInput& _input)
 {
-	return *std::min_element(_input.candidates.begin(), _input.candidates.end(),
-							 [](const EndpointState* _left, const EndpointState* _right)
-							 { return _left->own < _right->own; });
+	return PlaceAt{*std::min_element(_input.candidates.begin(), _input.candidates.end(),
+									 [](const EndpointState* _left, const EndpointState* _right)
+									 { return _left->own < _right->own; })};
 }
 
-EndpointState* choosePowerOfTwo(const PlacementInput& _input)
+Placement choosePowerOfTwo(const PlacementInput& _input)
 {
 	EndpointState* first = _input.candidates[_input.random() % _input.candidates.size()];
 	EndpointState* second = _input.candidates[_input.random() % _input.candidates.size()];
-	return second->load() < first->load() ? second : first;
+	return PlaceAt{second->load() < first->load() ? second : first};
 }
 
 const bool s_roundRobin = registerPlacement({"round_robin", &chooseRoundRobin});
--- a/src/placement_finish.cpp
+++ b/src/placement_finish.cpp
@@ -22,11 +22,11 @@
 	return _endpoint.slowness * (1.0 + _endpoint.load());
 }
 
-EndpointState* chooseLeastFinish(const PlacementInput& _input)
+Placement chooseLeastFinish(const PlacementInput& _input)
 {
-	return *std::min_element(_input.candidates.begin(), _input.candidates.end(),
-							 [](const EndpointState* _left, const EndpointState* _right)
-							 { return predictedFinish(*_left) < predictedFinish(*_right); });
+	return PlaceAt{*std::min_element(_input.candidates.begin(), _input.candidates.end(),
+									 [](const EndpointState* _left, const EndpointState* _right)
+									 { return predictedFinish(*_left) < predictedFinish(*_right); })};
 }
 
 const bool s_leastFinish = registerPlacement({"least_finish", &chooseLeastFinish});
--- a/src/pool_queue.cpp
+++ b/src/pool_queue.cpp
@@ -75,44 +75,59 @@
 	}
 }
 
-const PoolQueue::Group* PoolQueue::nextGroup() const
+std::vector<Waiting> PoolQueue::window(std::size_t _most) const
 {
-	if (!this->urgent.waiting.empty())
+	std::vector<Waiting> result;
+	for (const auto& entry : this->urgent.waiting)
 	{
-		return &this->urgent;
+		if (result.size() == _most)
+		{
+			return result;
+		}
+		result.push_back(entry.second);
 	}
-	const auto least = std::min_element(this->groups.begin(), this->groups.end(),
-										[](const auto& _left, const auto& _right)
-										{ return _left.second.virtualTime < _right.second.virtualTime; });
-	return least == this->groups.end() ? nullptr : &least->second;
-}
-
-std::optional<Waiting> PoolQueue::front() const
-{
-	const Group* group = this->nextGroup();
-	if (group == nullptr)
+	// What would leave next, worked out on copies of the workspaces' virtual times.
+	struct Turn
+	{
+		double virtualTime;
+		const Group* group;
+		std::map<Key, Waiting>::const_iterator next;
+	};
+	const auto later = [](const Turn& _left, const Turn& _right) { return _left.virtualTime > _right.virtualTime; };
+	std::vector<Turn> turns;
+	for (const auto& entry : this->groups)
+	{
+		turns.push_back(Turn{entry.second.virtualTime, &entry.second, entry.second.waiting.begin()});
+	}
+	std::make_heap(turns.begin(), turns.end(), later);
+	while (result.size() < _most && !turns.empty())
 	{
-		return std::nullopt;
+		std::pop_heap(turns.begin(), turns.end(), later);
+		Turn& turn = turns.back();
+		result.push_back(turn.next->second);
+		turn.virtualTime += turn.next->second.work / turn.group->weight;
+		++turn.next;
+		if (turn.next == turn.group->waiting.end())
+		{
+			turns.pop_back();
+			continue;
+		}
+		std::push_heap(turns.begin(), turns.end(), later);
 	}
-	return group->waiting.begin()->second;
+	return result;
 }
 
-void PoolQueue::popFront()
+void PoolQueue::take(const Waiting& _waiting)
 {
-	const std::optional<Waiting> first = this->front();
-	if (!first)
-	{
-		return;
-	}
-	const auto found = this->groups.find(this->groupOf(*first));
-	const bool fair = this->urgent.waiting.empty() && found != this->groups.end();
+	const auto found = this->groups.find(this->groupOf(_waiting));
+	const bool fair = this->urgent.waiting.count(this->keyOfWaiting(_waiting)) == 0 && found != this->groups.end();
 	if (fair)
 	{
 		Group& group = found->second;
 		this->virtualNow = std::max(this->virtualNow, group.virtualTime);
-		group.virtualTime += first->work / group.weight;
+		group.virtualTime += _waiting.work / group.weight;
 	}
-	this->remove(*first);
+	this->remove(_waiting);
 }
 
 std::size_t PoolQueue::size() const
--- a/src/pool_queue.h
+++ b/src/pool_queue.h
@@ -39,11 +39,11 @@
 	/// Removes a request if it waits here.
 	void remove(const Waiting& _waiting);
 
-	/// @returns The request that is to leave next, or nothing.
-	[[nodiscard]] std::optional<Waiting> front() const;
+	/// @returns The requests that would leave next, at most so many, in that order.
+	[[nodiscard]] std::vector<Waiting> window(std::size_t _most) const;
 
-	/// Takes out what front() returned and charges its workspace for it.
-	void popFront();
+	/// Takes a request out and charges its workspace for it.
+	void take(const Waiting& _waiting);
 
 	[[nodiscard]] std::size_t size() const;
 
@@ -67,7 +67,6 @@
 
 	[[nodiscard]] std::string groupOf(const Waiting& _waiting) const;
 	[[nodiscard]] Key keyOfWaiting(const Waiting& _waiting) const;
-	[[nodiscard]] const Group* nextGroup() const;
 
 	Ordering ordering;
 	Group urgent;
--- a/tools/roadferry_bench.cpp
+++ b/tools/roadferry_bench.cpp
@@ -72,6 +72,9 @@
 			list.push_back({name == "affinity" ? "+affinity" : "+affinity_gated", other});
 		}
 	}
+	config.placement = "affinity_gated";
+	config.loadAware = true;
+	list.push_back({"+load_aware", config});
 	list.push_back({"product", DispatcherConfig{}});
 	return list;
 }
