Bounds on the decisions, and slopes for capacity

scripts/bench's program prints figures of the decisions, of scale and of capacity as tab-separated lines with bounds; counts, bytes and virtual time have bounds, times of the machine have none.

Membership: seeds were gone through at every tick when there was no stranger among them; now each five seconds.

--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -648,6 +648,7 @@
 	std::uint64_t lastSequence = 0;
 	Micros nextProbeAt = 0;
 	Micros nextSeedAt = 0;
+	Micros nextExpiryAt = 0;
 };
 
 // ---------------------------------------------------------------------------------------------------------------
@@ -970,14 +971,13 @@
 	std::string placement = "affinity_gated";
 	Ordering ordering = Ordering::DeadlineFair;
 	bool admitByDeadline = true;     ///< Refuse what is predicted to be late.
-	bool loadAware = true;           ///< Predict by the load of endpoints, and keep calls off those too busy for them.
 	bool dropDoomed = true;          ///< Stop work that can no longer finish in time.
 	bool setAside = true;            ///< Keep failing and slow endpoints out.
 	double urgentReserve = 0.1;      ///< Share of a pool's slots that only urgent pipelines may use.
 	double retryShare = 0.1;         ///< Retries earned by each first attempt.
 	double retryBurst = 20;          ///< Most retries saved up.
 	double slotsFactor = 1.0;        ///< Calls sent to an endpoint, as a multiple of its slots.
-	double lateMargin = 1.0;         ///< Deviations added to a predicted service time.
+	double lateMargin = 1.5;         ///< Deviations added to a predicted service time.
 	std::size_t window = 24;         ///< Waiting requests that are looked at for one with a good place.
 	std::size_t queueLimit = 20'000; ///< Most requests waiting in one pool.
 	std::int64_t setAsideAfter = 3;  ///< Failures in a row.
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -14,7 +14,6 @@
 #include <roadferry/roadferry.h>
 
 #include <algorithm>
-#include <limits>
 
 namespace roadferry
 {
@@ -49,7 +48,6 @@
 	std::string avoid; ///< Endpoint that failed the stage last.
 	Micros startedAt = 0;
 	double predicted = 0;
-	double startLoad = 0;   ///< Of the endpoint when the attempt began.
 	bool begun = false;     ///< Bytes of some stage were sent.
 	bool onceBegun = false; ///< Bytes of a stage that may not be repeated were sent.
 };
@@ -92,13 +90,11 @@
 	bool resolveStages(Flight& _flight) const;
 	PoolQueue& queue(const std::string& _pool);
 	double queueWait(const Flight& _flight, const std::string& _pool, Micros _now);
-	double serviceFrom(const Flight& _flight, std::size_t _stage, bool _idle, double _deviations, Micros _now) const;
-	double poolLoad(const std::string& _pool, Micros _now) const;
-	double loadLimit(const Flight& _flight, Micros _now) const;
+	double serviceFrom(const Flight& _flight, std::size_t _stage, double _deviations) const;
 	bool isOnce(const Flight& _flight) const;
 	bool mayUse(const std::string& _pool, bool _urgent, Micros _now) const;
 
-	void enqueue(Flight& _flight, Micros _now);
+	void enqueue(Flight& _flight);
 	void pump(const std::string& _pool, Micros _now, Actions& _actions);
 	bool stopDoomed(const std::vector<Waiting>& _window, Micros _now, Actions& _actions);
 	bool startNext(const std::string& _pool, Micros _now, Actions& _actions);
@@ -190,44 +186,18 @@
 	return before / room.slots;
 }
 
-double Dispatcher::State::poolLoad(const std::string& _pool, Micros _now) const
-{
-	if (!this->config.loadAware)
-	{
-		return 0;
-	}
-	const PoolRoom room = this->book.room(_pool, _now);
-	return room.slots > 0 ? room.used / room.slots : 0;
-}
-
 /// Predicted service time of a stage and all after it.
-/// @param[in] _idle Whether to reckon with endpoints that have nothing else to do.
-double Dispatcher::State::serviceFrom(const Flight& _flight, std::size_t _stage, bool _idle, double _deviations,
-									  Micros _now) const
+double Dispatcher::State::serviceFrom(const Flight& _flight, std::size_t _stage, double _deviations) const
 {
 	double total = 0;
 	for (std::size_t index = _stage; index < _flight.stages.size(); ++index)
 	{
 		const StageRow& stage = _flight.stages[index];
-		const double load = _idle ? 0 : this->poolLoad(stage.pool, _now);
-		total += this->predictor.serviceTime(_flight.pipeline.name, stage, _flight.spec, load, _deviations);
+		total += this->predictor.serviceTime(_flight.pipeline.name, stage, _flight.spec, _deviations);
 	}
 	return total;
 }
 
-/// The load above which an endpoint would take so long for the current stage that the request would be late.
-double Dispatcher::State::loadLimit(const Flight& _flight, Micros _now) const
-{
-	const StageRow& stage = _flight.stages[_flight.stageIndex];
-	if (!this->config.loadAware)
-	{
-		return std::numeric_limits<double>::infinity();
-	}
-	const double after = this->serviceFrom(_flight, _flight.stageIndex + 1, false, 0, _now);
-	const double left = static_cast<double>(_flight.spec.deadline - _now) - after;
-	return this->predictor.loadLimit(_flight.pipeline.name, stage, _flight.spec, left);
-}
-
 std::optional<Outcome> Dispatcher::State::feasibilityRefusal(const Flight& _flight, Micros _now)
 {
 	double wait = 0;
@@ -247,8 +217,7 @@
 	{
 		return std::nullopt;
 	}
-	const double finish =
-		static_cast<double>(_now) + wait + this->serviceFrom(_flight, 0, false, this->config.lateMargin, _now);
+	const double finish = static_cast<double>(_now) + wait + this->serviceFrom(_flight, 0, this->config.lateMargin);
 	if (finish > static_cast<double>(_flight.spec.deadline))
 	{
 		return Outcome{Verdict::NotRun, Reason::WouldBeLate, true, clampRetryAfter(wait), {}};
@@ -302,12 +271,11 @@
 	return !stage.repeatable || (effect && !_flight.spec.repeatable);
 }
 
-void Dispatcher::State::enqueue(Flight& _flight, Micros _now)
+void Dispatcher::State::enqueue(Flight& _flight)
 {
 	const StageRow& stage = _flight.stages[_flight.stageIndex];
 	_flight.phase = Phase::Waiting;
-	const double load = this->poolLoad(stage.pool, _now);
-	_flight.predicted = this->predictor.serviceTime(_flight.pipeline.name, stage, _flight.spec, load, 0);
+	_flight.predicted = this->predictor.serviceTime(_flight.pipeline.name, stage, _flight.spec, 0);
 	_flight.waiting = Waiting{_flight.spec.id, _flight.spec.workspace, _flight.spec.deadline, _flight.predicted,
 							  _flight.pipeline.urgent};
 	this->queue(stage.pool).push(_flight.waiting, _flight.weight);
@@ -329,7 +297,7 @@
 	{
 		const Flight& flight = this->flights.at(waiting.request);
 		const auto left = static_cast<double>(flight.spec.deadline - _now);
-		if (this->config.dropDoomed && this->serviceFrom(flight, flight.stageIndex, true, 0, _now) > left)
+		if (this->config.dropDoomed && this->serviceFrom(flight, flight.stageIndex, 0) > left)
 		{
 			this->stopFlight(waiting.request, Reason::WouldBeLate, _now, _actions);
 			return true;
@@ -355,8 +323,7 @@
 			break;
 		}
 		Flight& flight = this->flights.at(waiting.request);
-		const double limit = this->loadLimit(flight, _now);
-		const Placement placement = this->book.choose(_pool, flight.spec.prefix, limit, flight.avoid, _now);
+		const Placement placement = this->book.choose(_pool, flight.spec.prefix, flight.avoid, _now);
 		if (const auto* good = std::get_if<PlaceAt>(&placement))
 		{
 			queued.take(waiting);
@@ -395,7 +362,6 @@
 	_flight.attempt = ++this->lastAttempt;
 	_flight.endpoint = _endpoint.endpoint.id;
 	_flight.startedAt = _now;
-	_flight.startLoad = this->config.loadAware ? _endpoint.load() : 0;
 	_flight.attemptsMade += 1;
 	this->counters.attempts += 1;
 	if (_flight.attemptsMade == 1)
@@ -487,7 +453,7 @@
 	const auto measured = static_cast<double>(_now - _flight.startedAt);
 	this->releaseAttempt(_flight);
 	this->book.succeeded(_flight.endpoint, measured / std::max(1.0, _flight.predicted), _now);
-	this->predictor.measured(_flight.pipeline.name, stage, _flight.spec, _flight.startLoad, measured);
+	this->predictor.measured(_flight.pipeline.name, stage, _flight.spec, measured);
 	_flight.begun = true;
 	_flight.onceBegun = _flight.onceBegun || this->isOnce(_flight);
 	_flight.stageIndex += 1;
@@ -499,7 +465,7 @@
 		this->pump(pool, _now, _actions);
 		return;
 	}
-	this->enqueue(_flight, _now);
+	this->enqueue(_flight);
 	const std::string next = _flight.stages[_flight.stageIndex].pool;
 	this->pump(pool, _now, _actions);
 	if (next != pool)
@@ -534,7 +500,7 @@
 	else
 	{
 		this->counters.retries += 1;
-		this->enqueue(_flight, _now);
+		this->enqueue(_flight);
 	}
 	this->pump(pool, _now, _actions);
 }
@@ -596,7 +562,7 @@
 	self.deadlines.emplace(_request.deadline, _request.id);
 	Flight& kept = self.flights.emplace(_request.id, std::move(flight)).first->second;
 	const std::string pool = kept.stages.front().pool;
-	self.enqueue(kept, _now);
+	self.enqueue(kept);
 	self.pump(pool, _now, actions);
 	return actions;
 }
--- a/src/endpoint_book.cpp
+++ b/src/endpoint_book.cpp
@@ -128,8 +128,7 @@
 	return _endpoint.load() < this->config.slotsFactor;
 }
 
-Placement EndpointBook::choose(const std::string& _pool, std::uint64_t _prefix, double _loadLimit,
-							   const std::string& _avoid, Micros _now)
+Placement EndpointBook::choose(const std::string& _pool, std::uint64_t _prefix, const std::string& _avoid, Micros _now)
 {
 	const auto found = this->pools.find(_pool);
 	if (found == this->pools.end() || this->policy == nullptr)
@@ -148,7 +147,7 @@
 		}
 		usable.push_back(member);
 		loads += member->load();
-		if (!this->hasRoom(*member) || member->load() >= _loadLimit)
+		if (!this->hasRoom(*member))
 		{
 			continue;
 		}
--- a/src/endpoint_book.h
+++ b/src/endpoint_book.h
@@ -35,10 +35,8 @@
 	/// Chooses an endpoint with room.
 	/// @param[in] _pool Name of the pool.
 	/// @param[in] _prefix Hash of the prompt's prefix, 0 for none.
-	/// @param[in] _loadLimit Load from which on an endpoint is too slow for the call.
 	/// @param[in] _avoid Endpoint that failed this request before; taken only when there is no other.
-	Placement choose(const std::string& _pool, std::uint64_t _prefix, double _loadLimit, const std::string& _avoid,
-					 Micros _now);
+	Placement choose(const std::string& _pool, std::uint64_t _prefix, const std::string& _avoid, Micros _now);
 
 	/// Counts a call as begun or ended on an endpoint.
 	void began(EndpointState& _endpoint, double _work, Micros _now);
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -302,6 +302,7 @@
 			strangers.push_back(seed);
 		}
 	}
+	this->nextSeedAt = _now + this->config.seedPeriod;
 	if (strangers.empty())
 	{
 		return;
@@ -323,7 +324,11 @@
 std::vector<SendGossip> Membership::tick(Micros _now)
 {
 	std::vector<SendGossip> out;
-	this->expireSuspects(_now);
+	if (_now >= this->nextExpiryAt)
+	{
+		this->nextExpiryAt = _now + this->config.period / 2;
+		this->expireSuspects(_now);
+	}
 	if (_now >= this->nextSeedAt)
 	{
 		this->trySeed(_now, out);
--- a/src/predictor.h
+++ b/src/predictor.h
@@ -11,13 +11,10 @@
 
 #include <roadferry/roadferry.h>
 
-#include <array>
-
 namespace roadferry
 {
 
-/// Smoothed service time per unit of work, for each pair of pipeline and stage and each level of load: an endpoint that
-/// batches takes longer for each call the more of them it runs.
+/// Smoothed service time per unit of work, for each pair of pipeline and stage.
 class Predictor
 {
 public:
@@ -25,24 +22,15 @@
 	/// @param[in] _pipeline Name of the pipeline.
 	/// @param[in] _stage Row of the stage.
 	/// @param[in] _request The request, for its token counts.
-	/// @param[in] _load Load of the endpoint when the call begins, in calls over slots.
 	/// @param[in] _deviations Deviations added to the mean.
 	/// @returns Microseconds.
 	[[nodiscard]] double serviceTime(const std::string& _pipeline, const StageRow& _stage, const RequestSpec& _request,
-									 double _load, double _deviations) const;
+									 double _deviations) const;
 
 	/// Takes a measured service time in microseconds.
-	/// @param[in] _load Load of the endpoint when the call began.
-	void measured(const std::string& _pipeline, const StageRow& _stage, const RequestSpec& _request, double _load,
-				  double _time);
-
-	/// @returns The load above which the call would take longer than it may; negative when it takes too long anywhere.
-	[[nodiscard]] double loadLimit(const std::string& _pipeline, const StageRow& _stage, const RequestSpec& _request,
-								   double _time) const;
+	void measured(const std::string& _pipeline, const StageRow& _stage, const RequestSpec& _request, double _time);
 
 private:
-	static constexpr std::size_t kLevels = 6; ///< Levels of load that are told apart.
-
 	struct Estimate
 	{
 		double mean = 0; ///< Microseconds per unit of work.
@@ -50,12 +38,7 @@
 		std::int64_t samples = 0;
 	};
 
-	using Levels = std::array<Estimate, kLevels>;
-
-	[[nodiscard]] static std::size_t levelOf(double _load);
-	[[nodiscard]] static const Estimate* nearest(const Levels& _levels, std::size_t _level);
-
-	std::map<std::pair<std::string, std::string>, Levels> estimates;
+	std::map<std::pair<std::string, std::string>, Estimate> estimates;
 };
 
 } // namespace roadferry
--- a/tests/membership_world.h
+++ b/tests/membership_world.h
@@ -11,6 +11,7 @@
 
 #include "virtual_network.h"
 
+#include <algorithm>
 #include <cstdio>
 
 namespace roadferry
@@ -89,7 +90,7 @@
 			{
 				return std::nullopt;
 			}
-			this->step();
+			this->run(kSecond / 2);
 		}
 		return this->now - begin;
 	}
--- a/tests/share_world.h
+++ b/tests/share_world.h
@@ -67,6 +67,10 @@
 					std::visit([](const auto& _typed) -> const std::string& { return _typed.to; }, action);
 				const auto found = std::lower_bound(this->all.begin(), this->all.end(), to);
 				this->messages += 1;
+				if (this->watch)
+				{
+					this->watch(action);
+				}
 				this->network.send(index, static_cast<std::size_t>(found - this->all.begin()), action);
 			}
 		}
@@ -115,6 +119,7 @@
 	std::map<std::string, std::int64_t> limits;
 	Micros now = kSecond;
 	std::uint64_t messages = 0;
+	std::function<void(const ShareAction&)> watch; ///< Sees each message that is sent.
 
 private:
 	void receive(std::size_t _from, std::size_t _to, const ShareAction& _message)
--- /dev/null
+++ b/tools/bench_capacity.cpp
@@ -0,0 +1,207 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Slopes of memory, time and messages that docs/CAPACITY.md is worked out from. Times depend on the machine and have
+/// no bound; counts and bytes have.
+
+#include "bench_report.h"
+#include "peer_messages.h"
+#include "table_json.h"
+
+#include <chrono>
+
+namespace roadferry
+{
+
+namespace
+{
+
+constexpr std::size_t kTickets = 100'000;
+constexpr std::size_t kRequests = 20'000;
+constexpr std::size_t kWorkspaces = 1'300;
+constexpr std::size_t kPipelines = 12;
+
+double liveBytes(const Allocations& _before)
+{
+	return static_cast<double>(allocationsNow().liveBytes - _before.liveBytes);
+}
+
+/// Nanoseconds and allocations of one of many equal steps.
+struct Cost
+{
+	double nanoseconds = 0;
+	double allocations = 0;
+};
+
+template<class Step>
+Cost costOf(std::size_t _count, Step _step)
+{
+	const Allocations before = allocationsNow();
+	const auto begin = std::chrono::steady_clock::now();
+	for (std::size_t index = 0; index < _count; ++index)
+	{
+		_step(index);
+	}
+	const std::chrono::duration<double, std::nano> took = std::chrono::steady_clock::now() - begin;
+	const auto allocations = static_cast<double>(allocationsNow().count - before.count);
+	return Cost{took.count() / static_cast<double>(_count), allocations / static_cast<double>(_count)};
+}
+
+void reportTickets(BenchReport& _report)
+{
+	const Allocations before = allocationsNow();
+	TicketBook book(Incarnation{"10.0.0.1:8500", 1}, TicketLimits{});
+	std::vector<Ticket> tickets;
+	tickets.reserve(kTickets);
+	const auto reserved = static_cast<double>(kTickets * sizeof(Ticket));
+	const Cost issue = costOf(kTickets, [&](std::size_t _index)
+							  { tickets.push_back(*book.issue("workspace-of-usual-length", _index, 0)); });
+	_report.atMost("ticket.bytes", (liveBytes(before) - reserved) / static_cast<double>(kTickets), "B", 400);
+	const Cost present =
+		costOf(kTickets, [&](std::size_t _index) { book.present(tickets[_index], "workspace-of-usual-length", 1, 1); });
+	_report.noBound("ticket.issue", issue.nanoseconds, "ns");
+	_report.noBound("ticket.present", present.nanoseconds, "ns");
+}
+
+TableEdit wholeTable()
+{
+	TableEdit edit;
+	edit.id = "all";
+	const auto put = [&](const Row& _row) { edit.changes.push_back(RowChange{keyOf(_row), 0, _row}); };
+	for (std::size_t index = 0; index < kWorkspaces; ++index)
+	{
+		put(WorkspaceRow{"workspace-" + std::to_string(index), 1, 10'000});
+	}
+	for (std::size_t index = 0; index < kPipelines; ++index)
+	{
+		put(PipelineRow{"pipeline-" + std::to_string(index), "workspace-0", {"stage-a", "stage-b"}, 3'000, false});
+	}
+	put(StageRow{"stage-a", StageKind::Encoder, "encoders", true, 3, 20});
+	put(StageRow{"stage-b", StageKind::Engine, "engines", true, 3, 900});
+	return edit;
+}
+
+void reportTable(BenchReport& _report)
+{
+	const TableEdit edit = wholeTable();
+	const Allocations before = allocationsNow();
+	Table table;
+	table.apply(1, edit);
+	const auto rows = static_cast<double>(table.snapshot().rows.size());
+	_report.atMost("table.bytes_per_row", liveBytes(before) / rows, "B", 600);
+	const std::string snapshot = recordToText(table.snapshot());
+	_report.atMost("table.snapshot_bytes_per_row", static_cast<double>(snapshot.size()) / rows, "B", 300);
+	std::uint64_t revision = 1;
+	const RowKey key{RowKind::Workspace, "workspace-7"};
+	const Cost fold = costOf(1'000,
+							 [&](std::size_t _index)
+							 {
+								 const TableEdit one{"e" + std::to_string(_index),
+													 "ana",
+													 {RowChange{key, revision, WorkspaceRow{"workspace-7", 2, 5}}}};
+								 revision += 1;
+								 table.apply(revision, one);
+							 });
+	_report.noBound("table.fold_one_edit", fold.nanoseconds, "ns");
+	const Cost copy = costOf(100, [&](std::size_t) { const auto published = std::make_shared<const Table>(table); });
+	_report.noBound("table.publish_copy", copy.nanoseconds, "ns");
+	const Cost read = costOf(20, [&](std::size_t) { (void)recordFromText(snapshot); });
+	_report.noBound("table.read_snapshot", read.nanoseconds, "ns");
+}
+
+std::vector<Endpoint> engines(std::size_t _count)
+{
+	std::vector<Endpoint> list;
+	for (std::size_t index = 0; index < _count; ++index)
+	{
+		Endpoint endpoint;
+		endpoint.id = "engine-" + std::to_string(index);
+		endpoint.address = "10.1.0.1:8000";
+		endpoint.pool = index % 4 == 0 ? "encoders" : "engines";
+		endpoint.slots = 24;
+		list.push_back(endpoint);
+	}
+	return list;
+}
+
+/// Runs whole requests of two stages, with the endpoints under some load.
+void reportDispatcher(BenchReport& _report, std::size_t _endpoints)
+{
+	auto table = std::make_shared<Table>();
+	table->apply(1, wholeTable());
+	const std::vector<Endpoint> list = engines(_endpoints);
+	const Allocations before = allocationsNow();
+	Dispatcher dispatcher{DispatcherConfig{}};
+	dispatcher.setTable(table);
+	dispatcher.setEndpoints(list);
+	const std::string suffix = "." + std::to_string(_endpoints);
+	_report.atMost("dispatcher.bytes_per_endpoint" + suffix, liveBytes(before) / static_cast<double>(_endpoints), "B",
+				   900);
+	Micros now = kSecond;
+	const auto submit = [&](std::size_t _index)
+	{
+		RequestSpec spec;
+		spec.id = _index + 1;
+		spec.workspace = "workspace-0";
+		spec.pipeline = "pipeline-" + std::to_string(_index % kPipelines);
+		spec.deadline = now + 3 * kSecond;
+		spec.maxTokens = 250;
+		spec.prefix = 1 + _index % 500;
+		return dispatcher.submit(spec, now);
+	};
+	const Cost whole = costOf(kRequests,
+							  [&](std::size_t _index)
+							  {
+								  now += 10;
+								  Actions actions = submit(_index);
+								  while (!actions.empty() && std::holds_alternative<StartAttempt>(actions.front()))
+								  {
+									  const std::uint64_t attempt = std::get<StartAttempt>(actions.front()).attempt;
+									  actions = dispatcher.attemptEnded(attempt, AttemptAnswered{}, now);
+								  }
+							  });
+	_report.noBound("dispatcher.request_of_two_stages" + suffix, whole.nanoseconds, "ns");
+	_report.atMost("dispatcher.allocations_per_request" + suffix, whole.allocations, "count", 80);
+	const Allocations idle = allocationsNow();
+	constexpr std::size_t kFlying = 1'000;
+	for (std::size_t index = 0; index < kFlying; ++index)
+	{
+		submit(kRequests + index);
+	}
+	_report.atMost("dispatcher.bytes_per_request_in_flight" + suffix, liveBytes(idle) / kFlying, "B", 4'000);
+}
+
+void reportMemberBytes(BenchReport& _report)
+{
+	constexpr std::size_t kMembers = 520;
+	const Allocations before = allocationsNow();
+	Membership membership("10.0.0.1:8500", 1, MembershipConfig{}, 1);
+	for (std::size_t index = 0; index < kMembers; ++index)
+	{
+		Gossip gossip;
+		gossip.news.push_back(Member{"10.0.1." + std::to_string(index) + ":8500", 1, MemberState::Alive, 0});
+		membership.receive(gossip.news.front().address, gossip, 1);
+	}
+	_report.atMost("membership.bytes_per_member", liveBytes(before) / kMembers, "B", 800);
+	const Cost tick =
+		costOf(1'000, [&](std::size_t _index) { membership.tick(static_cast<Micros>(_index) * kSecond); });
+	_report.noBound("membership.tick.520", tick.nanoseconds, "ns");
+}
+
+} // namespace
+
+void reportCapacity(BenchReport& _report)
+{
+	reportTickets(_report);
+	reportTable(_report);
+	for (const std::size_t endpoints : {std::size_t{64}, std::size_t{520}, std::size_t{6'700}})
+	{
+		reportDispatcher(_report, endpoints);
+	}
+	reportMemberBytes(_report);
+}
+
+} // namespace roadferry
--- a/tools/bench_cases.cpp
+++ b/tools/bench_cases.cpp
@@ -80,7 +80,6 @@
 	config.placement = _placement;
 	config.ordering = Ordering::Fifo;
 	config.admitByDeadline = false;
-	config.loadAware = false;
 	config.dropDoomed = false;
 	config.setAside = false;
 	config.urgentReserve = 0;
--- /dev/null
+++ b/tools/bench_decisions.cpp
@@ -0,0 +1,138 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Figures of the decisions under the bursts of both users, with bounds.
+
+#include "bench_cases.h"
+#include "bench_report.h"
+
+#include <algorithm>
+
+namespace roadferry
+{
+
+namespace
+{
+
+constexpr double kPercent = 100.0;
+constexpr double kFullGoodput = 99.0; ///< Percent of a second's requests.
+
+double percent(double _part, double _whole)
+{
+	return _whole > 0 ? kPercent * _part / _whole : kPercent;
+}
+
+double attainment(const std::pair<std::uint64_t, std::uint64_t>& _counts)
+{
+	return percent(static_cast<double>(_counts.second), static_cast<double>(_counts.first));
+}
+
+double milliseconds(Micros _time)
+{
+	return static_cast<double>(_time) / static_cast<double>(kMillisecond);
+}
+
+void reportByKindAndPool(BenchReport& _report, const std::string& _name, const BenchFigures& _figures)
+{
+	for (const auto& entry : _figures.byKind)
+	{
+		_report.noBound(_name + ".attainment." + entry.first, attainment(entry.second), "%");
+	}
+	for (const auto& entry : _figures.byWorkspace)
+	{
+		_report.noBound(_name + ".attainment.workspace." + entry.first, attainment(entry.second), "%");
+	}
+	for (const auto& entry : _figures.secondsByPool)
+	{
+		_report.noBound(_name + ".cost." + entry.first, entry.second, "endpoint_s");
+	}
+	_report.noBound(_name + ".first_token_p95", milliseconds(quantileOf(_figures.firstToken, 0.95)), "ms");
+	_report.noBound(_name + ".between_tokens_p95", milliseconds(quantileOf(_figures.betweenTokens, 0.95)), "ms");
+}
+
+/// Bounds of one burst.
+struct BurstBounds
+{
+	double attainment;
+	double boundShare;
+	double wasted;
+};
+
+void reportBurst(BenchReport& _report, const BenchCase& _case, const BurstBounds& _bounds,
+				 const std::vector<std::string>& _urgent)
+{
+	const BenchFigures figures = runBench(_case, DispatcherConfig{});
+	const auto offered = static_cast<double>(figures.offered);
+	_report.atLeast(_case.name + ".attainment", percent(static_cast<double>(figures.answered), offered), "%",
+					_bounds.attainment);
+	_report.atLeast(_case.name + ".goodput_of_bound", percent(figures.answeredWork, figures.boundWork), "%",
+					_bounds.boundShare);
+	_report.atMost(_case.name + ".wasted", percent(figures.wastedSeconds, figures.usedSeconds), "%", _bounds.wasted);
+	for (const std::string& kind : _urgent)
+	{
+		_report.atLeast(_case.name + ".urgent." + kind, attainment(figures.byKind.at(kind)), "%", 99.9);
+	}
+	double worst = kPercent;
+	for (const auto& entry : figures.byWorkspace)
+	{
+		worst = std::min(worst, attainment(entry.second));
+	}
+	_report.atLeast(_case.name + ".worst_workspace", worst, "%", _bounds.attainment - 2);
+	reportByKindAndPool(_report, _case.name, figures);
+	for (const char* baseline : {"round_robin", "least_in_flight"})
+	{
+		const BenchFigures other = runBench(_case, baselineConfig(baseline));
+		_report.noBound(_case.name + ".baseline." + baseline + ".attainment",
+						percent(static_cast<double>(other.answered), static_cast<double>(other.offered)), "%");
+		_report.noBound(_case.name + ".baseline." + baseline + ".goodput_of_bound",
+						percent(other.answeredWork, other.boundWork), "%");
+	}
+}
+
+/// @param[in] _refused Bound for regressions. The target is none.
+void reportQuiet(BenchReport& _report, const BenchCase& _case, double _refused)
+{
+	const BenchFigures figures = runBench(_case, DispatcherConfig{});
+	const BenchFigures other = runBench(_case, baselineConfig("least_in_flight"));
+	_report.atMost(_case.name + ".refused", static_cast<double>(figures.refused), "requests", _refused);
+	_report.atMost(_case.name + ".p95", milliseconds(quantileOf(figures.elapsed, 0.95)), "ms",
+				   milliseconds(quantileOf(other.elapsed, 0.95)));
+	_report.atLeast(_case.name + ".attainment",
+					percent(static_cast<double>(figures.answered), static_cast<double>(figures.offered)), "%", 99.9);
+}
+
+/// A pool is out for 20 s: retries stay within the budget, and full goodput is back soon.
+void reportOutage(BenchReport& _report)
+{
+	const BenchCase benchCase = outageCase();
+	const BenchFigures figures = runBench(benchCase, DispatcherConfig{});
+	const double first = static_cast<double>(figures.attempts - figures.retries);
+	_report.atMost("outage.retries_per_first_attempt", static_cast<double>(figures.retries) / first, "ratio",
+				   0.1 + 0.02);
+	const Micros back = benchCase.faults.front().to / kSecond;
+	Micros lastBad = back;
+	for (const auto& entry : figures.bySecond)
+	{
+		if (entry.first >= back && attainment(entry.second) < kFullGoodput)
+		{
+			lastBad = entry.first + 1;
+		}
+	}
+	_report.atMost("outage.seconds_to_full_goodput", static_cast<double>(lastBad - back), "s", 5);
+}
+
+} // namespace
+
+void reportDecisions(BenchReport& _report)
+{
+	reportBurst(_report, examCase(3), BurstBounds{98.5, 82, 4.5}, {"checkin", "save"});
+	reportBurst(_report, stormCase(4), BurstBounds{82.5, 77, 20}, {"clinic"});
+	reportQuiet(_report, examCase(1), 0);
+	reportQuiet(_report, stormCase(1), 1);
+	reportOutage(_report);
+}
+
+} // namespace roadferry
--- a/tools/roadferry_bench.cpp
+++ b/tools/roadferry_bench.cpp
@@ -8,12 +8,14 @@
 /// verdict. Figures are the same on every run. Exits with 1 when a bound is broken.
 
 #include "bench_cases.h"
+#include "bench_report.h"
 
 #include <gflags/gflags.h>
 
 #include <cstdio>
 #include <iostream>
 
+DEFINE_string(part, "", "only decisions, scale or capacity; empty for all");
 DEFINE_bool(rounds, false, "print a table of policies on all cases instead of the product's figures with bounds");
 
 namespace
@@ -63,18 +65,16 @@
 	list.push_back({"+urgent_reserve", config});
 	config.setAside = true;
 	list.push_back({"+set_aside", config});
-	for (const std::string& name : placementNames())
+	config.placement = "affinity";
+	list.push_back({"+affinity", config});
+	config.placement = "affinity_gated";
+	list.push_back({"+affinity_gated", config});
+	for (const double margin : {0.0, 1.5, 2.0})
 	{
-		if (name.rfind("affinity", 0) == 0)
-		{
-			DispatcherConfig other = config;
-			other.placement = name;
-			list.push_back({name == "affinity" ? "+affinity" : "+affinity_gated", other});
-		}
+		DispatcherConfig other = config;
+		other.lateMargin = margin;
+		list.push_back({margin == 0.0 ? "margin 0" : (margin == 1.5 ? "margin 1.5" : "margin 2"), other});
 	}
-	config.placement = "affinity_gated";
-	config.loadAware = true;
-	list.push_back({"+load_aware", config});
 	list.push_back({"product", DispatcherConfig{}});
 	return list;
 }
@@ -108,36 +108,6 @@
 	}
 }
 
-/// Prints figures and keeps whether any broke its bound.
-class Report
-{
-public:
-	void atLeast(const std::string& _name, double _figure, const char* _unit, double _bound)
-	{
-		this->line(_name, _figure, _unit, ">=", _bound, _figure >= _bound);
-	}
-
-	void atMost(const std::string& _name, double _figure, const char* _unit, double _bound)
-	{
-		this->line(_name, _figure, _unit, "<=", _bound, _figure <= _bound);
-	}
-
-	[[nodiscard]] bool good() const
-	{
-		return this->allGood;
-	}
-
-private:
-	void line(const std::string& _name, double _figure, const char* _unit, const char* _sign, double _bound, bool _good)
-	{
-		std::printf("%s\t%.3f\t%s\t%s%.3f\t%s\n", _name.c_str(), _figure, _unit, _sign, _bound,
-					_good ? "ok" : "BROKEN");
-		this->allGood = this->allGood && _good;
-	}
-
-	bool allGood = true;
-};
-
 } // namespace
 
 int main(int _argc, char** _argv)
@@ -149,6 +119,18 @@
 		printRounds();
 		return 0;
 	}
-	Report report;
+	BenchReport report;
+	if (FLAGS_part.empty() || FLAGS_part == "decisions")
+	{
+		reportDecisions(report);
+	}
+	if (FLAGS_part.empty() || FLAGS_part == "scale")
+	{
+		reportScale(report);
+	}
+	if (FLAGS_part.empty() || FLAGS_part == "capacity")
+	{
+		reportCapacity(report);
+	}
 	return report.good() ? 0 : 1;
 }
