Command line, load with an oracle, demo of both deployments

roadferry: table get, diff, set (CSV as from a spreadsheet, or a JSON edit), delete, history, watch; pipelines, endpoints, status, drain, explain, settings check. roadferry-load: open-loop seeded arrivals, attainment, percentiles and cost by stage, comparison of two runs, and an oracle over the stand-ins' ledgers. scripts/demo: both users scaled down, the table edited and a daemon killed under load.

--- /dev/null
+++ b/src/row_csv.h
@@ -0,0 +1,30 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Rows as a spreadsheet holds them: a line for each field, with the columns kind, name, field, value.
+
+#ifndef ROADFERRY_ROW_CSV_H_HEADER_GUARD
+#define ROADFERRY_ROW_CSV_H_HEADER_GUARD
+
+#include "table_json.h"
+
+namespace roadferry
+{
+
+/// @returns All rows as CSV with a header line.
+std::string rowsToCsv(const TableSnapshot& _table);
+
+/// Reads rows from CSV. Fields that are left out have their defaults.
+/// @returns The rows, or InvalidArgument that names the line and what is wrong with it.
+absl::StatusOr<std::vector<Row>> rowsFromCsv(const std::string& _text);
+
+/// Works out the edit that turns the table's rows into those given. Rows that are not given stay as they are.
+/// @param[in] _id Id of the edit.
+TableEdit editTowards(const TableSnapshot& _table, const std::vector<Row>& _rows, const std::string& _id);
+
+} // namespace roadferry
+
+#endif // ROADFERRY_ROW_CSV_H_HEADER_GUARD
--- a/src/standin_endpoint.cpp
+++ b/src/standin_endpoint.cpp
@@ -31,6 +31,7 @@
 	std::string attempt;
 	std::string request;
 	std::string marker;
+	std::string stage;
 	std::int64_t tokens = 0;
 	std::int64_t position = 0; ///< Next token to send.
 	FaultMode fault = FaultMode::None;
@@ -107,6 +108,7 @@
 		auto run = std::make_shared<Run>();
 		run->attempt = reader.text("attempt", kTextLimit);
 		run->request = reader.textOr("request", kTextLimit, "");
+		run->stage = reader.textOr("stage", kTextLimit, "");
 		run->marker = object->value("input").toObject().value("marker").toString().toStdString();
 		run->tokens = reader.integerOr("max_tokens", 0, kTokensMost, 0);
 		run->position = reader.integerOr("resume", 0, kTokensMost, 0);
@@ -147,6 +149,7 @@
 		this->ledger.append(QJsonObject{{"attempt", text(_run->attempt)},
 										{"request", text(_run->request)},
 										{"marker", text(_run->marker)},
+										{"stage", text(_run->stage)},
 										{"resumed", _run->position > 0}});
 		if (_run->fault == FaultMode::Freeze)
 		{
--- /dev/null
+++ b/tools/roadferry_load.cpp
@@ -0,0 +1,474 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// roadferry-load: open-loop load from a file of workloads, with seeded arrivals, and an oracle that compares what
+/// callers were told with the ledgers of the endpoints' stand-ins.
+
+#include "http_client.h"
+#include "json.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <chrono>
+#include <condition_variable>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <random>
+#include <set>
+#include <sstream>
+#include <thread>
+
+DEFINE_string(target, "", "IP:port of the balancer or of a daemon");
+DEFINE_string(workloads, "", "JSON file with a list of workloads");
+DEFINE_string(ledgers, "", "addresses of endpoints' stand-ins whose ledgers the oracle reads, parted by commas");
+DEFINE_double(seconds, 10, "how long requests arrive");
+DEFINE_double(rate, 1, "multiple of all workloads' rates");
+DEFINE_uint64(seed, 1, "seed of the arrivals");
+DEFINE_string(json, "", "file to write the figures to");
+DEFINE_string(compare, "", "two files of figures, parted by a comma, to print side by side instead of running");
+
+namespace
+{
+
+using namespace roadferry;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::int64_t kMicrosPerSecond = 1'000'000;
+constexpr std::int64_t kGrace = 2'000'000; ///< After the deadline, in microseconds, until an answer is given up.
+constexpr std::size_t kNameLimit = 100;
+
+/// One kind of request, from the file.
+struct Workload
+{
+	std::string name;
+	std::string pipeline;
+	std::string credential;
+	double perSecond = 0;
+	std::int64_t deadlineMs = 0;
+	std::int64_t maxTokens = 0;
+	bool once = false; ///< May not be repeated: a ticket is fetched first.
+};
+
+/// One request under way or ended.
+struct Request
+{
+	const Workload* workload = nullptr;
+	std::string marker;
+	std::string body;
+	Clock::time_point sent;
+	double elapsedMs = 0;
+	std::string outcome; ///< answered, not_run, unknown, or lost when no answer came.
+	bool whole = false;
+};
+
+/// Figures of one workload.
+struct Figures
+{
+	std::map<std::string, int> outcomes;
+	int inTime = 0;
+	int offered = 0;
+	std::vector<double> elapsedMs;        ///< Of answered requests.
+	std::map<std::string, double> heldMs; ///< By stage.
+};
+
+absl::StatusOr<std::vector<Workload>> readWorkloads(const std::string& _file)
+{
+	std::ifstream stream(_file);
+	std::stringstream text;
+	text << stream.rdbuf();
+	const auto object = parseObject(text.str());
+	if (!object.ok())
+	{
+		return object.status();
+	}
+	JsonReader reader(*object);
+	std::vector<Workload> result;
+	for (const QJsonObject& entry : reader.objects("workloads", kNameLimit))
+	{
+		JsonReader fields(entry, "workloads.");
+		Workload workload;
+		workload.name = fields.text("name", kNameLimit);
+		workload.pipeline = fields.text("pipeline", kNameLimit);
+		workload.credential = fields.text("credential", kNameLimit);
+		workload.perSecond = fields.numberOr("per_second", 1);
+		workload.deadlineMs = fields.integerOr("deadline_ms", 1, 600'000, 3'000);
+		workload.maxTokens = fields.integerOr("max_tokens", 0, 100'000, 0);
+		workload.once = fields.booleanOr("once", false);
+		if (!fields.status().ok())
+		{
+			return fields.status();
+		}
+		result.push_back(std::move(workload));
+	}
+	return reader.status().ok() ? absl::StatusOr<std::vector<Workload>>(result) : reader.status();
+}
+
+class Load
+{
+public:
+	explicit Load(const std::vector<Workload>& _workloads) : workloads(_workloads), pool(1), client(pool)
+	{
+	}
+
+	~Load()
+	{
+		this->pool.stop();
+	}
+
+	/// Sends at the planned times, whatever the answers do.
+	void run()
+	{
+		const auto begin = Clock::now();
+		for (const auto& arrival : this->arrivals())
+		{
+			std::this_thread::sleep_until(begin + std::chrono::microseconds(arrival.first));
+			this->send(*arrival.second);
+		}
+		std::unique_lock<std::mutex> guard(this->lock);
+		this->changed.wait(guard, [this] { return this->ended == this->requests.size(); });
+	}
+
+	/// @returns Breaches of what must always hold, in words.
+	std::vector<std::string> judge()
+	{
+		std::vector<std::string> breaches;
+		const auto effects = this->readLedgers();
+		for (const auto& request : this->requests)
+		{
+			const auto found = effects.find(request->marker);
+			const int count = found == effects.end() ? 0 : found->second;
+			if (request->outcome == "answered" && !request->whole)
+			{
+				breaches.push_back(request->marker + ": answer not whole or not its own");
+			}
+			if (request->outcome == "not_run" && count > 0)
+			{
+				breaches.push_back(request->marker + ": told not run, and ran");
+			}
+			if (request->workload->once && count > 1)
+			{
+				breaches.push_back(absl::StrCat(request->marker, ": ran ", count, " times"));
+			}
+		}
+		return breaches;
+	}
+
+	std::map<std::string, Figures> figures()
+	{
+		std::map<std::string, Figures> result;
+		for (const auto& request : this->requests)
+		{
+			Figures& figures = result[request->workload->name];
+			figures.offered += 1;
+			figures.outcomes[request->outcome] += 1;
+			if (request->outcome == "answered")
+			{
+				figures.elapsedMs.push_back(request->elapsedMs);
+				figures.inTime += request->elapsedMs <= static_cast<double>(request->workload->deadlineMs) ? 1 : 0;
+			}
+		}
+		for (const auto& entry : this->held)
+		{
+			result[entry.first.first].heldMs[entry.first.second] += entry.second;
+		}
+		return result;
+	}
+
+private:
+	std::vector<std::pair<std::int64_t, const Workload*>> arrivals()
+	{
+		std::vector<std::pair<std::int64_t, const Workload*>> result;
+		std::mt19937_64 random(FLAGS_seed);
+		for (const Workload& workload : this->workloads)
+		{
+			std::exponential_distribution<double> gap(std::max(0.001, workload.perSecond * FLAGS_rate));
+			for (double at = gap(random); at < FLAGS_seconds; at += gap(random))
+			{
+				result.emplace_back(static_cast<std::int64_t>(at * kMicrosPerSecond), &workload);
+			}
+		}
+		std::sort(result.begin(), result.end());
+		return result;
+	}
+
+	void send(const Workload& _workload)
+	{
+		auto request = std::make_shared<Request>();
+		request->workload = &_workload;
+		request->marker = absl::StrCat(_workload.name, "-", FLAGS_seed, "-", this->requests.size());
+		request->sent = Clock::now();
+		this->requests.push_back(request);
+		this->pool.post(0, [this, request]
+						{ request->workload->once ? this->fetchTicket(request) : this->submit(request, {}); });
+	}
+
+	void fetchTicket(const std::shared_ptr<Request>& _request)
+	{
+		this->call(*_request->workload, "/v1/tickets", "{}",
+				   [this, _request](const CallEnd& _end)
+				   {
+					   const auto object = parseObject(_end.body);
+					   const std::string ticket = object.ok() ? object->value("ticket").toString().toStdString() : "";
+					   if (ticket.empty())
+					   {
+						   this->finish(_request, "no_ticket", QJsonObject());
+						   return;
+					   }
+					   this->submit(_request, ticket);
+				   });
+	}
+
+	void submit(const std::shared_ptr<Request>& _request, const std::string& _ticket)
+	{
+		const Workload& workload = *_request->workload;
+		QJsonObject body{{"input", QJsonObject{{"marker", QString::fromStdString(_request->marker)}}},
+						 {"deadline_ms", static_cast<qint64>(workload.deadlineMs)},
+						 {"max_tokens", static_cast<qint64>(workload.maxTokens)}};
+		if (!_ticket.empty())
+		{
+			body["ticket"] = QString::fromStdString(_ticket);
+			body["repeatable"] = false;
+		}
+		this->call(workload, absl::StrCat("/v1/pipelines/", workload.pipeline, "/requests"), toText(body),
+				   [this, _request](const CallEnd& _end)
+				   {
+					   const auto object = parseObject(_end.body);
+					   const bool told = _end.result == CallResult::Complete && object.ok();
+					   const std::string outcome = told ? object->value("outcome").toString().toStdString() : "lost";
+					   this->finish(_request, outcome, told ? *object : QJsonObject());
+				   });
+	}
+
+	void call(const Workload& _workload, const std::string& _target, const std::string& _body,
+			  std::function<void(const CallEnd&)> _done)
+	{
+		CallSpec spec;
+		spec.address = FLAGS_target;
+		spec.request.method = "POST";
+		spec.request.target = _target;
+		spec.request.body = _body;
+		spec.request.headers = {{"Authorization", "Bearer " + _workload.credential}};
+		spec.timeout = _workload.deadlineMs * 1'000 + kGrace;
+		spec.fresh = true;
+		CallHandlers handlers;
+		handlers.onEnd = std::move(_done);
+		this->client.call(0, std::move(spec), std::move(handlers));
+	}
+
+	void finish(const std::shared_ptr<Request>& _request, const std::string& _outcome, const QJsonObject& _json)
+	{
+		const std::lock_guard<std::mutex> guard(this->lock);
+		_request->outcome = _outcome.empty() ? "error" : _outcome;
+		_request->elapsedMs = std::chrono::duration<double, std::milli>(Clock::now() - _request->sent).count();
+		_request->whole = isWhole(*_request, _json["answer"].toObject());
+		const QJsonArray stages = _json["stages"].toArray();
+		for (const QJsonValue stage : stages)
+		{
+			this->held[{_request->workload->name, stage["stage"].toString().toStdString()}] +=
+				stage["held_ms"].toDouble();
+		}
+		this->ended += 1;
+		this->changed.notify_all();
+	}
+
+	/// The stand-ins answer with the marker of the input: all tokens of an engine carry it, and their position.
+	static bool isWhole(const Request& _request, const QJsonObject& _answer)
+	{
+		if (_request.workload->maxTokens == 0)
+		{
+			return _answer["marker"].toString().toStdString() == _request.marker;
+		}
+		std::string expected;
+		for (std::int64_t position = 0; position < _request.workload->maxTokens; ++position)
+		{
+			absl::StrAppend(&expected, _request.marker, ":", position, " ");
+		}
+		return _answer["text"].toString().toStdString() == expected;
+	}
+
+	/// @returns Most effects of each marker on any one stage: a request passes each of its stages once.
+	std::map<std::string, int> readLedgers()
+	{
+		std::map<std::pair<std::string, std::string>, int> byStage;
+		for (const auto part : absl::StrSplit(FLAGS_ledgers, ',', absl::SkipEmpty()))
+		{
+			const QJsonObject ledger = this->fetch(std::string(part), "/ledger");
+			const QJsonArray list = ledger["effects"].toArray();
+			for (const QJsonValue effect : list)
+			{
+				byStage[{effect["marker"].toString().toStdString(), effect["stage"].toString().toStdString()}] += 1;
+			}
+		}
+		std::map<std::string, int> effects;
+		for (const auto& entry : byStage)
+		{
+			effects[entry.first.first] = std::max(effects[entry.first.first], entry.second);
+		}
+		return effects;
+	}
+
+	QJsonObject fetch(const std::string& _address, const std::string& _target)
+	{
+		QJsonObject result;
+		bool done = false;
+		this->pool.post(0,
+						[&]
+						{
+							CallSpec spec;
+							spec.address = _address;
+							spec.request.target = _target;
+							spec.timeout = 10 * kMicrosPerSecond;
+							CallHandlers handlers;
+							handlers.onEnd = [&](const CallEnd& _end)
+							{
+								const auto object = parseObject(_end.body);
+								const std::lock_guard<std::mutex> guard(this->lock);
+								result = object.ok() ? *object : QJsonObject();
+								done = true;
+								this->changed.notify_all();
+							};
+							this->client.call(0, std::move(spec), std::move(handlers));
+						});
+		std::unique_lock<std::mutex> guard(this->lock);
+		this->changed.wait(guard, [&] { return done; });
+		return result;
+	}
+
+	const std::vector<Workload>& workloads;
+	IoPool pool;
+	HttpClient client;
+	std::vector<std::shared_ptr<Request>> requests;
+	std::mutex lock;
+	std::condition_variable changed;
+	std::size_t ended = 0;
+	std::map<std::pair<std::string, std::string>, double> held; ///< Milliseconds by workload and stage.
+};
+
+double quantile(std::vector<double> _values, double _share)
+{
+	if (_values.empty())
+	{
+		return 0;
+	}
+	std::sort(_values.begin(), _values.end());
+	return _values[static_cast<std::size_t>(_share * static_cast<double>(_values.size() - 1))];
+}
+
+QJsonObject toJson(const Figures& _figures)
+{
+	QJsonObject held;
+	for (const auto& entry : _figures.heldMs)
+	{
+		held[QString::fromStdString(entry.first)] = entry.second;
+	}
+	QJsonObject outcomes;
+	for (const auto& entry : _figures.outcomes)
+	{
+		outcomes[QString::fromStdString(entry.first)] = entry.second;
+	}
+	return QJsonObject{{"offered", _figures.offered},
+					   {"attainment", 100.0 * _figures.inTime / std::max(1, _figures.offered)},
+					   {"p50_ms", quantile(_figures.elapsedMs, 0.5)},
+					   {"p95_ms", quantile(_figures.elapsedMs, 0.95)},
+					   {"p99_ms", quantile(_figures.elapsedMs, 0.99)},
+					   {"outcomes", outcomes},
+					   {"held_ms_by_stage", held}};
+}
+
+QJsonObject allJson(const std::map<std::string, Figures>& _figures)
+{
+	QJsonObject object;
+	for (const auto& entry : _figures)
+	{
+		object[QString::fromStdString(entry.first)] = toJson(entry.second);
+	}
+	return object;
+}
+
+void printTable(const QJsonObject& _figures)
+{
+	std::printf("%-14s %8s %10s %9s %9s %9s  %s\n", "workload", "offered", "attained%", "p50_ms", "p95_ms", "p99_ms",
+				"cost by stage (ms held per request)");
+	for (auto entry = _figures.begin(); entry != _figures.end(); ++entry)
+	{
+		const QJsonObject one = entry.value().toObject();
+		std::string cost;
+		const QJsonObject held = one["held_ms_by_stage"].toObject();
+		for (auto stage = held.begin(); stage != held.end(); ++stage)
+		{
+			char text[96];
+			std::snprintf(text, sizeof(text), "%s %.2f  ", stage.key().toUtf8().constData(),
+						  stage.value().toDouble() / std::max(1.0, one["offered"].toDouble()));
+			cost += text;
+		}
+		std::printf("%-14s %8d %10.2f %9.1f %9.1f %9.1f  %s\n", entry.key().toUtf8().constData(),
+					one["offered"].toInt(), one["attainment"].toDouble(), one["p50_ms"].toDouble(),
+					one["p95_ms"].toDouble(), one["p99_ms"].toDouble(), cost.c_str());
+	}
+}
+
+int compareRuns(const std::string& _files)
+{
+	for (const auto file : absl::StrSplit(_files, ','))
+	{
+		std::ifstream stream{std::string(file)};
+		std::stringstream text;
+		text << stream.rdbuf();
+		const auto object = parseObject(text.str());
+		if (!object.ok())
+		{
+			std::cerr << "roadferry-load: " << file << ": " << object.status().message() << std::endl;
+			return 2;
+		}
+		std::cout << file << "\n";
+		printTable(*object);
+	}
+	return 0;
+}
+
+} // namespace
+
+int main(int _argc, char** _argv)
+{
+	gflags::SetUsageMessage("open-loop load with an oracle");
+	gflags::ParseCommandLineFlags(&_argc, &_argv, true);
+	if (!FLAGS_compare.empty())
+	{
+		return compareRuns(FLAGS_compare);
+	}
+	const auto workloads = readWorkloads(FLAGS_workloads);
+	if (!workloads.ok())
+	{
+		std::cerr << "roadferry-load: " << FLAGS_workloads << ": " << workloads.status().message() << std::endl;
+		return 2;
+	}
+	Load load(*workloads);
+	load.run();
+	const QJsonObject figures = allJson(load.figures());
+	printTable(figures);
+	for (auto entry = figures.begin(); entry != figures.end(); ++entry)
+	{
+		std::cout << entry.key().toStdString() << ": " << toText(entry.value().toObject()["outcomes"].toObject()) << "\n";
+	}
+	if (!FLAGS_json.empty())
+	{
+		std::ofstream(FLAGS_json) << toText(figures) << "\n";
+	}
+	const auto breaches = load.judge();
+	for (const std::string& breach : breaches)
+	{
+		std::cout << "BREACH " << breach << "\n";
+	}
+	std::cout << breaches.size() << " breaches\n";
+	return breaches.empty() ? 0 : 1;
+}
