--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -548,7 +548,8 @@
 {
 	Ping,
 	Ack,
-	PingRequest ///< Asks the receiver to ping a third node, and to pass its answer back.
+	PingRequest, ///< Asks the receiver to ping a third node, and to pass its answer back.
+	Join         ///< A ping that asks for all members in the answer.
 };
 
 /// A heartbeat with news of some members.
@@ -594,14 +595,14 @@
 	/// Tells of nodes that the VM list shows, which may or may not be alive.
 	void setSeeds(const std::vector<std::string>& _addresses);
 
-	/// Tells other nodes which offset is in force here.
+	/// Tells other nodes which offset is in force here: those that are talked to directly, in each message.
 	void setTableOffset(std::uint64_t _offset);
 
 	std::vector<SendGossip> receive(const std::string& _from, const Gossip& _message, Micros _now);
 	std::vector<SendGossip> tick(Micros _now);
 
 	/// Tells some nodes that this one leaves as planned.
-	std::vector<SendGossip> leave(Micros _now);
+	std::vector<SendGossip> leave();
 
 	/// @returns All members that are known, this node among them, by address.
 	[[nodiscard]] const std::map<std::string, Member>& members() const;
@@ -624,14 +625,16 @@
 		std::size_t sends = 0;
 	};
 
-	void hear(const Member& _news, Micros _now);
-	void store(const Member& _news, Micros _now);
+	void hear(const Member& _news, Micros _now, bool _retell);
+	void store(const Member& _news, Micros _now, bool _retell);
+	[[nodiscard]] std::pair<bool, std::size_t> urgencyOf(const std::string& _address, const Rumour& _rumour) const;
 	void suspect(const std::string& _address, Micros _now);
 	void expireSuspects(Micros _now);
 	void nextProbe(Micros _now, std::vector<SendGossip>& _out);
 	void askHelpers(Micros _now, std::vector<SendGossip>& _out);
 	void trySeed(Micros _now, std::vector<SendGossip>& _out);
 	std::vector<Member> takeNews();
+	[[nodiscard]] std::vector<Member> allMembers() const;
 	SendGossip message(const std::string& _to, GossipKind _kind, std::uint64_t _sequence);
 	[[nodiscard]] std::size_t logarithm() const;
 
@@ -639,8 +642,8 @@
 	MembershipConfig config;
 	std::minstd_rand random;
 	std::map<std::string, Member> known;
-	std::map<std::string, Micros> changedAt;
-	std::map<std::string, Rumour> rumours; ///< News still to be told, with how often each was told.
+	std::map<std::string, Micros> troubledSince; ///< Members that are not alive, with when they came into that state.
+	std::map<std::string, Rumour> rumours;       ///< News still to be told, with how often each was told.
 	std::vector<std::string> seeds;
 	std::vector<std::string> order; ///< Nodes still to be probed in this round.
 	std::optional<Probe> probe;
@@ -825,6 +828,13 @@
 	[[nodiscard]] bool usable(Micros _now) const;
 };
 
+/// Chooses the part of each pool that a node uses, by rendezvous hashing: a node or an endpoint that comes or goes
+/// moves few links of the others.
+/// @param[in] _node Address of the node.
+/// @param[in] _endpoints All endpoints.
+/// @param[in] _perPool Most endpoints of one pool.
+std::vector<Endpoint> subsetOf(const std::string& _node, const std::vector<Endpoint>& _endpoints, std::size_t _perPool);
+
 // ---------------------------------------------------------------------------------------------------------------
 // Placement policies: plug-ins that register themselves.
 // ---------------------------------------------------------------------------------------------------------------
--- a/src/cluster_view.cpp
+++ b/src/cluster_view.cpp
@@ -123,7 +123,7 @@
 
 void ClusterView::leave()
 {
-	this->carry(this->membership.leave(monotonicNow()));
+	this->carry(this->membership.leave());
 }
 
 const Membership& ClusterView::members() const
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -29,8 +29,9 @@
 } // namespace
 
 Control::Control(Platform& _platform, Traffic& _traffic, ClusterView& _view, std::string _self,
-				 std::function<void(const std::string&, const PeerMessage&)> _send)
-	: platform(_platform), traffic(_traffic), view(_view), self(std::move(_self)), send(std::move(_send))
+				 std::size_t _endpointsPerPool, std::function<void(const std::string&, const PeerMessage&)> _send)
+	: platform(_platform), traffic(_traffic), view(_view), self(std::move(_self)), endpointsPerPool(_endpointsPerPool),
+	  send(std::move(_send))
 {
 	QObject::connect(&this->logTimer, &QTimer::timeout, [this] { this->readLog(); });
 	QObject::connect(&this->vmTimer, &QTimer::timeout, [this] { this->readVmList(); });
@@ -238,9 +239,10 @@
 			this->learnLeaving(endpoint.id, true);
 		}
 	}
-	if (_list->endpoints != this->endpointList)
+	std::vector<Endpoint> used = subsetOf(this->self, _list->endpoints, this->endpointsPerPool);
+	if (used != this->endpointList)
 	{
-		this->endpointList = _list->endpoints;
+		this->endpointList = std::move(used);
 		this->traffic.setEndpoints(this->endpointList);
 	}
 }
--- a/src/control.h
+++ b/src/control.h
@@ -27,8 +27,9 @@
 {
 public:
 	/// @param[in] _self Address of this node, as other nodes know it.
+	/// @param[in] _endpointsPerPool Most endpoints of one pool that this node uses.
 	Control(Platform& _platform, Traffic& _traffic, ClusterView& _view, std::string _self,
-			std::function<void(const std::string&, const PeerMessage&)> _send);
+			std::size_t _endpointsPerPool, std::function<void(const std::string&, const PeerMessage&)> _send);
 
 	/// Begins to read the log and the VM list.
 	void start();
@@ -75,6 +76,7 @@
 	Traffic& traffic;
 	ClusterView& view;
 	std::string self;
+	std::size_t endpointsPerPool;
 	std::function<void(const std::string&, const PeerMessage&)> send;
 	LogFold fold;
 	std::vector<std::string> peerList;
--- a/src/json.cpp
+++ b/src/json.cpp
@@ -141,7 +141,7 @@
 		return {};
 	}
 	std::vector<std::string> result;
-	for (const QJsonValue& element : array)
+	for (const QJsonValue element : array)
 	{
 		const std::string text = element.toString().toStdString();
 		if (!element.isString() || text.size() > _limit)
@@ -166,7 +166,7 @@
 		return {};
 	}
 	std::vector<QJsonObject> result;
-	for (const QJsonValue& element : array)
+	for (const QJsonValue element : array)
 	{
 		result.push_back(element.toObject());
 	}
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -60,12 +60,7 @@
 
 void Membership::setTableOffset(std::uint64_t _offset)
 {
-	Member& own = this->known.at(this->self);
-	if (own.tableOffset != _offset)
-	{
-		own.tableOffset = _offset;
-		this->rumours[this->self] = Rumour{};
-	}
+	this->known.at(this->self).tableOffset = _offset;
 }
 
 std::size_t Membership::logarithm() const
@@ -78,52 +73,83 @@
 	return result;
 }
 
+/// Troubles go before arrivals, and of each what was told least.
+std::pair<bool, std::size_t> Membership::urgencyOf(const std::string& _address, const Rumour& _rumour) const
+{
+	return {this->known.at(_address).state == MemberState::Alive, _rumour.sends};
+}
+
 std::vector<Member> Membership::takeNews()
 {
 	std::vector<Member> news = {this->known.at(this->self)};
-	std::vector<std::pair<std::size_t, std::string>> fresh;
-	for (const auto& entry : this->rumours)
+	std::vector<std::map<std::string, Rumour>::iterator> fresh;
+	fresh.reserve(this->rumours.size());
+	for (auto entry = this->rumours.begin(); entry != this->rumours.end(); ++entry)
 	{
-		fresh.emplace_back(entry.second.sends, entry.first);
+		fresh.push_back(entry);
 	}
 	const std::size_t count = std::min(fresh.size(), this->config.newsPerMessage);
-	std::partial_sort(fresh.begin(), fresh.begin() + static_cast<std::ptrdiff_t>(count), fresh.end());
+	std::partial_sort(
+		fresh.begin(), fresh.begin() + static_cast<std::ptrdiff_t>(count), fresh.end(),
+		[this](const auto& _left, const auto& _right)
+		{ return this->urgencyOf(_left->first, _left->second) < this->urgencyOf(_right->first, _right->second); });
 	const std::size_t enough = kRetellFactor * this->logarithm();
 	for (std::size_t index = 0; index < count; ++index)
 	{
-		const std::string& address = fresh[index].second;
-		if (address != this->self)
+		const auto rumour = fresh[index];
+		if (rumour->first != this->self)
 		{
-			news.push_back(this->known.at(address));
+			news.push_back(this->known.at(rumour->first));
 		}
-		Rumour& rumour = this->rumours.at(address);
-		rumour.sends += 1;
-		if (rumour.sends >= enough)
+		rumour->second.sends += 1;
+		if (rumour->second.sends >= enough)
 		{
-			this->rumours.erase(address);
+			this->rumours.erase(rumour);
 		}
 	}
 	return news;
 }
 
+std::vector<Member> Membership::allMembers() const
+{
+	std::vector<Member> all = {this->known.at(this->self)};
+	for (const auto& entry : this->known)
+	{
+		if (entry.first != this->self)
+		{
+			all.push_back(entry.second);
+		}
+	}
+	return all;
+}
+
 SendGossip Membership::message(const std::string& _to, GossipKind _kind, std::uint64_t _sequence)
 {
 	return SendGossip{_to, Gossip{_kind, _sequence, {}, this->takeNews()}};
 }
 
-void Membership::store(const Member& _news, Micros _now)
+void Membership::store(const Member& _news, Micros _now, bool _retell)
 {
 	const auto found = this->known.find(_news.address);
 	const bool stateChanged = found == this->known.end() || found->second.state != _news.state;
+	const bool versionChanged = found == this->known.end() || found->second.version != _news.version;
 	this->known[_news.address] = _news;
-	this->rumours[_news.address] = Rumour{};
-	if (stateChanged)
+	if ((stateChanged || versionChanged) && _retell)
+	{
+		// An offset alone is not passed on: each edit would bring news of every node, and hold up what matters.
+		this->rumours[_news.address] = Rumour{};
+	}
+	if (_news.state == MemberState::Alive)
 	{
-		this->changedAt[_news.address] = _now;
+		this->troubledSince.erase(_news.address);
+	}
+	else if (stateChanged)
+	{
+		this->troubledSince[_news.address] = _now;
 	}
 }
 
-void Membership::hear(const Member& _news, Micros _now)
+void Membership::hear(const Member& _news, Micros _now, bool _retell)
 {
 	if (_news.address == this->self)
 	{
@@ -144,17 +170,19 @@
 	}
 	if (found == this->known.end() || overrides(_news, found->second))
 	{
-		this->store(_news, _now);
+		this->store(_news, _now, _retell);
 	}
 }
 
 std::vector<SendGossip> Membership::receive(const std::string& _from, const Gossip& _message, Micros _now)
 {
 	std::vector<SendGossip> out;
+	// A list of all members is no news to the others.
+	const bool retell = _message.news.size() <= this->config.newsPerMessage + 2;
 	for (const Member& news : _message.news)
 	{
 		// A node that is held for dead and speaks is told so, and objects with a new version.
-		this->hear(news, _now);
+		this->hear(news, _now, retell);
 	}
 	const auto sender = this->known.find(_from);
 	if (sender != this->known.end() && sender->second.state != MemberState::Alive)
@@ -166,6 +194,10 @@
 	case GossipKind::Ping:
 		out.push_back(this->message(_from, GossipKind::Ack, _message.sequence));
 		break;
+	case GossipKind::Join:
+		out.push_back(this->message(_from, GossipKind::Ack, _message.sequence));
+		out.back().message.news = this->allMembers();
+		break;
 	case GossipKind::PingRequest:
 	{
 		const std::uint64_t sequence = ++this->lastSequence;
@@ -198,7 +230,7 @@
 	{
 		Member suspected = found->second;
 		suspected.state = MemberState::Suspect;
-		this->store(suspected, _now);
+		this->store(suspected, _now, true);
 	}
 }
 
@@ -208,14 +240,15 @@
 						 static_cast<Micros>(kLogarithmBase);
 	std::vector<std::string> dead;
 	std::vector<std::string> forgotten;
-	for (const auto& entry : this->known)
+	for (const auto& entry : this->troubledSince)
 	{
-		const Micros since = _now - this->changedAt[entry.first];
-		if (entry.second.state == MemberState::Suspect && since >= limit)
+		const Micros since = _now - entry.second;
+		const bool suspected = this->known.at(entry.first).state == MemberState::Suspect;
+		if (suspected && since >= limit)
 		{
 			dead.push_back(entry.first);
 		}
-		if (!isAlive(entry.second) && entry.first != this->self && since >= this->config.forgetAfter)
+		if (!suspected && since >= this->config.forgetAfter)
 		{
 			forgotten.push_back(entry.first);
 		}
@@ -224,12 +257,12 @@
 	{
 		Member member = this->known.at(address);
 		member.state = MemberState::Dead;
-		this->store(member, _now);
+		this->store(member, _now, true);
 	}
 	for (const std::string& address : forgotten)
 	{
 		this->known.erase(address);
-		this->changedAt.erase(address);
+		this->troubledSince.erase(address);
 		this->rumours.erase(address);
 	}
 }
@@ -308,7 +341,7 @@
 		return;
 	}
 	const std::string& target = strangers[this->random() % strangers.size()];
-	SendGossip ping = this->message(target, GossipKind::Ping, ++this->lastSequence);
+	SendGossip ping = this->message(target, GossipKind::Join, ++this->lastSequence);
 	const auto found = this->known.find(target);
 	if (found != this->known.end())
 	{
@@ -345,16 +378,16 @@
 	return out;
 }
 
-std::vector<SendGossip> Membership::leave(Micros _now)
+std::vector<SendGossip> Membership::leave()
 {
 	Member& own = this->known.at(this->self);
 	own.state = MemberState::Left;
-	this->changedAt[this->self] = _now;
 	this->rumours[this->self] = Rumour{};
 	std::vector<std::string> others = this->alive();
 	std::shuffle(others.begin(), others.end(), this->random);
 	others.resize(std::min(others.size(), kFarewells));
 	std::vector<SendGossip> out;
+	out.reserve(others.size());
 	for (const std::string& other : others)
 	{
 		out.push_back(this->message(other, GossipKind::Ping, ++this->lastSequence));
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -66,8 +66,8 @@
 	this->relay = std::make_unique<Relay>(this->pool, *this->traffic, sendPeer);
 	this->platform = std::make_unique<Platform>(this->settings.logAddress, this->settings.vmListAddress);
 	this->view = std::make_unique<ClusterView>(*this->traffic, this->link->self(), sendPeer);
-	this->control =
-		std::make_unique<Control>(*this->platform, *this->traffic, *this->view, this->link->self(), sendPeer);
+	this->control = std::make_unique<Control>(*this->platform, *this->traffic, *this->view, this->link->self(),
+											  this->settings.endpointsPerPool, sendPeer);
 	this->callerApi = std::make_unique<CallerApi>(this->settings, *this->traffic, *this->relay);
 	this->operatorApi = std::make_unique<OperatorApi>(this->settings, *this->control, *this->view, *this->traffic,
 													  this->metrics, this->controlThread, [this] { this->drain(); });
--- a/src/peer_link.cpp
+++ b/src/peer_link.cpp
@@ -67,12 +67,13 @@
 
 	void setHandlers()
 	{
-		this->server.set_validate_handler([this](Handle _handle) { return this->isPeer(_handle); });
-		this->server.set_open_handler([this](Handle _handle) { this->accepted(_handle); });
-		this->server.set_message_handler([this](Handle _handle, Server::message_ptr _message)
+		this->server.set_validate_handler([this](const Handle& _handle) { return this->isPeer(_handle); });
+		this->server.set_open_handler([this](const Handle& _handle) { this->accepted(_handle); });
+		this->server.set_message_handler([this](const Handle& _handle, const Server::message_ptr& _message)
 										 { this->received(this->announced(_handle), _message->get_payload()); });
-		this->server.set_close_handler([this](Handle _handle) { this->closed(this->announced(_handle), _handle); });
-		this->server.set_fail_handler([](Handle) {});
+		this->server.set_close_handler([this](const Handle& _handle)
+									   { this->closed(this->announced(_handle), _handle); });
+		this->server.set_fail_handler([](const Handle&) {});
 	}
 
 	bool isPeer(const Handle& _handle)
@@ -182,11 +183,11 @@
 		}
 		connection->append_header("Authorization", "Bearer " + this->secret);
 		connection->append_header(kPeerHeader, this->selfAddress);
-		connection->set_open_handler([this, _peer](Handle _handle) { this->opened(_peer, _handle); });
-		connection->set_message_handler([this, _peer](Handle, Client::message_ptr _message)
+		connection->set_open_handler([this, _peer](const Handle& _handle) { this->opened(_peer, _handle); });
+		connection->set_message_handler([this, _peer](const Handle&, const Client::message_ptr& _message)
 										{ this->received(_peer, _message->get_payload()); });
-		connection->set_close_handler([this, _peer](Handle _handle) { this->closed(_peer, _handle); });
-		connection->set_fail_handler([this, _peer](Handle _handle) { this->closed(_peer, _handle); });
+		connection->set_close_handler([this, _peer](const Handle& _handle) { this->closed(_peer, _handle); });
+		connection->set_fail_handler([this, _peer](const Handle& _handle) { this->closed(_peer, _handle); });
 		this->peers[_peer].handle = connection->get_handle();
 		this->client.connect(connection);
 	}
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -22,7 +22,7 @@
 
 constexpr const char* kTypeField = "type";
 constexpr std::int64_t kRelayKinds = 3;
-constexpr std::int64_t kGossipKinds = 3;
+constexpr std::int64_t kGossipKinds = 4;
 constexpr std::int64_t kMemberStates = 4;
 constexpr std::int64_t kVerdicts = 3;
 constexpr std::int64_t kReasons = 18;
--- a/src/platform.cpp
+++ b/src/platform.cpp
@@ -47,7 +47,7 @@
 	page.first = static_cast<std::uint64_t>(object->value("first").toInteger(1));
 	page.next = static_cast<std::uint64_t>(object->value("next").toInteger(1));
 	const QJsonArray records = object->value("records").toArray();
-	for (const QJsonValue& value : records)
+	for (const QJsonValue value : records)
 	{
 		LogEntry entry;
 		entry.offset = static_cast<std::uint64_t>(value["offset"].toInteger());
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -40,6 +40,7 @@
 DEFINE_string(placement, "affinity_gated", "placement policy");
 DEFINE_double(urgent_reserve, 0.1, "share of a pool's slots kept for urgent pipelines (0 to 0.9)");
 DEFINE_double(retry_share, 0.1, "retries earned by each first attempt (0 to 1)");
+DEFINE_int32(endpoints_per_pool, 256, "most endpoints of one pool that this node uses (8 to 10000)");
 DEFINE_bool(admit_by_deadline, true, "refuse requests that are predicted to miss their deadline");
 
 namespace roadferry
@@ -57,10 +58,10 @@
 const std::vector<std::string>& flagNames()
 {
 	static const std::vector<std::string> s_names = {
-		"ip",         "port",           "peer_port",   "failure_domain",   "log_address", "vm_list_address",
-		"callers",    "operators",      "peer_secret", "tls_certificate",  "tls_key",     "threads",
-		"trace_file", "drain_seconds",  "answer_mb",   "body_limit_kb",    "connections", "request_timeout_ms",
-		"placement",  "urgent_reserve", "retry_share", "admit_by_deadline"};
+		"ip",         "port",           "peer_port",   "failure_domain",    "log_address",       "vm_list_address",
+		"callers",    "operators",      "peer_secret", "tls_certificate",   "tls_key",           "threads",
+		"trace_file", "drain_seconds",  "answer_mb",   "body_limit_kb",     "connections",       "request_timeout_ms",
+		"placement",  "urgent_reserve", "retry_share", "admit_by_deadline", "endpoints_per_pool"};
 	return s_names;
 }
 
@@ -221,6 +222,8 @@
 	settings.threads = static_cast<std::size_t>(checker.whole("threads", FLAGS_threads, 1, 64));
 	settings.traceFile = FLAGS_trace_file;
 	settings.drainSeconds = checker.whole("drain_seconds", FLAGS_drain_seconds, 1, 3'600);
+	settings.endpointsPerPool =
+		static_cast<std::size_t>(checker.whole("endpoints_per_pool", FLAGS_endpoints_per_pool, 8, 10'000));
 	settings.answerBytes = static_cast<std::size_t>(checker.whole("answer_mb", FLAGS_answer_mb, 1, 1'024)) * kMegabyte;
 	readHttp(checker, settings.http);
 	readDispatcher(checker, settings.dispatcher);
--- a/src/settings.h
+++ b/src/settings.h
@@ -38,6 +38,7 @@
 	std::int64_t drainSeconds = 30;
 	std::size_t answerBytes = 64 * 1024 * 1024;
 	HttpServerLimits http;
+	std::size_t endpointsPerPool = 256;
 	DispatcherConfig dispatcher;
 };
 
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -546,7 +546,7 @@
 		}
 	}
 	// The sink is attached first, so that it hears of the end that the cancel brings about.
-	const auto issuer = this->answerDecision(_ticket, decision, _sink);
+	auto issuer = this->answerDecision(_ticket, decision, _sink);
 	this->perform(this->pool.size(), actions);
 	return issuer;
 }
--- a/tests/test_membership.cpp
+++ b/tests/test_membership.cpp
@@ -42,7 +42,7 @@
 {
 	MembershipWorld world(7);
 	cr_assert(world.runUntil([&] { return world.agree(range(0, 7)); }, kDetect).has_value());
-	world.sendAll(6, world.nodes[6]->leave(world.now));
+	world.sendAll(6, world.nodes[6]->leave());
 	world.kill(6);
 	const auto taken = world.runUntil([&] { return world.agree(range(0, 6)); }, kDetect);
 	cr_assert(taken.has_value());
--- a/tools/bench_cases.cpp
+++ b/tools/bench_cases.cpp
@@ -66,6 +66,26 @@
 	return result;
 }
 
+BenchCase subsetCase(std::size_t _endpointsPerPool)
+{
+	constexpr std::int64_t kTimes = 4;
+	BenchCase result = examCase(3);
+	result.name = "subset." + std::to_string(_endpointsPerPool);
+	result.nodes = 12;
+	result.endpointsPerPool = _endpointsPerPool;
+	result.end = 50 * kSecond;
+	for (BenchPool& pool : result.pools)
+	{
+		pool.count *= kTimes;
+	}
+	for (BenchKind& kind : result.kinds)
+	{
+		kind.perSecond *= kTimes;
+		kind.prefixes *= kTimes;
+	}
+	return result;
+}
+
 BenchCase outageCase()
 {
 	BenchCase result = examCase(1);
--- a/tools/bench_cases.h
+++ b/tools/bench_cases.h
@@ -21,6 +21,9 @@
 /// Maule in a storm, with the endpoints of one failure domain slowed down; 1 for a quiet day.
 BenchCase stormCase(double _burst);
 
+/// The exam at four times its size, with twelve nodes that each use only a part of each pool.
+BenchCase subsetCase(std::size_t _endpointsPerPool);
+
 /// A pool of rerankers that is out for 20 s and comes back, at the planned load.
 BenchCase outageCase();
 
--- a/tools/bench_decisions.cpp
+++ b/tools/bench_decisions.cpp
@@ -124,6 +124,55 @@
 	_report.atMost("outage.seconds_to_full_goodput", static_cast<double>(lastBad - back), "s", 5);
 }
 
+/// What it costs that a node uses a part of each pool, and how many links move when one of 520 nodes' engines goes.
+void reportSubsets(BenchReport& _report)
+{
+	for (const std::size_t perPool : {std::size_t{9}, std::size_t{18}, std::size_t{36}})
+	{
+		const BenchFigures figures = runBench(subsetCase(perPool), DispatcherConfig{});
+		const std::string name = subsetCase(perPool).name;
+		_report.noBound(name + ".attainment",
+						percent(static_cast<double>(figures.answered), static_cast<double>(figures.offered)), "%");
+		_report.noBound(name + ".goodput_of_bound", percent(figures.answeredWork, figures.boundWork), "%");
+	}
+	constexpr std::size_t kEngines = 6'700;
+	constexpr std::size_t kNodes = 520;
+	constexpr std::size_t kPerPool = 256;
+	std::vector<Endpoint> engines(kEngines);
+	for (std::size_t index = 0; index < kEngines; ++index)
+	{
+		engines[index].id = "engine-" + std::to_string(index);
+		engines[index].pool = "engines";
+	}
+	std::vector<Endpoint> fewer(engines.begin() + 1, engines.end());
+	std::map<std::string, std::size_t> users;
+	std::size_t moved = 0;
+	for (std::size_t node = 0; node < kNodes; ++node)
+	{
+		const std::string name = "node-" + std::to_string(node);
+		std::set<std::string> before;
+		for (const Endpoint& endpoint : subsetOf(name, engines, kPerPool))
+		{
+			before.insert(endpoint.id);
+			users[endpoint.id] += 1;
+		}
+		for (const Endpoint& endpoint : subsetOf(name, fewer, kPerPool))
+		{
+			moved += before.count(endpoint.id) == 0 ? 1 : 0;
+		}
+	}
+	std::size_t most = 0;
+	for (const auto& entry : users)
+	{
+		most = std::max(most, entry.second);
+	}
+	const double mean = static_cast<double>(kNodes * kPerPool) / static_cast<double>(kEngines);
+	_report.atMost("subset.links_moved_by_one_engine", percent(static_cast<double>(moved), kNodes * kPerPool), "%",
+				   0.05);
+	_report.atMost("subset.most_nodes_per_engine_over_mean", static_cast<double>(most) / mean, "ratio", 2.0);
+	_report.atLeast("subset.engines_used", static_cast<double>(users.size()), "engines", kEngines);
+}
+
 } // namespace
 
 void reportDecisions(BenchReport& _report)
@@ -133,6 +182,7 @@
 	reportQuiet(_report, examCase(1), 0);
 	reportQuiet(_report, stormCase(1), 1);
 	reportOutage(_report);
+	reportSubsets(_report);
 }
 
 } // namespace roadferry
--- a/tools/bench_run.cpp
+++ b/tools/bench_run.cpp
@@ -65,7 +65,8 @@
 			config.seed = node + 1;
 			this->nodes.push_back(std::make_unique<Dispatcher>(config));
 			this->nodes.back()->setTable(this->table);
-			this->nodes.back()->setEndpoints(this->list);
+			const std::string name = "node-" + std::to_string(node);
+			this->nodes.back()->setEndpoints(subsetOf(name, this->list, _case.endpointsPerPool));
 		}
 	}
 
@@ -408,14 +409,14 @@
 
 	void report(const std::string& _endpoint, const LoadReport& _report)
 	{
-		for (std::size_t node = 0; node < this->nodes.size(); ++node)
+		for (const auto& node : this->nodes)
 		{
 			if (std::uniform_real_distribution<double>(0, 1)(this->random) < kReportsLost)
 			{
 				continue;
 			}
 			this->plan(this->now + kReportLag,
-					   [this, node, _endpoint, _report] { this->nodes[node]->reportLoad(_endpoint, _report); });
+					   [receiver = node.get(), _endpoint, _report] { receiver->reportLoad(_endpoint, _report); });
 		}
 	}
 
--- a/tools/bench_run.h
+++ b/tools/bench_run.h
@@ -63,6 +63,7 @@
 	Micros burstTo = 60 * kSecond;
 	Micros end = 90 * kSecond;
 	std::size_t nodes = 3;
+	std::size_t endpointsPerPool = 10'000; ///< Most that one node uses.
 };
 
 /// Figures of one run.
--- a/tools/bench_scale.cpp
+++ b/tools/bench_scale.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t kSizes[] = {7, 50, 200, 520};
 constexpr Micros kSettle = 90 * kSecond;
 constexpr Micros kMeasure = 20 * kSecond;
+constexpr double kMeasureSeconds = 20;
 constexpr std::size_t kWorkspaces = 1'300;
 constexpr double kControlBytes = 10'000; ///< A second and node, from the letter.
 
@@ -82,7 +83,7 @@
 		world.run(kSecond);
 	}
 	const double bytes = gossipBytes(world.messages - messages, world.news - news);
-	const double perNode = bytes / static_cast<double>(_nodes) / static_cast<double>(kMeasure / kSecond);
+	const double perNode = bytes / static_cast<double>(_nodes) / kMeasureSeconds;
 	_report.atMost(named("membership.bytes_sent_per_node", _nodes), perNode, "B/s", kControlBytes / 4);
 	world.kill(_nodes - 1);
 	const auto noticed = world.runUntil([&] { return world.agree(allBut(_nodes, _nodes - 1)); }, kSettle);
@@ -209,8 +210,9 @@
 			_action);
 	};
 	constexpr Micros kWatch = 21 * kSecond;
+	constexpr double kWatchSeconds = 21;
 	world.run(kWatch);
-	const double nodeSeconds = static_cast<double>(_nodes) * static_cast<double>(kWatch / kSecond);
+	const double nodeSeconds = static_cast<double>(_nodes) * kWatchSeconds;
 	_report.atMost(named("shares.bytes_sent_per_node", _nodes), bytes / nodeSeconds, "B/s", kControlBytes / 4);
 	_report.noBound(named("shares.messages_sent_per_node", _nodes),
 					static_cast<double>(world.messages - before) / nodeSeconds, "1/s");
--- a/tools/roadferry.cpp
+++ b/tools/roadferry.cpp
@@ -127,6 +127,7 @@
 	for (const QJsonValue value : _list)
 	{
 		std::vector<std::string> cells;
+		cells.reserve(_columns.size());
 		for (const char* column : _columns)
 		{
 			cells.push_back(value[QLatin1String(column)].toVariant().toString().toStdString());
--- a/tools/roadferry_bench.cpp
+++ b/tools/roadferry_bench.cpp
@@ -119,6 +119,8 @@
 		printRounds();
 		return 0;
 	}
+	// A long run shows what it has so far.
+	std::setvbuf(stdout, nullptr, _IOLBF, 0);
 	BenchReport report;
 	if (FLAGS_part.empty() || FLAGS_part == "decisions")
 	{
--- a/tools/roadferry_load.cpp
+++ b/tools/roadferry_load.cpp
@@ -458,7 +458,8 @@
 	printTable(figures);
 	for (auto entry = figures.begin(); entry != figures.end(); ++entry)
 	{
-		std::cout << entry.key().toStdString() << ": " << toText(entry.value().toObject()["outcomes"].toObject()) << "\n";
+		std::cout << entry.key().toStdString() << ": " << toText(entry.value().toObject()["outcomes"].toObject())
+				  << "\n";
 	}
 	if (!FLAGS_json.empty())
 	{
--- a/tools/roadferry_standin.cpp
+++ b/tools/roadferry_standin.cpp
@@ -124,7 +124,7 @@
 	limits.bodyBytes = kLedgerSafeBody;
 	roadferry::HttpServer server(
 		pool, limits, {},
-		[&standin](roadferry::HttpRequest _request, std::shared_ptr<roadferry::HttpReply> _reply)
+		[&standin](const roadferry::HttpRequest& _request, const std::shared_ptr<roadferry::HttpReply>& _reply)
 		{ standin->handle(_request, _reply); });
 	const std::string fault = server.listen(FLAGS_ip, static_cast<std::uint16_t>(FLAGS_port));
 	const int code = report(fault, server.port());
