Share a full endpoint's slots evenly over the nodes; refuse only where others wait

Reports are a second old; all nodes took the same free slots, and calls queued inside the engines. Change: from half its load on, each node keeps to an even part of an endpoint's slots. And a request is refused or given up for its prediction only where somebody else waits for the place.

--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -1031,6 +1031,9 @@
 	/// Takes an endpoint's own report. What it counts beyond this node's own calls is put down to other nodes.
 	void reportLoad(const std::string& _endpoint, const LoadReport& _report);
 
+	/// Tells how many nodes use each endpoint, this one among them; one until told.
+	void setNodes(std::size_t _nodes);
+
 	/// Sets this node's share of a workspace's limit.
 	/// @param[in] _inFlight Most requests in flight on this node; negative for no limit.
 	void setShare(const std::string& _workspace, std::int64_t _inFlight);
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -213,7 +213,8 @@
 		}
 		wait += this->queueWait(_flight, stage.pool, _now);
 	}
-	if (!this->config.admitByDeadline)
+	// Where nobody waits, a call that may be late costs nobody else its place.
+	if (!this->config.admitByDeadline || wait <= 0)
 	{
 		return std::nullopt;
 	}
@@ -293,6 +294,11 @@
 
 bool Dispatcher::State::stopDoomed(const std::vector<Waiting>& _window, Micros _now, Actions& _actions)
 {
+	if (_window.size() < 2)
+	{
+		// Nobody else waits for the place.
+		return false;
+	}
 	for (const Waiting& waiting : _window)
 	{
 		const Flight& flight = this->flights.at(waiting.request);
@@ -521,6 +527,11 @@
 	this->state->book.setEndpoints(_endpoints);
 }
 
+void Dispatcher::setNodes(std::size_t _nodes)
+{
+	this->state->book.setNodes(_nodes);
+}
+
 void Dispatcher::markLeaving(const std::string& _endpoint)
 {
 	this->state->book.markLeaving(_endpoint);
--- a/src/endpoint_book.cpp
+++ b/src/endpoint_book.cpp
@@ -9,6 +9,7 @@
 #include "endpoint_book.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace roadferry
 {
@@ -18,6 +19,7 @@
 
 constexpr double kSlownessSmoothing = 0.2;
 constexpr double kSlowLimit = 4.0; ///< An endpoint this much slower than predicted is set aside.
+constexpr double kRoomyLoad = 0.5; ///< Below it an endpoint is shared by whoever comes first.
 constexpr double kOwnSmoothing = 0.5;
 constexpr double kOthersSmoothing = 0.3; ///< Keeps nodes from all running to whichever endpoint looked idle.
 
@@ -95,6 +97,11 @@
 	}
 }
 
+void EndpointBook::setNodes(std::size_t _nodes)
+{
+	this->nodes = std::max<std::size_t>(1, _nodes);
+}
+
 void EndpointBook::markLeaving(const std::string& _endpoint)
 {
 	this->left.insert(_endpoint);
@@ -125,7 +132,15 @@
 
 bool EndpointBook::hasRoom(const EndpointState& _endpoint) const
 {
-	return _endpoint.load() < this->config.slotsFactor;
+	const double load = _endpoint.load();
+	if (load < kRoomyLoad)
+	{
+		return true;
+	}
+	// Reports are a second old: when an endpoint fills up, each node keeps to its even part of the slots, since all
+	// would otherwise take the same free ones.
+	const double part = std::ceil(static_cast<double>(_endpoint.endpoint.slots) / static_cast<double>(this->nodes));
+	return load < this->config.slotsFactor && static_cast<double>(_endpoint.own) < part;
 }
 
 Placement EndpointBook::choose(const std::string& _pool, std::uint64_t _prefix, const std::string& _avoid, Micros _now)
--- a/src/endpoint_book.h
+++ b/src/endpoint_book.h
@@ -30,6 +30,9 @@
 
 	void setEndpoints(const std::vector<Endpoint>& _endpoints);
 	void markLeaving(const std::string& _endpoint);
+
+	/// @param[in] _nodes Number of live nodes that use each endpoint.
+	void setNodes(std::size_t _nodes);
 	void reportLoad(const std::string& _endpoint, const LoadReport& _report);
 
 	/// Chooses an endpoint with room.
@@ -64,6 +67,7 @@
 	void rebuildPools();
 
 	DispatcherConfig config;
+	std::size_t nodes = 1;
 	const PlacementPolicy* policy;
 	std::minstd_rand random;
 	std::unordered_map<std::string, std::unique_ptr<EndpointState>> endpoints;
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -611,6 +611,12 @@
 	this->dispatcher.reportLoad(_endpoint, _report);
 }
 
+void Traffic::setNodes(std::size_t _nodes)
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	this->dispatcher.setNodes(_nodes);
+}
+
 void Traffic::setShare(const std::string& _workspace, std::int64_t _inFlight)
 {
 	const std::lock_guard<std::mutex> guard(this->lock);
--- a/src/traffic.h
+++ b/src/traffic.h
@@ -115,6 +115,7 @@
 	void setEndpoints(const std::vector<Endpoint>& _endpoints);
 	void markLeaving(const std::string& _endpoint);
 	void reportLoad(const std::string& _endpoint, const LoadReport& _report);
+	void setNodes(std::size_t _nodes);
 	void setShare(const std::string& _workspace, std::int64_t _inFlight);
 	void drain();
 
--- a/tools/bench_run.cpp
+++ b/tools/bench_run.cpp
@@ -64,6 +64,7 @@
 			DispatcherConfig config = _config;
 			config.seed = node + 1;
 			this->nodes.push_back(std::make_unique<Dispatcher>(config));
+			this->nodes.back()->setNodes(_case.nodes);
 			this->nodes.back()->setTable(this->table);
 			const std::string name = "node-" + std::to_string(node);
 			this->nodes.back()->setEndpoints(subsetOf(name, this->list, _case.endpointsPerPool));
