--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -577,9 +577,10 @@
 	Micros ackTimeout = 300 * kMillisecond; ///< Until other nodes are asked to probe.
 	Micros suspicion = 3 * kSecond;         ///< Time to object, for up to eight nodes; grows with their logarithm.
 	std::size_t helpers = 3;                ///< Nodes asked to probe.
-	std::size_t newsPerMessage = 8;
-	Micros seedPeriod = 5 * kSecond;    ///< Between two tries to reach a listed node that is not alive.
-	Micros forgetAfter = 600 * kSecond; ///< How long a node that is gone is remembered.
+	std::size_t newsPerMessage = 8;         ///< On an ordinary day,
+	std::size_t newsAtMost = 40;            ///< and after the loss of many nodes at once.
+	Micros seedPeriod = 5 * kSecond;        ///< Between two tries to reach a listed node that is not alive.
+	Micros forgetAfter = 600 * kSecond;     ///< How long a node that is gone is remembered.
 	bool operator==(const MembershipConfig&) const = default;
 };
 
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t kRetellFactor = 3;  ///< Each news is told so many times the logarithm of the nodes.
 constexpr std::size_t kLogarithmBase = 3; ///< The suspicion time holds for up to two to this many nodes.
 constexpr std::size_t kFarewells = 5;
+constexpr std::size_t kNewsParts = 8; ///< Of a heap of news, each message carries this part.
 
 /// @returns Whether news of one member overrides what is held. Of the same version, the worse state holds.
 bool overrides(const Member& _news, const Member& _held)
@@ -88,7 +89,9 @@
 	{
 		fresh.push_back(entry);
 	}
-	const std::size_t count = std::min(fresh.size(), this->config.newsPerMessage);
+	const std::size_t wished =
+		std::clamp(fresh.size() / kNewsParts, this->config.newsPerMessage, this->config.newsAtMost);
+	const std::size_t count = std::min(fresh.size(), wished);
 	std::partial_sort(
 		fresh.begin(), fresh.begin() + static_cast<std::ptrdiff_t>(count), fresh.end(),
 		[this](const auto& _left, const auto& _right)
@@ -178,7 +181,7 @@
 {
 	std::vector<SendGossip> out;
 	// A list of all members is no news to the others.
-	const bool retell = _message.news.size() <= this->config.newsPerMessage + 2;
+	const bool retell = _message.news.size() <= this->config.newsAtMost + 2;
 	for (const Member& news : _message.news)
 	{
 		// A node that is held for dead and speaks is told so, and objects with a new version.
--- /dev/null
+++ b/tests/test_messages.cpp
@@ -0,0 +1,102 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Parsers that face outside: messages of peers, callers' bodies, spreadsheets. Rubbish gets an error, never a crash.
+
+#include "peer_messages.h"
+#include "property.h"
+#include "row_csv.h"
+#include "traffic.h"
+
+namespace
+{
+
+using namespace roadferry;
+
+std::vector<PeerMessage> samples()
+{
+	Farewell farewell;
+	farewell.issuer = Incarnation{"10.0.0.1:8500", 18'000'000'000'000'000'000U};
+	farewell.forgottenUpTo = 3;
+	farewell.ended[4] = Outcome{Verdict::NotRun, Reason::TicketSealed, true, 0, {}};
+	Gossip gossip;
+	gossip.kind = GossipKind::Join;
+	gossip.sequence = 7;
+	gossip.news = {Member{"10.0.0.2:8500", 9, MemberState::Suspect, 12}};
+	return {RelayRequest{1, RelayKind::Cancel, "t", "hall", "mark", std::string("\0\xff{", 3), "00-a-b-01"},
+			RelayToken{1, 2, "token"},
+			RelayResult{1, 503, 200'000, "{}"},
+			TableAsk{5},
+			TableGive{"{}"},
+			LeavingWord{{"engine-1", "engine-2"}},
+			farewell,
+			gossip,
+			DemandReport{true, {{"hall", 4}}},
+			ShareGrant{{{"hall", 4}}}};
+}
+
+} // namespace
+
+Test(messages, every_kind_reads_back_as_it_was)
+{
+	for (const PeerMessage& message : samples())
+	{
+		const auto read = decode(encode(message));
+		cr_assert(read.ok(), "kind %zu: %s", message.index(), std::string(read.status().message()).c_str());
+		cr_assert(*read == message, "kind %zu", message.index());
+	}
+}
+
+Test(messages, damaged_bytes_give_an_error_or_a_message)
+{
+	const std::vector<PeerMessage> all = samples();
+	checkHistories("peer messages",
+				   [&]
+				   {
+					   std::string bytes = encode(*rc::gen::elementOf(all));
+					   const int changes = *rc::gen::inRange(1, 6);
+					   for (int index = 0; index < changes; ++index)
+					   {
+						   bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+					   }
+					   bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
+					   const auto read = decode(bytes);
+					   const bool named = read.ok() || read.status().message().find("peer message: ") == 0;
+					   RC_ASSERT(named);
+				   });
+}
+
+Test(messages, bodies_and_spreadsheets_of_rubbish_are_refused)
+{
+	checkHistories("bodies",
+				   []
+				   {
+					   std::string body = R"({"input":{"a":1},"deadline_ms":3000,"max_tokens":5,"stream":true})";
+					   body[*rc::gen::inRange<std::size_t>(0, body.size())] = *rc::gen::arbitrary<char>();
+					   const auto submission = submissionFromBody("hall", "mark", body);
+					   const bool told = submission.ok() || !submission.status().message().empty();
+					   RC_ASSERT(told);
+					   std::string csv = "kind,name,field,value\nworkspace,hall,weight,2\nstage,e,pool,p\n";
+					   csv[*rc::gen::inRange<std::size_t>(0, csv.size())] = *rc::gen::arbitrary<char>();
+					   const auto rows = rowsFromCsv(csv);
+					   const bool explained = rows.ok() || !rows.status().message().empty();
+					   RC_ASSERT(explained);
+				   });
+}
+
+Test(messages, table_goes_through_a_spreadsheet_unchanged)
+{
+	Table table;
+	const auto put = [](const Row& _row) { return RowChange{keyOf(_row), 0, _row}; };
+	const TableEdit edit{"a",
+						 "ana",
+						 {put(WorkspaceRow{"hall", 2.5, 7}), put(PipelineRow{"mark", "hall", {"e", "g"}, 900, true}),
+						  put(StageRow{"e", StageKind::Engine, "p", false, 3, 40})}};
+	cr_assert(std::holds_alternative<EditAccepted>(table.apply(1, edit)));
+	const auto rows = rowsFromCsv(rowsToCsv(table.snapshot()));
+	cr_assert(rows.ok(), "%s", std::string(rows.status().message()).c_str());
+	cr_assert(editTowards(table.snapshot(), *rows, "b").changes.empty());
+}
