--- a/src/caller_api.cpp
+++ b/src/caller_api.cpp
@@ -132,21 +132,6 @@
 {
 }
 
-std::string CallerApi::workspaceOf(const HttpRequest& _request) const
-{
-	const std::string credential = bearerOf(headerValue(_request.headers, "Authorization"));
-	std::string workspace;
-	// Every credential is compared, so that the time does not tell which one was near.
-	for (const auto& caller : this->settings.callers)
-	{
-		if (equalSecrets(caller.second, credential))
-		{
-			workspace = caller.first;
-		}
-	}
-	return workspace;
-}
-
 bool CallerApi::handle(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply)
 {
 	const bool tickets = _request.target == "/v1/tickets" && _request.method == "POST";
@@ -158,7 +143,7 @@
 	{
 		return false;
 	}
-	const std::string workspace = this->workspaceOf(_request);
+	const std::string workspace = nameOfBearer(this->settings.callers, headerValue(_request.headers, "Authorization"));
 	if (workspace.empty())
 	{
 		_reply->send(
--- a/src/caller_api.h
+++ b/src/caller_api.h
@@ -27,7 +27,6 @@
 	bool handle(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply);
 
 private:
-	[[nodiscard]] std::string workspaceOf(const HttpRequest& _request) const;
 	void issueTicket(const std::string& _workspace, const std::shared_ptr<HttpReply>& _reply);
 	void submit(const HttpRequest& _request, const std::string& _workspace, const std::string& _pipeline,
 				const std::shared_ptr<HttpReply>& _reply);
--- a/src/operator_api.cpp
+++ b/src/operator_api.cpp
@@ -59,20 +59,6 @@
 {
 }
 
-std::string OperatorApi::operatorOf(const HttpRequest& _request) const
-{
-	const std::string credential = bearerOf(headerValue(_request.headers, "Authorization"));
-	std::string name;
-	for (const auto& entry : this->settings.operators)
-	{
-		if (equalSecrets(entry.second, credential))
-		{
-			name = entry.first;
-		}
-	}
-	return name;
-}
-
 bool OperatorApi::handle(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply)
 {
 	if (_request.target == "/metrics")
@@ -87,7 +73,7 @@
 	{
 		return false;
 	}
-	const std::string name = this->operatorOf(_request);
+	const std::string name = nameOfBearer(this->settings.operators, headerValue(_request.headers, "Authorization"));
 	if (name.empty())
 	{
 		_reply->send(
--- a/src/operator_api.h
+++ b/src/operator_api.h
@@ -30,7 +30,6 @@
 	bool handle(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply);
 
 private:
-	[[nodiscard]] std::string operatorOf(const HttpRequest& _request) const;
 	void serve(const HttpRequest& _request, const std::string& _operator, const std::shared_ptr<HttpReply>& _reply);
 	void edit(const HttpRequest& _request, const std::string& _operator, const std::shared_ptr<HttpReply>& _reply);
 	void editOutcome(const std::string& _id, const std::shared_ptr<HttpReply>& _reply) const;
--- /dev/null
+++ b/src/result_store.h
@@ -0,0 +1,48 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Results of ended requests, kept for later questions while memory for them lasts.
+
+#ifndef ROADFERRY_RESULT_STORE_H_HEADER_GUARD
+#define ROADFERRY_RESULT_STORE_H_HEADER_GUARD
+
+#include <roadferry/roadferry.h>
+
+namespace roadferry
+{
+
+/// What was told of one request.
+struct StoredResult
+{
+	unsigned status = 0; ///< HTTP status.
+	Micros retryAfter = 0;
+	std::string json;
+	std::vector<std::string> tokens; ///< For copies that want them one by one.
+	bool operator==(const StoredResult&) const = default;
+};
+
+/// Results by the serial of their ticket; the oldest go first.
+class ResultStore
+{
+public:
+	/// @param[in] _bytes Memory for all results.
+	explicit ResultStore(std::size_t _bytes);
+
+	void put(std::uint64_t _serial, std::shared_ptr<const StoredResult> _result);
+
+	/// @returns The result, or null when it is not there any more.
+	[[nodiscard]] std::shared_ptr<const StoredResult> find(std::uint64_t _serial) const;
+
+private:
+	std::size_t limit;
+	std::size_t bytes = 0;
+	std::unordered_map<std::uint64_t, std::shared_ptr<const StoredResult>> results;
+	std::deque<std::uint64_t> order;
+};
+
+} // namespace roadferry
+
+#endif // ROADFERRY_RESULT_STORE_H_HEADER_GUARD
--- a/src/secret.cpp
+++ b/src/secret.cpp
@@ -22,6 +22,20 @@
 	return CRYPTO_memcmp(_left.data(), _right.data(), _left.size()) == 0;
 }
 
+std::string nameOfBearer(const std::map<std::string, std::string>& _credentials, const std::string& _authorization)
+{
+	const std::string credential = bearerOf(_authorization);
+	std::string name;
+	for (const auto& entry : _credentials)
+	{
+		if (equalSecrets(entry.second, credential))
+		{
+			name = entry.first;
+		}
+	}
+	return name;
+}
+
 std::string bearerOf(const std::string& _authorization)
 {
 	static const std::string s_scheme = "Bearer ";
--- a/src/secret.h
+++ b/src/secret.h
@@ -9,6 +9,7 @@
 #ifndef ROADFERRY_SECRET_H_HEADER_GUARD
 #define ROADFERRY_SECRET_H_HEADER_GUARD
 
+#include <map>
 #include <string>
 
 namespace roadferry
@@ -17,6 +18,12 @@
 /// Compares two strings in a time that depends on their lengths only.
 bool equalSecrets(const std::string& _left, const std::string& _right);
 
+/// @param[in] _credentials Credential by name.
+/// @param[in] _authorization Value of the header Authorization.
+/// @returns Name of the one whose credential it is, or an empty string. Each credential is compared, so that the time
+/// does not tell which one was near.
+std::string nameOfBearer(const std::map<std::string, std::string>& _credentials, const std::string& _authorization);
+
 /// @returns The credential of a header "Authorization: Bearer CREDENTIAL", or an empty string.
 std::string bearerOf(const std::string& _authorization);
 
--- a/src/standin.h
+++ b/src/standin.h
@@ -36,9 +36,9 @@
 class FaultSwitch
 {
 public:
-	/// Takes the body of POST /fault.
-	/// @returns Empty on success, otherwise what is wrong with the body.
-	std::string set(const std::string& _body);
+	/// Answers POST /fault.
+	/// @returns Whether the request was one.
+	bool handle(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply);
 
 	/// @returns The fault that this request is to suffer.
 	FaultMode next();
@@ -47,6 +47,9 @@
 	[[nodiscard]] std::int64_t milliseconds() const;
 
 private:
+	/// @returns Empty on success, otherwise what is wrong with the body.
+	std::string set(const std::string& _body);
+
 	mutable std::mutex lock;
 	FaultMode mode = FaultMode::None;
 	std::int64_t delay = 0;
--- a/src/standin_endpoint.cpp
+++ b/src/standin_endpoint.cpp
@@ -78,9 +78,8 @@
 		}
 		else if (_request.target == "/fault")
 		{
-			const std::string fault = this->faults.set(_request.body);
+			this->faults.handle(_request, _reply);
 			this->releaseFrozen();
-			_reply->send(jsonResponse(fault.empty() ? 200 : 400, QJsonObject{{"error", text(fault)}}));
 		}
 		else
 		{
--- a/src/standin_fault.cpp
+++ b/src/standin_fault.cpp
@@ -33,6 +33,17 @@
 
 } // namespace
 
+bool FaultSwitch::handle(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply)
+{
+	if (_request.target != "/fault")
+	{
+		return false;
+	}
+	const std::string fault = this->set(_request.body);
+	_reply->send(jsonResponse(fault.empty() ? 200 : 400, QJsonObject{{"error", QString::fromStdString(fault)}}));
+	return true;
+}
+
 std::string FaultSwitch::set(const std::string& _body)
 {
 	const auto object = parseObject(_body);
--- a/src/standin_log.cpp
+++ b/src/standin_log.cpp
@@ -32,11 +32,8 @@
 
 	void handle(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply) override
 	{
-		if (_request.target == "/fault")
+		if (this->faults.handle(_request, _reply))
 		{
-			const std::string fault = this->faults.set(_request.body);
-			_reply->send(
-				jsonResponse(fault.empty() ? 200 : 400, QJsonObject{{"error", QString::fromStdString(fault)}}));
 			return;
 		}
 		const FaultMode fault = this->faults.next();
--- a/src/standin_vmlist.cpp
+++ b/src/standin_vmlist.cpp
@@ -23,11 +23,8 @@
 public:
 	void handle(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply) override
 	{
-		if (_request.target == "/fault")
+		if (this->faults.handle(_request, _reply))
 		{
-			const std::string fault = this->faults.set(_request.body);
-			_reply->send(
-				jsonResponse(fault.empty() ? 200 : 400, QJsonObject{{"error", QString::fromStdString(fault)}}));
 			return;
 		}
 		if (_request.target == "/vms")
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -82,15 +82,6 @@
 	std::shared_ptr<HttpCall> call;
 };
 
-/// A result kept for later questions.
-struct Traffic::Kept
-{
-	unsigned status = 0;
-	Micros retryAfter = 0;
-	std::shared_ptr<const std::string> json;
-	std::vector<std::string> tokens;
-};
-
 Micros monotonicNow()
 {
 	const auto now = std::chrono::steady_clock::now().time_since_epoch();
@@ -104,7 +95,7 @@
 
 Traffic::Traffic(IoPool& _pool, HttpClient& _client, Metrics& _metrics, TraceWriter& _traces, TrafficSettings _settings)
 	: pool(_pool), client(_client), metrics(_metrics), traces(_traces), settings(std::move(_settings)),
-	  dispatcher(settings.dispatcher), tickets(settings.self, settings.tickets),
+	  dispatcher(settings.dispatcher), tickets(settings.self, settings.tickets), results(settings.answerBytes),
 	  farewells(settings.tickets.unusedLife + settings.tickets.outcomeLife), table(std::make_shared<Table>())
 {
 }
@@ -204,7 +195,7 @@
 			[&](const TicketAttach&) { this->attach(_ticket.serial, ticketText, Outcome{}, _sink); },
 			[&](const TicketReplay& _typed) { this->attach(_ticket.serial, ticketText, _typed.outcome, _sink); },
 			[&](const TicketElsewhere&) { issuer = this->elsewhere(_ticket, _sink); },
-			[&](const TicketRefused& _typed) { this->deliverKept(0, ticketText, _typed.outcome, _sink); },
+			[&](const TicketRefused& _typed) { this->deliverStored(0, ticketText, _typed.outcome, _sink); },
 		},
 		_decision);
 	return issuer;
@@ -221,7 +212,7 @@
 	{
 		return _ticket.issuer;
 	}
-	this->deliverKept(0, roadferry::toText(_ticket), *outcome, _sink);
+	this->deliverStored(0, roadferry::toText(_ticket), *outcome, _sink);
 	return std::nullopt;
 }
 
@@ -239,7 +230,7 @@
 	}
 	if (active == nullptr)
 	{
-		this->deliverKept(_serial, _ticket, _outcome, _sink);
+		this->deliverStored(_serial, _ticket, _outcome, _sink);
 		return;
 	}
 	this->pool.post(active->thread,
@@ -254,7 +245,7 @@
 						}
 						if (!running)
 						{
-							this->deliverKept(_serial, _ticket, outcome, _sink);
+							this->deliverStored(_serial, _ticket, outcome, _sink);
 							return;
 						}
 						for (std::size_t index = 0; index < active->tokens.size(); ++index)
@@ -265,19 +256,15 @@
 					});
 }
 
-void Traffic::deliverKept(std::uint64_t _serial, const std::string& _ticket, const Outcome& _outcome,
-						  const std::shared_ptr<AnswerSink>& _sink)
+void Traffic::deliverStored(std::uint64_t _serial, const std::string& _ticket, const Outcome& _outcome,
+							const std::shared_ptr<AnswerSink>& _sink)
 {
-	Kept found;
+	std::shared_ptr<const StoredResult> found;
 	{
 		const std::lock_guard<std::mutex> guard(this->lock);
-		const auto entry = this->kept.find(_serial);
-		if (entry != this->kept.end())
-		{
-			found = entry->second;
-		}
+		found = this->results.find(_serial);
 	}
-	if (found.json == nullptr)
+	if (found == nullptr)
 	{
 		// The outcome is known longer than the answer is kept.
 		QJsonObject object = roadferry::toJson(_outcome);
@@ -289,11 +276,11 @@
 		_sink->result(httpStatusOf(_outcome), _outcome.retryAfter, roadferry::toText(object));
 		return;
 	}
-	for (std::size_t index = 0; index < found.tokens.size(); ++index)
+	for (std::size_t index = 0; index < found->tokens.size(); ++index)
 	{
-		_sink->token(static_cast<std::int64_t>(index), found.tokens[index]);
+		_sink->token(static_cast<std::int64_t>(index), found->tokens[index]);
 	}
-	_sink->result(found.status, found.retryAfter, *found.json);
+	_sink->result(found->status, found->retryAfter, found->json);
 }
 
 void Traffic::onRequestThread(std::size_t _thread, const ActivePointer& _active, std::function<void()> _function)
@@ -456,11 +443,11 @@
 															  {"tokens", static_cast<qint64>(_active->tokens.size())}})
 									 : _active->previous;
 	}
-	Kept result;
-	result.status = httpStatusOf(_outcome);
-	result.retryAfter = _outcome.retryAfter;
-	result.json = std::make_shared<const std::string>(roadferry::toText(object));
-	result.tokens = std::move(_active->tokens);
+	auto result = std::make_shared<StoredResult>();
+	result->status = httpStatusOf(_outcome);
+	result->retryAfter = _outcome.retryAfter;
+	result->json = roadferry::toText(object);
+	result->tokens = std::move(_active->tokens);
 	_active->tokens.clear();
 	{
 		const std::lock_guard<std::mutex> guard(this->lock);
@@ -471,11 +458,11 @@
 		}
 		this->actives.erase(_active->id);
 		this->requestOfSerial.erase(_active->ticket.serial);
-		this->keep(_active->ticket.serial, result);
+		this->results.put(_active->ticket.serial, result);
 	}
 	for (const auto& sink : _active->sinks)
 	{
-		sink->result(result.status, result.retryAfter, *result.json);
+		sink->result(result->status, result->retryAfter, result->json);
 	}
 	_active->sinks.clear();
 	this->metrics.requestEnded(_active->submission.pipeline, _outcome, static_cast<double>(elapsed) / kMicrosPerSecond);
@@ -487,20 +474,6 @@
 	this->traces.write(_active->span);
 }
 
-void Traffic::keep(std::uint64_t _serial, const Kept& _kept)
-{
-	this->keptBytes += _kept.json->size() * 2;
-	this->keptOrder.push_back(_serial);
-	this->kept.emplace(_serial, _kept);
-	while (this->keptBytes > this->settings.answerBytes && this->keptOrder.size() > 1)
-	{
-		const auto oldest = this->kept.find(this->keptOrder.front());
-		this->keptBytes -= oldest->second.json->size() * 2;
-		this->kept.erase(oldest);
-		this->keptOrder.pop_front();
-	}
-}
-
 std::optional<Incarnation> Traffic::look(const Ticket& _ticket, const std::string& _workspace,
 										 const std::shared_ptr<AnswerSink>& _sink)
 {
@@ -522,10 +495,10 @@
 		return std::nullopt;
 	}
 	case TicketState::Forgotten:
-		this->deliverKept(0, ticketText, found.second, _sink);
+		this->deliverStored(0, ticketText, found.second, _sink);
 		return std::nullopt;
 	case TicketState::Ended:
-		this->deliverKept(_ticket.serial, ticketText, found.second, _sink);
+		this->deliverStored(_ticket.serial, ticketText, found.second, _sink);
 		return std::nullopt;
 	}
 	return std::nullopt;
@@ -568,10 +541,9 @@
 std::optional<std::string> Traffic::explain(const Ticket& _ticket)
 {
 	const std::lock_guard<std::mutex> guard(this->lock);
-	const auto found = this->kept.find(_ticket.serial);
-	if (found != this->kept.end())
+	if (const auto found = this->results.find(_ticket.serial))
 	{
-		return *found->second.json;
+		return found->json;
 	}
 	const auto request = this->requestOfSerial.find(_ticket.serial);
 	if (request == this->requestOfSerial.end())
--- a/src/traffic.h
+++ b/src/traffic.h
@@ -12,6 +12,7 @@
 #include "http_client.h"
 #include "json.h"
 #include "metrics.h"
+#include "result_store.h"
 #include "trace.h"
 
 #include <roadferry/roadferry.h>
@@ -136,7 +137,6 @@
 
 private:
 	struct Active;
-	struct Kept;
 	using ActivePointer = std::shared_ptr<Active>;
 
 	ActivePointer makeActive(std::size_t _thread, const Submission& _submission, const Ticket& _ticket);
@@ -147,11 +147,10 @@
 	void cancelAttempt(const ActivePointer& _active, const CancelAttempt& _attempt);
 	void attemptEnded(const ActivePointer& _active, std::uint64_t _attempt, const AttemptEnd& _end);
 	void finish(const ActivePointer& _active, const Outcome& _outcome);
-	void keep(std::uint64_t _serial, const Kept& _kept);
 	void attach(std::uint64_t _serial, const std::string& _ticket, const Outcome& _outcome,
 				const std::shared_ptr<AnswerSink>& _sink);
-	void deliverKept(std::uint64_t _serial, const std::string& _ticket, const Outcome& _outcome,
-					 const std::shared_ptr<AnswerSink>& _sink);
+	void deliverStored(std::uint64_t _serial, const std::string& _ticket, const Outcome& _outcome,
+					   const std::shared_ptr<AnswerSink>& _sink);
 	std::optional<Incarnation> elsewhere(const Ticket& _ticket, const std::shared_ptr<AnswerSink>& _sink);
 	std::optional<Incarnation> answerDecision(const Ticket& _ticket, const TicketDecision& _decision,
 											  const std::shared_ptr<AnswerSink>& _sink);
@@ -166,14 +165,12 @@
 	mutable std::mutex lock; ///< Guards everything below.
 	Dispatcher dispatcher;
 	TicketBook tickets;
+	ResultStore results;
 	FarewellBook farewells;
 	std::map<std::string, std::int64_t> limitRefusals;
 	std::shared_ptr<const Table> table;
 	std::unordered_map<std::uint64_t, ActivePointer> actives; ///< By request.
 	std::unordered_map<std::uint64_t, std::uint64_t> requestOfSerial;
-	std::unordered_map<std::uint64_t, Kept> kept; ///< Results by serial.
-	std::deque<std::uint64_t> keptOrder;
-	std::size_t keptBytes = 0;
 	std::uint64_t lastRequest = 0;
 	bool isDraining = false;
 };
--- a/tools/bench_decisions.cpp
+++ b/tools/bench_decisions.cpp
@@ -17,24 +17,8 @@
 namespace
 {
 
-constexpr double kPercent = 100.0;
 constexpr double kFullGoodput = 99.0; ///< Percent of a second's requests.
 
-double percent(double _part, double _whole)
-{
-	return _whole > 0 ? kPercent * _part / _whole : kPercent;
-}
-
-double attainment(const std::pair<std::uint64_t, std::uint64_t>& _counts)
-{
-	return percent(static_cast<double>(_counts.second), static_cast<double>(_counts.first));
-}
-
-double milliseconds(Micros _time)
-{
-	return static_cast<double>(_time) / static_cast<double>(kMillisecond);
-}
-
 void reportByKindAndPool(BenchReport& _report, const std::string& _name, const BenchFigures& _figures)
 {
 	for (const auto& entry : _figures.byKind)
--- a/tools/bench_run.cpp
+++ b/tools/bench_run.cpp
@@ -535,6 +535,21 @@
 	return Bench(_case, _config).run();
 }
 
+double percent(double _part, double _whole)
+{
+	return _whole > 0 ? kPercent * _part / _whole : kPercent;
+}
+
+double attainment(const std::pair<std::uint64_t, std::uint64_t>& _counts)
+{
+	return percent(static_cast<double>(_counts.second), static_cast<double>(_counts.first));
+}
+
+double milliseconds(Micros _time)
+{
+	return static_cast<double>(_time) / static_cast<double>(kMillisecond);
+}
+
 Micros quantileOf(std::vector<Micros> _values, double _share)
 {
 	if (_values.empty())
--- a/tools/bench_run.h
+++ b/tools/bench_run.h
@@ -90,6 +90,16 @@
 /// Runs a case under a dispatcher's settings.
 BenchFigures runBench(const BenchCase& _case, const DispatcherConfig& _config);
 
+constexpr double kPercent = 100.0;
+
+/// @returns A part of a whole in percent; all where there is nothing.
+double percent(double _part, double _whole);
+
+/// @param[in] _counts Offered and answered.
+double attainment(const std::pair<std::uint64_t, std::uint64_t>& _counts);
+
+double milliseconds(Micros _time);
+
 /// @returns The value below which a share of the values lies.
 Micros quantileOf(std::vector<Micros> _values, double _share);
 
--- a/tools/roadferry_bench.cpp
+++ b/tools/roadferry_bench.cpp
@@ -25,23 +25,6 @@
 
 using namespace roadferry;
 
-constexpr double kPercent = 100.0;
-
-double percent(double _part, double _whole)
-{
-	return _whole > 0 ? kPercent * _part / _whole : kPercent;
-}
-
-double attainment(const std::pair<std::uint64_t, std::uint64_t>& _counts)
-{
-	return percent(static_cast<double>(_counts.second), static_cast<double>(_counts.first));
-}
-
-double milliseconds(Micros _time)
-{
-	return static_cast<double>(_time) / static_cast<double>(kMillisecond);
-}
-
 struct NamedConfig
 {
 	const char* name;
