--- a/tests/deployment.cpp
+++ b/tests/deployment.cpp
@@ -13,6 +13,8 @@
 
 #include <criterion/criterion.h>
 
+#include <arpa/inet.h>
+#include <array>
 #include <chrono>
 #include <csignal>
 #include <future>
@@ -255,6 +257,27 @@
 					});
 }
 
+std::string Deployment::sendRaw(const std::string& _address, const std::string& _bytes)
+{
+	const std::size_t colon = _address.rfind(':');
+	sockaddr_in peer{};
+	peer.sin_family = AF_INET;
+	peer.sin_port = htons(static_cast<std::uint16_t>(std::stoi(_address.substr(colon + 1))));
+	inet_pton(AF_INET, _address.substr(0, colon).c_str(), &peer.sin_addr);
+	const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	cr_assert_eq(connect(socket, reinterpret_cast<const sockaddr*>(&peer), sizeof(peer)), 0);
+	cr_assert_eq(write(socket, _bytes.data(), _bytes.size()), static_cast<ssize_t>(_bytes.size()));
+	std::string answer;
+	std::array<char, 4096> part{};
+	ssize_t count = 0;
+	while ((count = read(socket, part.data(), part.size())) > 0)
+	{
+		answer.append(part.data(), static_cast<std::size_t>(count));
+	}
+	close(socket);
+	return answer;
+}
+
 std::string Deployment::ticket(std::size_t _daemon)
 {
 	const Answer answer = this->call(this->nodes.at(_daemon)->address, "POST", "/v1/tickets", "{}");
--- a/tests/deployment.h
+++ b/tests/deployment.h
@@ -88,6 +88,9 @@
 
 	std::string ticket(std::size_t _daemon);
 
+	/// Sends bytes as they are, and reads until the other side closes.
+	static std::string sendRaw(const std::string& _address, const std::string& _bytes);
+
 	/// @returns Number of effects of each marker in the ledgers of all endpoints.
 	std::map<std::string, int> effects();
 
--- a/tests/test_path.cpp
+++ b/tests/test_path.cpp
@@ -82,6 +82,31 @@
 	cr_assert(answer.json["repeat_safe"].toBool());
 }
 
+Test(path, slow_senders_and_rubbish_are_told_and_others_go_on)
+{
+	Deployment deployment;
+	addEndpoints(deployment);
+	deployment.daemons(1, {"--request_timeout_ms=200"});
+	deployment.writeTable();
+	const std::string address = deployment.nodes[0]->address;
+	const std::string slow =
+		Deployment::sendRaw(address, "POST /v1/tickets HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nab");
+	cr_assert_eq(slow.find("HTTP/1.1 408"), 0, "%s", slow.c_str());
+	const std::string rubbish = Deployment::sendRaw(address, "\x01\x02 no HTTP at all\r\n\r\n");
+	cr_assert_eq(rubbish.find("HTTP/1.1 400"), 0, "%s", rubbish.c_str());
+	const std::string longHeader = Deployment::sendRaw(
+		address, "GET /health HTTP/1.1\r\nHost: x\r\nX-Long: " + std::string(20'000, 'a') + "\r\n\r\n");
+	cr_assert_eq(longHeader.find("HTTP/1.1 431"), 0, "%s", longHeader.c_str());
+	// A websocket without the peers' credential is turned away.
+	const std::string stranger = Deployment::sendRaw(
+		deployment.nodes[0]->peer, "GET /peer HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+								   "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n");
+	cr_assert_eq(stranger.find("HTTP/1.1 101"), std::string::npos, "%s", stranger.c_str());
+	const Answer after =
+		deployment.call(address, "POST", "/v1/pipelines/checkin/requests", R"({"input":{"marker":"m"}})");
+	cr_assert_eq(after.status, 200);
+}
+
 Test(path, bad_requests_name_the_field_and_the_limit)
 {
 	Deployment deployment;
