--- a/src/caller_api.cpp
+++ b/src/caller_api.cpp
@@ -24,7 +24,6 @@
 
 constexpr Micros kMicrosPerSecond = kSecond;
 constexpr Micros kRelayGrace = 500 * kMillisecond; ///< After its deadline, for the issuer's own answer to arrive.
-constexpr Micros kRelayDefault = 600 * kSecond;
 constexpr Micros kAskTimeout = 2 * kSecond;
 
 /// Sends one JSON response.
@@ -214,7 +213,7 @@
 	request.pipeline = _pipeline;
 	request.body = _request.body;
 	request.trace = submission->trace.header();
-	const Micros timeout = submission->deadline.value_or(kRelayDefault) + kRelayGrace;
+	const Micros timeout = this->traffic.timeLimit(*submission) + kRelayGrace;
 	this->relay.pass(_reply->thread(), *issuer, std::move(request), timeout, std::move(sink));
 }
 
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -125,6 +125,19 @@
 	return this->tickets.issue(_workspace, nonce, monotonicNow());
 }
 
+Micros Traffic::limitOf(const Submission& _submission) const
+{
+	const PipelineRow* pipeline = this->table->pipeline(_submission.pipeline);
+	const Micros most = pipeline == nullptr ? kSecond : pipeline->deadlineMs * kMillisecond;
+	return std::min(most, _submission.deadline.value_or(most));
+}
+
+Micros Traffic::timeLimit(const Submission& _submission) const
+{
+	const std::lock_guard<std::mutex> guard(this->lock);
+	return this->limitOf(_submission);
+}
+
 Traffic::ActivePointer Traffic::makeActive(std::size_t _thread, const Submission& _submission, const Ticket& _ticket)
 {
 	auto active = std::make_shared<Active>();
@@ -134,12 +147,10 @@
 	active->ticketText = toText(_ticket);
 	active->submission = _submission;
 	active->arrived = monotonicNow();
-	const PipelineRow* pipeline = this->table->pipeline(_submission.pipeline);
-	const Micros most = pipeline == nullptr ? kSecond : pipeline->deadlineMs * kMillisecond;
 	active->spec = RequestSpec{active->id,
 							   _submission.workspace,
 							   _submission.pipeline,
-							   active->arrived + std::min(most, _submission.deadline.value_or(most)),
+							   active->arrived + this->limitOf(_submission),
 							   _submission.repeatable,
 							   _submission.promptTokens,
 							   _submission.maxTokens,
--- a/src/traffic.h
+++ b/src/traffic.h
@@ -96,6 +96,9 @@
 	std::optional<Incarnation> submit(std::size_t _thread, const Submission& _submission,
 									  const std::shared_ptr<AnswerSink>& _sink);
 
+	/// @returns How long a request may take: the pipeline's deadline, or the caller's where that is shorter.
+	[[nodiscard]] Micros timeLimit(const Submission& _submission) const;
+
 	/// Says what is known of a ticket.
 	/// @returns Nothing, or the incarnation that has to be asked instead.
 	std::optional<Incarnation> look(const Ticket& _ticket, const std::string& _workspace,
@@ -139,6 +142,7 @@
 	struct Active;
 	using ActivePointer = std::shared_ptr<Active>;
 
+	[[nodiscard]] Micros limitOf(const Submission& _submission) const;
 	ActivePointer makeActive(std::size_t _thread, const Submission& _submission, const Ticket& _ticket);
 	void begin(std::size_t _thread, const ActivePointer& _active, Actions& _actions);
 	void perform(std::size_t _thread, const Actions& _actions);
--- a/tests/test_failures.cpp
+++ b/tests/test_failures.cpp
@@ -135,7 +135,12 @@
 	deployment.daemons(2);
 	deployment.writeTable();
 	const std::string body = onceBody("frozen", deployment.ticket(0));
+	// Without a deadline of its own a call waits for the pipeline's, not for ever.
+	const std::string open =
+		absl::StrCat(R"({"input":{"marker":"open"},"repeatable":false,"ticket":")", deployment.ticket(0), R"("})");
 	deployment.nodes[0]->signal(SIGSTOP);
+	const Answer waited = deployment.call(deployment.nodes[1]->address, "POST", kCheckin, open);
+	Deployment::expectText(waited.json["reason"], "issuer_unreachable");
 	const Answer during = deployment.call(deployment.nodes[1]->address, "POST", kCheckin, body);
 	Deployment::expectText(during.json["outcome"], "unknown");
 	Deployment::expectText(during.json["reason"], "issuer_unreachable");
