--- a/tests/test_failures.cpp
+++ b/tests/test_failures.cpp
@@ -206,6 +206,8 @@
 		const Answer answer = deployment.call(deployment.nodes[0]->address, "POST", kMark, bodyOf(marker, 1));
 		Deployment::expectText(answer.json["outcome"], "answered");
 		Deployment::expectText(answer.json["answer"]["text"], marker + ":0 ");
+		Deployment::expectText(answer.json["stages"][0]["endpoint"], "encoder-2");
+		Deployment::expectText(answer.json["stages"][3]["endpoint"], "engine-2");
 	}
 }
 
