--- /dev/null
+++ b/include/roadferry/parts/batches.h
@@ -0,0 +1,402 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Part of the public header: stages whose pieces are made in batches.
+
+#ifndef ROADFERRY_PARTS_BATCHES_H_HEADER_GUARD
+#define ROADFERRY_PARTS_BATCHES_H_HEADER_GUARD
+
+#include <roadferry/parts/endpoints.h>
+#include <roadferry/parts/routes.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace roadferry
+{
+
+/// Names one piece of a request's stage.
+struct PieceName
+{
+	std::size_t stage = 0;
+	std::size_t piece = 0;
+	auto operator<=>(const PieceName&) const = default;
+};
+
+/// The pieces of one request: which can be made now, and which results the request itself needs.
+class StageGraph
+{
+public:
+	/// @param[in] _stages Stages of the route.
+	/// @param[in] _counts Pieces of each stage; a stage without an entry, or with 0, is left out.
+	StageGraph(std::vector<RouteStage> _stages, std::vector<std::int64_t> _counts);
+
+	/// @returns Pieces that can be made and were not handed out yet; each is handed out once, until it is lost.
+	std::vector<PieceName> takeReady();
+
+	/// A piece was made.
+	/// @param[in] _handle Name of its result, by which others refer to it.
+	void made(const PieceName& _piece, const std::string& _handle);
+
+	/// A piece has to be made again: making it failed.
+	void failed(const PieceName& _piece);
+
+	/// A result is gone. Its piece has to be made again, if anything still needs it.
+	void lost(const std::string& _handle);
+
+	/// Results that a piece of a stage works on.
+	[[nodiscard]] std::vector<std::string> inputsOf(std::size_t _stage) const;
+
+	/// @returns Whether all results that the request itself needs are there.
+	[[nodiscard]] bool complete() const;
+
+	/// @returns Results that the request itself needs: those of stages on which no other works.
+	[[nodiscard]] std::vector<std::string> results() const;
+
+	/// @returns Results that nothing needs any more and that were not returned before, for their makers to drop.
+	std::vector<std::string> takeSpent();
+
+	/// @returns All results that were not returned by takeSpent(), at the end of the request.
+	std::vector<std::string> takeAll();
+
+	[[nodiscard]] const std::vector<RouteStage>& stages() const;
+
+private:
+	struct Piece
+	{
+		std::string handle; ///< Empty until it was made.
+		bool handedOut = false;
+	};
+
+	[[nodiscard]] bool stageMade(std::size_t _stage) const;
+	[[nodiscard]] bool hasFollower(std::size_t _stage) const;
+
+	std::vector<RouteStage> plan;
+	std::vector<std::vector<Piece>> pieces;
+	std::set<std::string> spent; ///< Results that were given back.
+};
+
+/// A piece to be made.
+struct PieceOrder
+{
+	std::uint64_t order = 0; ///< Never used twice by one node.
+	std::string request;     ///< Id of the request, as endpoints know it.
+	PieceName name;
+	std::string key;                 ///< Of the request's own data, for a stage that works on the request itself.
+	std::vector<std::string> inputs; ///< Results that it works on.
+	Micros deadline = 0;             ///< Time point after which nobody wants it.
+	Micros due = 0;                  ///< Time point by which it should be made for the request to be in time.
+	std::int64_t priority = 5;       ///< 0 is the most urgent.
+	std::int64_t resultBytes = 0;    ///< Approximate size of the result.
+	bool operator==(const PieceOrder&) const = default;
+};
+
+/// Why a piece was not made.
+enum class PieceFault
+{
+	Late,       ///< Its time has passed, or it cannot be made in time.
+	InputGone,  ///< A result that it works on is gone.
+	NoRoom,     ///< The endpoint has no room for its result.
+	NoEndpoint, ///< No endpoint could be reached.
+	Error       ///< The endpoint failed.
+};
+
+std::string_view nameOf(PieceFault _fault);
+
+/// Make these pieces with one call.
+struct StartBatch
+{
+	std::uint64_t batch = 0;
+	std::string pool;
+	Endpoint endpoint;
+	std::vector<PieceOrder> orders;
+	Micros giveUpAt = 0;
+	bool operator==(const StartBatch&) const = default;
+};
+
+/// Stop a call whose endpoint does not answer.
+struct CancelBatch
+{
+	std::uint64_t batch = 0;
+	bool operator==(const CancelBatch&) const = default;
+};
+
+/// A piece was made.
+struct PieceMade
+{
+	std::uint64_t order = 0;
+	std::string handle;
+	std::string failureDomain; ///< Of the endpoint that keeps the result.
+	bool operator==(const PieceMade&) const = default;
+};
+
+/// A piece was not made, and is not tried any more.
+struct PieceFailed
+{
+	std::uint64_t order = 0;
+	PieceFault fault = PieceFault::Error;
+	bool operator==(const PieceFailed&) const = default;
+};
+
+using BatchAction = std::variant<StartBatch, CancelBatch, PieceMade, PieceFailed>;
+using BatchActions = std::vector<BatchAction>;
+
+/// The endpoint answered: one entry for each order, in order.
+struct BatchAnswered
+{
+	std::vector<std::variant<std::string, PieceFault>> results; ///< Handle of the result, or why there is none.
+	bool operator==(const BatchAnswered&) const = default;
+};
+
+/// The endpoint said that it did not begin.
+struct BatchRefused
+{
+	bool operator==(const BatchRefused&) const = default;
+};
+
+/// No answer, or none that can be used.
+struct BatchCut
+{
+	bool operator==(const BatchCut&) const = default;
+};
+
+using BatchEnd = std::variant<BatchAnswered, BatchRefused, BatchCut>;
+
+/// Times and bounds of a BatchMaker.
+struct BatchConfig
+{
+	double slowest = 4.0;                    ///< A call that takes so many times as long as told is given up.
+	Micros slack = 400 * kMillisecond;       ///< Added to that, for transfers.
+	Micros asideFor = 1500 * kMillisecond;   ///< How long an endpoint that failed gets no call.
+	std::int64_t tries = 4;                  ///< Calls in which one piece may be.
+	Micros refusedPause = 60 * kMillisecond; ///< Before an endpoint that was busy gets another call.
+	bool operator==(const BatchConfig&) const = default;
+};
+
+/// Forms batches: as soon as an endpoint is free it gets what waits, most urgent first.
+class BatchMaker
+{
+public:
+	explicit BatchMaker(BatchConfig _config);
+
+	void setPools(const std::vector<PoolSpec>& _pools);
+	void setEndpoints(const std::vector<Endpoint>& _endpoints);
+
+	/// Adds a piece to make. Call tick() afterwards to start calls.
+	void add(const std::string& _pool, const PieceOrder& _order);
+
+	/// Forgets a piece that nobody wants; one that is being made is made, and its result given back by nobody.
+	/// @returns Whether it was still waiting.
+	bool cancel(std::uint64_t _order);
+
+	BatchActions batchEnded(std::uint64_t _batch, const BatchEnd& _end, Micros _now);
+	BatchActions tick(Micros _now);
+
+	/// @returns Predicted time until a piece that was added now would be made.
+	[[nodiscard]] Micros predictedTime(const std::string& _pool, Micros _now) const;
+
+	/// @returns Pieces that wait for a call.
+	[[nodiscard]] std::size_t waiting(const std::string& _pool) const;
+
+private:
+	struct Waiting
+	{
+		PieceOrder order;
+		std::int64_t tries = 0;
+		std::string avoid; ///< Endpoint that failed it last.
+	};
+
+	struct Call
+	{
+		std::string pool;
+		Endpoint endpoint;
+		std::vector<Waiting> pieces;
+		Micros startedAt = 0;
+		Micros expected = 0;
+		Micros giveUpAt = 0;
+	};
+
+	struct Maker
+	{
+		Endpoint endpoint;
+		std::int64_t calls = 0;
+		Micros freeAt = 0;     ///< Predicted end of its call.
+		Micros asideUntil = 0; ///< Gets no call until then.
+		std::int64_t failures = 0;
+		double slowness = 1; ///< Smoothed ratio of measured to told time.
+		bool listed = true;
+	};
+
+	struct Pool
+	{
+		BatchLimits limits;
+		std::vector<Waiting> queue; ///< Most urgent first.
+	};
+
+	[[nodiscard]] static bool before(const Waiting& _left, const Waiting& _right);
+	void enqueue(Pool& _pool, Waiting _waiting);
+	void dropLate(Pool& _pool, Micros _now, BatchActions& _actions);
+	Maker* chooseMaker(const std::string& _pool, const Pool& _spec, Micros _now);
+	void startOne(const std::string& _name, Pool& _pool, Maker& _maker, Micros _now, BatchActions& _actions);
+	void retry(Waiting _piece, const Call& _call, PieceFault _fault, BatchActions& _actions);
+	void takeResults(const Call& _call, const BatchAnswered& _answer, BatchActions& _actions);
+	void expireCalls(Micros _now, BatchActions& _actions);
+	Call endCall(std::uint64_t _batch);
+	[[nodiscard]] Micros expectedTime(const BatchLimits& _limits, const Maker& _maker, std::size_t _pieces) const;
+
+	BatchConfig config;
+	std::map<std::string, Pool> pools;
+	std::map<std::string, Maker> makers; ///< By endpoint.
+	std::map<std::uint64_t, Call> calls;
+	std::set<std::string> left; ///< Endpoints that were seen leaving; the mark is never taken back.
+	std::uint64_t lastBatch = 0;
+};
+
+/// The node that forms the batches of a pool: the same on all nodes that see the same members.
+/// @param[in] _members Live nodes, at least one.
+/// @returns Address of the node.
+std::string batchNodeOf(const std::string& _pool, const std::vector<std::string>& _members);
+
+// Batches over nodes: pieces of all nodes meet at one node for each pool.
+
+/// Asks another node to have pieces made. Times are durations, since nodes share no clock.
+struct PieceAsk
+{
+	std::string pool;
+	std::vector<PieceOrder> orders; ///< With deadline and due counted from the sending.
+	bool operator==(const PieceAsk&) const = default;
+};
+
+/// Tells another node what became of pieces that it asked for. Without any it says that they are still in hand.
+struct PieceGive
+{
+	std::vector<PieceMade> made;
+	std::vector<PieceFailed> failed;
+	bool operator==(const PieceGive&) const = default;
+};
+
+/// Tells another node that pieces are not wanted any more.
+struct PieceDrop
+{
+	std::vector<std::uint64_t> orders;
+	bool operator==(const PieceDrop&) const = default;
+};
+
+using PieceMessage = std::variant<PieceAsk, PieceGive, PieceDrop>;
+
+/// Send a message to another node.
+struct SendPieceMessage
+{
+	std::string to;
+	PieceMessage message;
+	bool operator==(const SendPieceMessage&) const = default;
+};
+
+/// A result that nobody wants: let its endpoint drop it.
+struct FreeResult
+{
+	std::string handle;
+	bool operator==(const FreeResult&) const = default;
+};
+
+using PieceAction = std::variant<StartBatch, CancelBatch, PieceMade, PieceFailed, SendPieceMessage, FreeResult>;
+using PieceActions = std::vector<PieceAction>;
+
+/// Times of a PieceDesk.
+struct PieceDeskConfig
+{
+	BatchConfig batches;
+	Micros newsEvery = 250 * kMillisecond;   ///< A node that holds pieces of others tells them so.
+	Micros silentAfter = 800 * kMillisecond; ///< A node that does not is passed over: three times that, and some.
+	Micros silentFor = 3 * kSecond;          ///< How long it is passed over.
+	bool shared = true;                      ///< Whether nodes form batches together, or each for itself.
+	bool operator==(const PieceDeskConfig&) const = default;
+};
+
+/// Has pieces made: by this node where it forms the pool's batches, by the node that does otherwise. Two nodes that
+/// both believe to be it cost fuller batches, nothing else; pieces in the hands of a node that falls silent are asked
+/// for again, here or elsewhere.
+class PieceDesk
+{
+public:
+	PieceDesk(std::string _self, PieceDeskConfig _config);
+
+	void setPools(const std::vector<PoolSpec>& _pools);
+	void setEndpoints(const std::vector<Endpoint>& _endpoints);
+
+	/// @param[in] _members Live nodes, this one among them.
+	void setMembers(const std::vector<std::string>& _members);
+
+	/// Has pieces of one pool made.
+	PieceActions order(const std::string& _pool, const std::vector<PieceOrder>& _orders, Micros _now);
+
+	/// Nobody wants these pieces any more.
+	PieceActions cancel(const std::vector<std::uint64_t>& _orders, Micros _now);
+
+	PieceActions receive(const std::string& _from, const PieceMessage& _message, Micros _now);
+
+	/// The connection to a node has ended.
+	PieceActions peerClosed(const std::string& _peer, Micros _now);
+
+	PieceActions batchEnded(std::uint64_t _batch, const BatchEnd& _end, Micros _now);
+	PieceActions tick(Micros _now);
+
+	/// @returns Predicted time until a piece that was ordered now would be made.
+	[[nodiscard]] Micros predictedTime(const std::string& _pool, Micros _now) const;
+
+	/// @returns The node that forms the pool's batches, as far as this one knows.
+	[[nodiscard]] std::string nodeOf(const std::string& _pool, Micros _now) const;
+
+private:
+	/// A piece that this node has made: for itself, or for another.
+	struct InHand
+	{
+		std::string peer; ///< Empty for this node itself.
+		std::uint64_t order = 0;
+		bool wanted = true;
+	};
+
+	/// A piece that another node has in hand.
+	struct Away
+	{
+		std::string peer;
+		std::string pool;
+		PieceOrder order;
+	};
+
+	void makeHere(const std::string& _pool, const std::string& _peer, const PieceOrder& _order);
+	void send(const std::string& _to, PieceMessage _message, PieceActions& _actions);
+	void place(const std::string& _pool, const std::vector<PieceOrder>& _orders, Micros _now, PieceActions& _actions);
+	void takeBatchActions(const BatchActions& _batch, Micros _now, PieceActions& _actions);
+	void onAsk(const std::string& _from, const PieceAsk& _ask, Micros _now);
+	void onGive(const std::string& _from, const PieceGive& _give, PieceActions& _actions);
+	void onDrop(const std::string& _from, const PieceDrop& _drop);
+	void takeBack(const std::string& _peer, Micros _now, PieceActions& _actions);
+	void checkSilence(Micros _now, PieceActions& _actions);
+	void tellNews(Micros _now, PieceActions& _actions);
+
+	std::string self;
+	PieceDeskConfig config;
+	BatchMaker maker;
+	std::vector<std::string> members;
+	std::map<std::string, Micros> silentUntil;                               ///< Nodes that are passed over.
+	std::unordered_map<std::uint64_t, InHand> inHand;                        ///< By the number that the maker knows.
+	std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> numberOf; ///< The other way round.
+	std::map<std::uint64_t, Away> away;                                      ///< By order.
+	std::map<std::string, Micros> heardAt; ///< Nodes that have pieces of ours in hand.
+	std::map<std::string, Micros> toldAt;  ///< Nodes whose pieces are in hand here.
+	std::uint64_t lastNumber = 0;
+};
+
+} // namespace roadferry
+
+#endif // ROADFERRY_PARTS_BATCHES_H_HEADER_GUARD
--- /dev/null
+++ b/include/roadferry/parts/endpoints.h
@@ -0,0 +1,92 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Part of the public header: endpoints, and which of them may be used while their listing is in doubt.
+
+#ifndef ROADFERRY_PARTS_ENDPOINTS_H_HEADER_GUARD
+#define ROADFERRY_PARTS_ENDPOINTS_H_HEADER_GUARD
+
+#include <roadferry/parts/time.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace roadferry
+{
+
+/// An endpoint, as the platform lists it.
+struct Endpoint
+{
+	std::string id;      ///< Unique for one start of the endpoint.
+	std::string address; ///< IP number and port.
+	std::string pool;
+	std::string failureDomain;
+	std::int64_t slots = 8; ///< Calls that it runs at once without slowing them down much.
+	bool leaving = false;
+	bool operator==(const Endpoint&) const = default;
+};
+
+/// Times of an EndpointDirectory.
+struct DirectoryConfig
+{
+	/// How long after the listing's return a missing endpoint is kept: live ones list themselves again in this time.
+	Micros relistGrace = 2 * kSecond;
+	/// The listing counts as lost when it could not be read for so long.
+	Micros lostAfter = 700 * kMillisecond;
+	bool operator==(const DirectoryConfig&) const = default;
+};
+
+/// The endpoints of a listing that can be away: nothing is forgotten while it is, and what vanished meanwhile gets
+/// some time to come back. An endpoint that was once seen leaving stays so.
+class EndpointDirectory
+{
+public:
+	explicit EndpointDirectory(DirectoryConfig _config);
+
+	/// The listing was read: one endpoint's entry is there.
+	void listed(const Endpoint& _endpoint, Micros _now);
+
+	/// The listing was read: one endpoint's entry has gone.
+	void unlisted(const std::string& _id, Micros _now);
+
+	/// The whole listing was read anew: entries that are not in it have gone.
+	void relisted(const std::vector<Endpoint>& _endpoints, Micros _now);
+
+	/// Another node knows the endpoint to be leaving.
+	void markLeaving(const std::string& _id);
+
+	/// The listing was read up to its end, whether or not anything had changed.
+	void readWell(Micros _now);
+
+	/// Drops what did not come back in time.
+	/// @returns Whether anything was dropped.
+	bool expire(Micros _now);
+
+	/// @returns All endpoints that may be known to callers, those that are leaving marked so.
+	[[nodiscard]] std::vector<Endpoint> endpoints() const;
+
+	/// @returns Endpoints that were seen leaving or gone, for other nodes.
+	[[nodiscard]] const std::set<std::string>& leaving() const;
+
+	/// @returns When the listing was read last, 0 for never.
+	[[nodiscard]] Micros readAt() const;
+
+private:
+	[[nodiscard]] bool inDoubt(Micros _now) const;
+
+	DirectoryConfig config;
+	std::map<std::string, Endpoint> entries;
+	std::map<std::string, Micros> missing; ///< Entries that have gone while in doubt, with when they are dropped.
+	std::set<std::string> left;
+	Micros lastRead = 0;
+	Micros doubtUntil = 0; ///< Until then a missing entry may be one that lapsed while the listing was away.
+};
+
+} // namespace roadferry
+
+#endif // ROADFERRY_PARTS_ENDPOINTS_H_HEADER_GUARD
--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -13,6 +13,11 @@
 #ifndef ROADFERRY_H_HEADER_GUARD
 #define ROADFERRY_H_HEADER_GUARD
 
+#include <roadferry/parts/batches.h>
+#include <roadferry/parts/endpoints.h>
+#include <roadferry/parts/routes.h>
+#include <roadferry/parts/time.h>
+
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
@@ -33,21 +38,6 @@
 namespace roadferry
 {
 
-/// Time point or duration in microseconds. Time points come from the caller's monotonic clock.
-using Micros = std::int64_t;
-
-constexpr Micros kMillisecond = 1'000;
-constexpr Micros kSecond = 1'000'000;
-
-/// Combines one lambda per alternative into a visitor for std::visit.
-template<class... Handlers>
-struct Overloaded : Handlers...
-{
-	using Handlers::operator()...;
-};
-template<class... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 // ---------------------------------------------------------------------------------------------------------------
 // Table: the operators' rows of weights and limits.
 // ---------------------------------------------------------------------------------------------------------------
@@ -787,18 +777,6 @@
 // Endpoints: which are live, which are leaving, how busy each one is.
 // ---------------------------------------------------------------------------------------------------------------
 
-/// An endpoint as the VM list names it.
-struct Endpoint
-{
-	std::string id;      ///< Unique for one run of the endpoint's VM.
-	std::string address; ///< IP number and port.
-	std::string pool;
-	std::string failureDomain;
-	std::int64_t slots = 8; ///< Calls that it runs at once without slowing them down much.
-	bool leaving = false;
-	bool operator==(const Endpoint&) const = default;
-};
-
 /// An endpoint's own word on how busy it is.
 struct LoadReport
 {
@@ -905,7 +883,9 @@
 	bool repeatable = true; ///< The caller's word; a stage's row can only make it stricter.
 	std::int64_t promptTokens = 0;
 	std::int64_t maxTokens = 0;
-	std::uint64_t prefix = 0; ///< Hash of the prompt's prefix, 0 for none.
+	std::uint64_t prefix = 0;    ///< Hash of the prompt's prefix, 0 for none.
+	bool repeat = false;         ///< Its first attempt repeats earlier work, and is paid for as a retry.
+	std::string nearDomain = {}; ///< Failure domain that its endpoint should be in, empty when it does not matter.
 	bool operator==(const RequestSpec&) const = default;
 };
 
@@ -986,7 +966,8 @@
 	bool setAside = true;            ///< Keep failing and slow endpoints out.
 	double urgentReserve = 0.1;      ///< Share of a pool's slots that only urgent pipelines may use.
 	double retryShare = 0.1;         ///< Retries earned by each first attempt.
-	double retryBurst = 20;          ///< Most retries saved up.
+	double retryBurst = 20;          ///< Most retries saved up, for each pool.
+	std::int64_t spareConnects = 0;  ///< Connections that may fail to open beyond a stage's attempts.
 	double slotsFactor = 1.0;        ///< Calls sent to an endpoint, as a multiple of its slots.
 	double lateMargin = 1.5;         ///< Deviations added to a predicted service time.
 	std::size_t window = 24;         ///< Waiting requests that are looked at for one with a good place.
@@ -1042,7 +1023,18 @@
 	/// Refuses every new request from now on, and lets those in flight end.
 	void drain();
 
+	/// Sets what each pool's retries are bounded by; what is saved up shrinks at once where the bound does.
+	/// @param[in] _share Retries earned by one first attempt.
+	/// @param[in] _burst Most retries saved up.
+	void setRetryBounds(double _share, double _burst);
+
 	Actions submit(const RequestSpec& _request, Micros _now);
+
+	/// Submits a request that brings its own pipeline, in place of one from the table.
+	/// @param[in] _pipeline The pipeline; its workspace is not compared with the request's.
+	/// @param[in] _stages Its stages, at least one.
+	Actions submit(const RequestSpec& _request, const PipelineRow& _pipeline, const std::vector<StageRow>& _stages,
+				   Micros _now);
 	Actions attemptEnded(std::uint64_t _attempt, const AttemptEnd& _end, Micros _now);
 	Actions cancel(std::uint64_t _request, Micros _now);
 	Actions tick(Micros _now);
--- /dev/null
+++ b/src/batch_maker.cpp
@@ -0,0 +1,348 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Forms batches of pieces and places them on endpoints.
+
+#include <roadferry/parts/batches.h>
+
+#include <roadferry/roadferry.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace roadferry
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 5> kFaultNames = {"late", "input_gone", "no_room", "no_endpoint", "error"};
+constexpr double kSlownessSmoothing = 0.3;
+constexpr double kSlownessMost = 8.0;
+
+} // namespace
+
+std::string_view nameOf(PieceFault _fault)
+{
+	return kFaultNames.at(static_cast<std::size_t>(_fault));
+}
+
+BatchMaker::BatchMaker(BatchConfig _config) : config(_config)
+{
+}
+
+void BatchMaker::setPools(const std::vector<PoolSpec>& _pools)
+{
+	for (const PoolSpec& spec : _pools)
+	{
+		if (spec.batches)
+		{
+			this->pools[spec.name].limits = *spec.batches;
+		}
+	}
+}
+
+void BatchMaker::setEndpoints(const std::vector<Endpoint>& _endpoints)
+{
+	for (auto& entry : this->makers)
+	{
+		entry.second.listed = false;
+	}
+	for (const Endpoint& endpoint : _endpoints)
+	{
+		Maker& maker = this->makers[endpoint.id];
+		maker.endpoint = endpoint;
+		maker.listed = true;
+		if (endpoint.leaving)
+		{
+			this->left.insert(endpoint.id);
+		}
+		maker.endpoint.leaving = this->left.count(endpoint.id) > 0;
+	}
+	std::erase_if(this->makers, [](const auto& _entry) { return !_entry.second.listed && _entry.second.calls == 0; });
+}
+
+bool BatchMaker::before(const Waiting& _left, const Waiting& _right)
+{
+	return std::tie(_left.order.due, _left.order.order) < std::tie(_right.order.due, _right.order.order);
+}
+
+void BatchMaker::enqueue(Pool& _pool, Waiting _waiting)
+{
+	const auto place = std::upper_bound(_pool.queue.begin(), _pool.queue.end(), _waiting, &BatchMaker::before);
+	_pool.queue.insert(place, std::move(_waiting));
+}
+
+void BatchMaker::add(const std::string& _pool, const PieceOrder& _order)
+{
+	this->enqueue(this->pools[_pool], Waiting{_order, 0, {}});
+}
+
+bool BatchMaker::cancel(std::uint64_t _order)
+{
+	for (auto& entry : this->pools)
+	{
+		if (std::erase_if(entry.second.queue,
+						  [_order](const Waiting& _waiting) { return _waiting.order.order == _order; }) > 0)
+		{
+			return true;
+		}
+	}
+	return false;
+}
+
+Micros BatchMaker::expectedTime(const BatchLimits& _limits, const Maker& _maker, std::size_t _pieces) const
+{
+	const Micros told = _limits.callTime + _limits.pieceTime * static_cast<Micros>(_pieces);
+	return static_cast<Micros>(static_cast<double>(told) * std::max(1.0, _maker.slowness));
+}
+
+void BatchMaker::dropLate(Pool& _pool, Micros _now, BatchActions& _actions)
+{
+	const Micros shortest = _pool.limits.callTime;
+	std::erase_if(_pool.queue,
+				  [&](const Waiting& _waiting)
+				  {
+					  const bool late = _now + shortest > _waiting.order.deadline;
+					  if (late)
+					  {
+						  _actions.emplace_back(PieceFailed{_waiting.order.order, PieceFault::Late});
+					  }
+					  return late;
+				  });
+}
+
+BatchMaker::Maker* BatchMaker::chooseMaker(const std::string& _pool, const Pool& _spec, Micros _now)
+{
+	Maker* best = nullptr;
+	for (auto& entry : this->makers)
+	{
+		Maker& maker = entry.second;
+		const bool usable = maker.listed && !maker.endpoint.leaving && maker.endpoint.pool == _pool;
+		if (!usable || maker.calls >= _spec.limits.slots || _now < maker.asideUntil)
+		{
+			continue;
+		}
+		const bool avoided = !_spec.queue.empty() && _spec.queue.front().avoid == maker.endpoint.id;
+		const bool better = best == nullptr || maker.slowness < best->slowness;
+		if (better && (!avoided || best == nullptr))
+		{
+			best = &maker;
+		}
+	}
+	return best;
+}
+
+void BatchMaker::startOne(const std::string& _name, Pool& _pool, Maker& _maker, Micros _now, BatchActions& _actions)
+{
+	const std::size_t most = static_cast<std::size_t>(std::max<std::int64_t>(1, _pool.limits.batch));
+	const std::size_t count = std::min(most, _pool.queue.size());
+	Call call;
+	call.pool = _name;
+	call.endpoint = _maker.endpoint;
+	call.startedAt = _now;
+	call.expected = _pool.limits.callTime + _pool.limits.pieceTime * static_cast<Micros>(count);
+	const double longest = static_cast<double>(this->expectedTime(_pool.limits, _maker, count)) * this->config.slowest;
+	call.giveUpAt = _now + static_cast<Micros>(longest) + this->config.slack;
+	StartBatch action{++this->lastBatch, _name, _maker.endpoint, {}, call.giveUpAt};
+	for (std::size_t index = 0; index < count; ++index)
+	{
+		action.orders.push_back(_pool.queue[index].order);
+		call.pieces.push_back(std::move(_pool.queue[index]));
+		call.pieces.back().tries += 1;
+	}
+	_pool.queue.erase(_pool.queue.begin(), _pool.queue.begin() + static_cast<std::ptrdiff_t>(count));
+	_maker.calls += 1;
+	_maker.freeAt = _now + this->expectedTime(_pool.limits, _maker, count);
+	this->calls.emplace(action.batch, std::move(call));
+	_actions.emplace_back(std::move(action));
+}
+
+BatchMaker::Call BatchMaker::endCall(std::uint64_t _batch)
+{
+	const auto found = this->calls.find(_batch);
+	Call call = std::move(found->second);
+	this->calls.erase(found);
+	const auto maker = this->makers.find(call.endpoint.id);
+	if (maker != this->makers.end())
+	{
+		maker->second.calls -= 1;
+	}
+	return call;
+}
+
+void BatchMaker::retry(Waiting _piece, const Call& _call, PieceFault _fault, BatchActions& _actions)
+{
+	if (_piece.tries >= this->config.tries)
+	{
+		_actions.emplace_back(PieceFailed{_piece.order.order, _fault});
+		return;
+	}
+	_piece.avoid = _call.endpoint.id;
+	this->enqueue(this->pools[_call.pool], std::move(_piece));
+}
+
+void BatchMaker::takeResults(const Call& _call, const BatchAnswered& _answer, BatchActions& _actions)
+{
+	for (std::size_t index = 0; index < _call.pieces.size(); ++index)
+	{
+		const Waiting& piece = _call.pieces[index];
+		std::visit(
+			Overloaded{
+				[&](const std::string& _handle) {
+					_actions.emplace_back(PieceMade{piece.order.order, _handle, _call.endpoint.failureDomain});
+				},
+				[&](PieceFault _fault)
+				{
+					const bool final = _fault == PieceFault::Late || _fault == PieceFault::InputGone;
+					if (final)
+					{
+						_actions.emplace_back(PieceFailed{piece.order.order, _fault});
+						return;
+					}
+					this->retry(piece, _call, _fault, _actions);
+				},
+			},
+			_answer.results[index]);
+	}
+}
+
+BatchActions BatchMaker::batchEnded(std::uint64_t _batch, const BatchEnd& _end, Micros _now)
+{
+	BatchActions actions;
+	if (this->calls.count(_batch) == 0)
+	{
+		return actions;
+	}
+	const Call call = this->endCall(_batch);
+	const auto found = this->makers.find(call.endpoint.id);
+	Maker* maker = found == this->makers.end() ? nullptr : &found->second;
+	const auto* answered = std::get_if<BatchAnswered>(&_end);
+	if (answered != nullptr && answered->results.size() == call.pieces.size())
+	{
+		if (maker != nullptr)
+		{
+			const double ratio = static_cast<double>(_now - call.startedAt) / static_cast<double>(call.expected);
+			maker->slowness += kSlownessSmoothing * (std::min(ratio, kSlownessMost) - maker->slowness);
+			maker->failures = 0;
+		}
+		this->takeResults(call, *answered, actions);
+	}
+	else
+	{
+		const bool refused = std::holds_alternative<BatchRefused>(_end);
+		if (maker != nullptr)
+		{
+			maker->failures += 1;
+			const Micros pause = refused ? this->config.refusedPause : this->config.asideFor;
+			maker->asideUntil = _now + pause * std::min<Micros>(maker->failures, 4);
+		}
+		for (const Waiting& piece : call.pieces)
+		{
+			Waiting again = piece;
+			again.tries -= refused ? 1 : 0; // It did not begin.
+			this->retry(std::move(again), call, refused ? PieceFault::NoEndpoint : PieceFault::Error, actions);
+		}
+	}
+	const BatchActions more = this->tick(_now);
+	actions.insert(actions.end(), more.begin(), more.end());
+	return actions;
+}
+
+void BatchMaker::expireCalls(Micros _now, BatchActions& _actions)
+{
+	std::vector<std::uint64_t> expired;
+	for (const auto& entry : this->calls)
+	{
+		if (entry.second.giveUpAt <= _now)
+		{
+			expired.push_back(entry.first);
+		}
+	}
+	for (const std::uint64_t batch : expired)
+	{
+		if (this->calls.count(batch) == 0)
+		{
+			continue;
+		}
+		_actions.emplace_back(CancelBatch{batch});
+		const BatchActions more = this->batchEnded(batch, BatchCut{}, _now);
+		_actions.insert(_actions.end(), more.begin(), more.end());
+	}
+}
+
+BatchActions BatchMaker::tick(Micros _now)
+{
+	BatchActions actions;
+	this->expireCalls(_now, actions);
+	for (auto& entry : this->pools)
+	{
+		Pool& pool = entry.second;
+		this->dropLate(pool, _now, actions);
+		while (!pool.queue.empty())
+		{
+			Maker* maker = this->chooseMaker(entry.first, pool, _now);
+			if (maker == nullptr)
+			{
+				break;
+			}
+			this->startOne(entry.first, pool, *maker, _now, actions);
+		}
+	}
+	return actions;
+}
+
+Micros BatchMaker::predictedTime(const std::string& _pool, Micros _now) const
+{
+	const auto found = this->pools.find(_pool);
+	if (found == this->pools.end())
+	{
+		return 0;
+	}
+	const BatchLimits& limits = found->second.limits;
+	std::vector<Micros> free;
+	for (const auto& entry : this->makers)
+	{
+		const Maker& maker = entry.second;
+		if (maker.listed && !maker.endpoint.leaving && maker.endpoint.pool == _pool)
+		{
+			const Micros at = maker.calls >= limits.slots ? std::max(_now, maker.freeAt) : _now;
+			free.push_back(std::max(at, maker.asideUntil));
+		}
+	}
+	if (free.empty())
+	{
+		return kSecond;
+	}
+	std::sort(free.begin(), free.end());
+	const std::size_t batch = static_cast<std::size_t>(std::max<std::int64_t>(1, limits.batch));
+	const std::size_t before = found->second.queue.size() / batch;
+	const Micros full = limits.callTime + limits.pieceTime * limits.batch;
+	const Micros turns = static_cast<Micros>(before / free.size());
+	return free[before % free.size()] - _now + turns * full + limits.callTime + limits.pieceTime;
+}
+
+std::size_t BatchMaker::waiting(const std::string& _pool) const
+{
+	const auto found = this->pools.find(_pool);
+	return found == this->pools.end() ? 0 : found->second.queue.size();
+}
+
+std::string batchNodeOf(const std::string& _pool, const std::vector<std::string>& _members)
+{
+	return *std::max_element(_members.begin(), _members.end(),
+							 [&](const std::string& _left, const std::string& _right)
+							 {
+								 const std::uint64_t seed = XXH3_64bits(_pool.data(), _pool.size());
+								 return XXH3_64bits_withSeed(_left.data(), _left.size(), seed) <
+										XXH3_64bits_withSeed(_right.data(), _right.size(), seed);
+							 });
+}
+
+} // namespace roadferry
--- a/src/caller_api.cpp
+++ b/src/caller_api.cpp
@@ -83,7 +83,7 @@
 		if (!this->begun)
 		{
 			this->begun = true;
-			this->reply->startStream(200, "text/event-stream");
+			this->reply->startStream(200, {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}});
 		}
 	}
 
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -41,6 +41,7 @@
 	double weight = 1;
 	std::size_t stageIndex = 0;
 	std::int64_t attemptsMade = 0;
+	std::int64_t connectsFailed = 0; ///< Attempts of the stage that did not reach an endpoint.
 	Phase phase = Phase::Waiting;
 	Waiting waiting;
 	std::uint64_t attempt = 0;
@@ -62,8 +63,7 @@
 /// Everything the dispatcher knows, and the steps it takes.
 struct Dispatcher::State
 {
-	explicit State(const DispatcherConfig& _config)
-		: config(_config), book(_config), budget(_config.retryShare, _config.retryBurst)
+	explicit State(const DispatcherConfig& _config) : config(_config), book(_config)
 	{
 	}
 
@@ -71,7 +71,7 @@
 	std::shared_ptr<const Table> table = std::make_shared<Table>();
 	EndpointBook book;
 	Predictor predictor;
-	RetryBudget budget;
+	std::map<std::string, RetryBudget> budgets; ///< By pool.
 	DispatcherCounters counters;
 	std::unordered_map<std::uint64_t, Flight> flights;
 	std::unordered_map<std::uint64_t, std::uint64_t> requestOfAttempt;
@@ -89,6 +89,8 @@
 	std::optional<Outcome> feasibilityRefusal(const Flight& _flight, Micros _now);
 	bool resolveStages(Flight& _flight) const;
 	PoolQueue& queue(const std::string& _pool);
+	RetryBudget& budget(const std::string& _pool);
+	void admit(const RequestSpec& _request, Flight _flight, Micros _now, Actions& _actions);
 	double queueWait(const Flight& _flight, const std::string& _pool, Micros _now);
 	double serviceFrom(const Flight& _flight, std::size_t _stage, double _deviations) const;
 	bool isOnce(const Flight& _flight) const;
@@ -105,6 +107,7 @@
 	void releaseAttempt(Flight& _flight);
 	void answered(Flight& _flight, Micros _now, Actions& _actions);
 	void retryOrGiveUp(Flight& _flight, bool _sent, Micros _now, Actions& _actions);
+	void reconnectOrGiveUp(Flight& _flight, Micros _now, Actions& _actions);
 };
 
 void Dispatcher::State::useTable(std::shared_ptr<const Table> _table)
@@ -142,6 +145,11 @@
 	return this->queues.emplace(_pool, PoolQueue(this->config.ordering)).first->second;
 }
 
+RetryBudget& Dispatcher::State::budget(const std::string& _pool)
+{
+	return this->budgets.try_emplace(_pool, this->config.retryShare, this->config.retryBurst).first->second;
+}
+
 bool Dispatcher::State::resolveStages(Flight& _flight) const
 {
 	for (const std::string& name : _flight.pipeline.stages)
@@ -329,7 +337,8 @@
 			break;
 		}
 		Flight& flight = this->flights.at(waiting.request);
-		const Placement placement = this->book.choose(_pool, flight.spec.prefix, flight.avoid, _now);
+		const Placement placement =
+			this->book.choose(_pool, flight.spec.prefix, flight.avoid, flight.spec.nearDomain, _now);
 		if (const auto* good = std::get_if<PlaceAt>(&placement))
 		{
 			queued.take(waiting);
@@ -370,9 +379,9 @@
 	_flight.startedAt = _now;
 	_flight.attemptsMade += 1;
 	this->counters.attempts += 1;
-	if (_flight.attemptsMade == 1)
+	if (_flight.attemptsMade == 1 && _flight.connectsFailed == 0 && !_flight.spec.repeat)
 	{
-		this->budget.firstAttempt();
+		this->budget(stage.pool).firstAttempt();
 	}
 	this->requestOfAttempt.emplace(_flight.attempt, _flight.spec.id);
 	this->book.began(_endpoint, _flight.predicted, _now);
@@ -464,6 +473,7 @@
 	_flight.onceBegun = _flight.onceBegun || this->isOnce(_flight);
 	_flight.stageIndex += 1;
 	_flight.attemptsMade = 0;
+	_flight.connectsFailed = 0;
 	_flight.avoid.clear();
 	if (_flight.stageIndex == _flight.stages.size())
 	{
@@ -499,7 +509,7 @@
 	{
 		this->finish(request, this->givenUp(_flight, Reason::AttemptsExhausted), _actions);
 	}
-	else if (!this->budget.takeRetry())
+	else if (!this->budget(stage.pool).takeRetry())
 	{
 		this->finish(request, this->givenUp(_flight, Reason::RetryBudgetEmpty), _actions);
 	}
@@ -511,6 +521,24 @@
 	this->pump(pool, _now, _actions);
 }
 
+/// No endpoint has seen the attempt: where the settings allow it, it counts neither as an attempt nor as a retry.
+void Dispatcher::State::reconnectOrGiveUp(Flight& _flight, Micros _now, Actions& _actions)
+{
+	if (_flight.connectsFailed >= this->config.spareConnects)
+	{
+		this->retryOrGiveUp(_flight, false, _now, _actions);
+		return;
+	}
+	_flight.connectsFailed += 1;
+	_flight.attemptsMade -= 1;
+	_flight.avoid = _flight.endpoint;
+	const std::string pool = _flight.stages[_flight.stageIndex].pool;
+	this->releaseAttempt(_flight);
+	this->book.failed(_flight.endpoint, _now);
+	this->enqueue(_flight);
+	this->pump(pool, _now, _actions);
+}
+
 Dispatcher::Dispatcher(const DispatcherConfig& _config) : state(std::make_unique<State>(_config))
 {
 }
@@ -557,6 +585,26 @@
 	this->state->draining = true;
 }
 
+void Dispatcher::setRetryBounds(double _share, double _burst)
+{
+	this->state->config.retryShare = _share;
+	this->state->config.retryBurst = _burst;
+	for (auto& entry : this->state->budgets)
+	{
+		entry.second.setBounds(_share, _burst);
+	}
+}
+
+void Dispatcher::State::admit(const RequestSpec& _request, Flight _flight, Micros _now, Actions& _actions)
+{
+	this->workspaceFlights[_request.workspace] += 1;
+	this->deadlines.emplace(_request.deadline, _request.id);
+	Flight& kept = this->flights.emplace(_request.id, std::move(_flight)).first->second;
+	const std::string pool = kept.stages.front().pool;
+	this->enqueue(kept);
+	this->pump(pool, _now, _actions);
+}
+
 Actions Dispatcher::submit(const RequestSpec& _request, Micros _now)
 {
 	State& self = *this->state;
@@ -569,12 +617,32 @@
 		actions.emplace_back(FinishRequest{_request.id, *refusal});
 		return actions;
 	}
-	self.workspaceFlights[_request.workspace] += 1;
-	self.deadlines.emplace(_request.deadline, _request.id);
-	Flight& kept = self.flights.emplace(_request.id, std::move(flight)).first->second;
-	const std::string pool = kept.stages.front().pool;
-	self.enqueue(kept);
-	self.pump(pool, _now, actions);
+	self.admit(_request, std::move(flight), _now, actions);
+	return actions;
+}
+
+Actions Dispatcher::submit(const RequestSpec& _request, const PipelineRow& _pipeline,
+						   const std::vector<StageRow>& _stages, Micros _now)
+{
+	State& self = *this->state;
+	Actions actions;
+	self.counters.submitted += 1;
+	Flight flight;
+	flight.spec = _request;
+	flight.pipeline = _pipeline;
+	flight.stages = _stages;
+	std::optional<Outcome> refusal = self.feasibilityRefusal(flight, _now);
+	if (!refusal && _request.repeat && !self.budget(_stages.front().pool).takeRetry())
+	{
+		refusal = Outcome{Verdict::NotRun, Reason::RetryBudgetEmpty, true, kRetryAfterMin, {}};
+	}
+	if (refusal)
+	{
+		self.counters.notRun += 1;
+		actions.emplace_back(FinishRequest{_request.id, *refusal});
+		return actions;
+	}
+	self.admit(_request, std::move(flight), _now, actions);
 	return actions;
 }
 
@@ -592,7 +660,7 @@
 	std::visit(
 		Overloaded{
 			[&](const AttemptAnswered&) { self.answered(flight, _now, actions); },
-			[&](const AttemptNotSent&) { self.retryOrGiveUp(flight, false, _now, actions); },
+			[&](const AttemptNotSent&) { self.reconnectOrGiveUp(flight, _now, actions); },
 			[&](const AttemptRefused&) { self.retryOrGiveUp(flight, false, _now, actions); },
 			[&](const AttemptCut&) { self.retryOrGiveUp(flight, true, _now, actions); },
 		},
--- a/src/endpoint_book.cpp
+++ b/src/endpoint_book.cpp
@@ -18,11 +18,36 @@
 {
 
 constexpr double kSlownessSmoothing = 0.2;
-constexpr double kSlowLimit = 4.0; ///< An endpoint this much slower than predicted is set aside.
-constexpr double kRoomyLoad = 0.5; ///< Below it an endpoint is shared by whoever comes first.
+constexpr double kSlowLimit = 4.0;     ///< An endpoint this much slower than predicted is set aside.
+constexpr double kRoomyLoad = 0.5;     ///< Below it an endpoint is shared by whoever comes first.
+constexpr double kNearLoadGate = 2.0;  ///< Mean loads up to which an endpoint nearby is preferred,
+constexpr double kNearIdleLoad = 0.25; ///< whatever the mean is up to this,
+constexpr double kNearSlowness = 2.0;  ///< unless it is this much slower than predicted.
 constexpr double kOwnSmoothing = 0.5;
 constexpr double kOthersSmoothing = 0.3; ///< Keeps nodes from all running to whichever endpoint looked idle.
 
+/// Keeps to the endpoints of a failure domain, as long as one of them is not much busier than the pool.
+void keepNear(std::vector<EndpointState*>& _candidates, const std::string& _near, double _meanLoad)
+{
+	if (_near.empty())
+	{
+		return;
+	}
+	std::vector<EndpointState*> near;
+	for (EndpointState* candidate : _candidates)
+	{
+		const bool quiet = candidate->load() <= std::max(kNearIdleLoad, kNearLoadGate * _meanLoad);
+		if (candidate->endpoint.failureDomain == _near && quiet && candidate->slowness < kNearSlowness)
+		{
+			near.push_back(candidate);
+		}
+	}
+	if (!near.empty())
+	{
+		_candidates = near;
+	}
+}
+
 } // namespace
 
 double EndpointState::load() const
@@ -143,7 +168,8 @@
 	return load < this->config.slotsFactor && static_cast<double>(_endpoint.own) < part;
 }
 
-Placement EndpointBook::choose(const std::string& _pool, std::uint64_t _prefix, const std::string& _avoid, Micros _now)
+Placement EndpointBook::choose(const std::string& _pool, std::uint64_t _prefix, const std::string& _avoid,
+							   const std::string& _near, Micros _now)
 {
 	const auto found = this->pools.find(_pool);
 	if (found == this->pools.end() || this->policy == nullptr)
@@ -178,6 +204,7 @@
 		return avoided == nullptr ? Placement(PlaceNowhere{}) : PlaceReluctantly{avoided};
 	}
 	const double mean = loads / static_cast<double>(usable.size());
+	keepNear(candidates, _near, mean);
 	return this->policy->choose(PlacementInput{candidates, usable, _prefix, this->random, found->second.turn, mean});
 }
 
--- a/src/endpoint_book.h
+++ b/src/endpoint_book.h
@@ -39,7 +39,9 @@
 	/// @param[in] _pool Name of the pool.
 	/// @param[in] _prefix Hash of the prompt's prefix, 0 for none.
 	/// @param[in] _avoid Endpoint that failed this request before; taken only when there is no other.
-	Placement choose(const std::string& _pool, std::uint64_t _prefix, const std::string& _avoid, Micros _now);
+	/// @param[in] _near Failure domain to prefer, empty for none.
+	Placement choose(const std::string& _pool, std::uint64_t _prefix, const std::string& _avoid,
+					 const std::string& _near, Micros _now);
 
 	/// Counts a call as begun or ended on an endpoint.
 	void began(EndpointState& _endpoint, double _work, Micros _now);
--- /dev/null
+++ b/src/event_stream.cpp
@@ -0,0 +1,61 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Implementation of the cutting of streams into events.
+
+#include "event_stream.h"
+
+#include <algorithm>
+
+namespace roadferry
+{
+
+namespace
+{
+
+constexpr std::size_t kEventLimit = 1024 * 1024; ///< Bytes; engines' events hold a few tokens.
+
+/// @returns Position behind the first empty line at or after a position, npos when there is none.
+std::size_t endOfEvent(const std::string& _text, std::size_t _from)
+{
+	const std::size_t plain = _text.find("\n\n", _from);
+	const std::size_t withReturns = _text.find("\r\n\r\n", _from);
+	if (plain == std::string::npos && withReturns == std::string::npos)
+	{
+		return std::string::npos;
+	}
+	return plain < withReturns ? plain + 2 : withReturns + 4;
+}
+
+} // namespace
+
+std::vector<std::string> EventCutter::take(std::string_view _bytes)
+{
+	this->held.append(_bytes);
+	std::vector<std::string> events;
+	std::size_t begin = 0;
+	std::size_t end = endOfEvent(this->held, begin);
+	while (end != std::string::npos)
+	{
+		events.push_back(this->held.substr(begin, end - begin));
+		begin = end;
+		end = endOfEvent(this->held, begin);
+	}
+	this->held.erase(0, begin);
+	return events;
+}
+
+bool EventCutter::hasPart() const
+{
+	return !this->held.empty();
+}
+
+bool EventCutter::overflown() const
+{
+	return this->held.size() > kEventLimit;
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/src/feed_loop.h
@@ -0,0 +1,66 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Reads one topic of a feed again and again.
+
+#ifndef ROADFERRY_FEED_LOOP_H_HEADER_GUARD
+#define ROADFERRY_FEED_LOOP_H_HEADER_GUARD
+
+#include "adapter.h"
+
+#include <QTimer>
+
+namespace roadferry
+{
+
+/// How often a topic is read.
+struct FeedPace
+{
+	Micros wait = 0;  ///< How long one reading waits for something new.
+	Micros pause = 0; ///< Between two readings.
+	bool operator==(const FeedPace&) const = default;
+};
+
+/// What a loop tells. Called on the control thread.
+struct FeedHandlers
+{
+	/// @param[in] _whole Whether the changes are all entries there are.
+	std::function<void(const std::vector<FeedChange>& _changes, bool _whole)> onRead;
+};
+
+/// Keeps a topic up to date: the whole of it first, then what came after; the whole again when the platform does not
+/// hold the changes any more. Pauses longer and longer while the platform does not answer.
+class FeedLoop
+{
+public:
+	FeedLoop(Feed& _feed, FeedTopic _topic, FeedPace _pace, FeedHandlers _handlers);
+
+	void start();
+
+	/// @returns Whether the whole topic was read at least once.
+	[[nodiscard]] bool known() const;
+
+	/// @returns Whether the last reading failed.
+	[[nodiscard]] bool lost() const;
+
+private:
+	void read();
+	void done(const absl::StatusOr<FeedPage>& _page, bool _whole);
+	void failed(const absl::Status& _status);
+
+	Feed& feed;
+	FeedTopic topic;
+	FeedPace pace;
+	FeedHandlers handlers;
+	QTimer timer;
+	std::optional<std::uint64_t> position; ///< Nothing until the whole was read.
+	Micros backoff = 0;
+	bool everRead = false;
+};
+
+} // namespace roadferry
+
+#endif // ROADFERRY_FEED_LOOP_H_HEADER_GUARD
--- /dev/null
+++ b/src/forward_control.cpp
@@ -0,0 +1,263 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Implementation of the control state of a node that forwards.
+
+#include "forward_control.h"
+
+#include "clock.h"
+#include "logging.h"
+#include "trace.h"
+
+namespace roadferry
+{
+
+namespace
+{
+
+constexpr int kTickMs = 200;
+constexpr Micros kAskEvery = 400 * kMillisecond; ///< Between two questions to other nodes while the platform is away.
+constexpr std::int64_t kNanosPerMicro = 1'000;
+/// Part of the retries that all nodes together are allowed: views of who is alive differ for seconds.
+constexpr double kRetryCaution = 0.6;
+constexpr std::size_t kFewestNodes = 3; ///< Assumed until the members are known.
+
+} // namespace
+
+ForwardControl::ForwardControl(Feed& _feed, ForwardTraffic& _traffic, ForwardControlSettings _settings,
+							   std::function<void(const std::string&, const PeerMessage&)> _send,
+							   std::function<void(const RoutePlan&)> _onPlan)
+	: feed(_feed), traffic(_traffic), settings(std::move(_settings)), send(std::move(_send)),
+	  onPlan(std::move(_onPlan)),
+	  routeLoop(_feed, FeedTopic::Routes, settings.routes,
+				FeedHandlers{[this](const std::vector<FeedChange>& _changes, bool) { this->onRoutes(_changes); }}),
+	  endpointLoop(_feed, FeedTopic::Endpoints, settings.endpoints,
+				   FeedHandlers{[this](const std::vector<FeedChange>& _changes, bool _whole)
+								{ this->onEndpoints(_changes, _whole); }}),
+	  directory(settings.directory),
+	  membership(settings.self, static_cast<std::uint64_t>(wallNanoseconds() / kNanosPerMicro), MembershipConfig{},
+				 randomNumber())
+{
+	QObject::connect(&this->timer, &QTimer::timeout, [this] { this->tick(); });
+}
+
+void ForwardControl::start()
+{
+	this->membership.setSeeds(this->settings.seeds);
+	this->publishMembers();
+	this->routeLoop.start();
+	this->endpointLoop.start();
+	this->timer.start(kTickMs);
+}
+
+bool ForwardControl::ready() const
+{
+	return this->plan != nullptr && this->endpointsKnown;
+}
+
+void ForwardControl::onRoutes(const std::vector<FeedChange>& _changes)
+{
+	for (const FeedChange& change : _changes)
+	{
+		if (const auto* read = std::get_if<RoutesRead>(&change))
+		{
+			this->takePlan(*read, "platform");
+		}
+		else if (const auto* fault = std::get_if<UnreadableEntry>(&change))
+		{
+			logEvent("control", "routes_unreadable", {{"name", fault->name}, {"fault", fault->fault}});
+		}
+	}
+}
+
+void ForwardControl::takePlan(const RoutesRead& _read, const std::string& _source)
+{
+	const std::uint64_t version = _read.plan->data().version;
+	if (this->plan != nullptr && version <= this->plan->data().version)
+	{
+		return; // A copy that took longer; versions in force never go back.
+	}
+	this->plan = _read.plan;
+	this->planRecord = _read.record;
+	this->membership.setTableOffset(version);
+	this->traffic.setPlan(this->plan);
+	this->onPlan(*this->plan);
+	logEvent("control", "routes_in_force",
+			 {{"version", version},
+			  {"source", _source},
+			  {"routes", this->plan->data().routes.size()},
+			  {"pools", this->plan->data().pools.size()},
+			  {"workspaces", this->plan->data().workspaces.size()}});
+}
+
+void ForwardControl::onEndpoints(const std::vector<FeedChange>& _changes, bool _whole)
+{
+	const Micros now = monotonicNow();
+	std::vector<Endpoint> all;
+	this->directory.readWell(now);
+	for (const FeedChange& change : _changes)
+	{
+		std::visit(
+			Overloaded{
+				[](const RoutesRead&) {},
+				[&](const EndpointListed& _listed)
+				{
+					all.push_back(_listed.endpoint);
+					this->directory.listed(_listed.endpoint, now);
+					logEvent("control", "endpoint_listed",
+							 {{"endpoint", _listed.endpoint.id},
+							  {"pool", _listed.endpoint.pool},
+							  {"address", _listed.endpoint.address},
+							  {"failure_domain", _listed.endpoint.failureDomain},
+							  {"leaving", _listed.endpoint.leaving}});
+				},
+				[&](const EndpointUnlisted& _gone)
+				{
+					this->directory.unlisted(_gone.id, now);
+					logEvent("control", "endpoint_unlisted", {{"endpoint", _gone.id}});
+				},
+				[](const UnreadableEntry& _fault) {
+					logEvent("control", "endpoint_unreadable", {{"name", _fault.name}, {"fault", _fault.fault}});
+				},
+			},
+			change);
+	}
+	if (_whole)
+	{
+		this->directory.relisted(all, now);
+	}
+	const bool dropped = this->directory.expire(now);
+	const bool first = !std::exchange(this->endpointsKnown, true);
+	if (first || dropped || _whole || !_changes.empty())
+	{
+		this->publishEndpoints();
+	}
+}
+
+void ForwardControl::publishEndpoints()
+{
+	this->traffic.setEndpoints(this->directory.endpoints());
+}
+
+void ForwardControl::publishMembers()
+{
+	const std::vector<std::string> alive = this->membership.alive();
+	if (alive == this->members)
+	{
+		return;
+	}
+	this->members = alive;
+	const auto nodes = static_cast<double>(std::max(kFewestNodes, alive.size()));
+	this->traffic.setMembers(alive);
+	this->traffic.setRetryBounds(this->settings.retryShare * kRetryCaution,
+								 this->settings.retrySlack * kRetryCaution / nodes);
+	logEvent("control", "members", {{"alive", alive.size()}, {"retry_burst_of", static_cast<std::int64_t>(nodes)}});
+}
+
+void ForwardControl::tick()
+{
+	const Micros now = monotonicNow();
+	this->carry(this->membership.tick(now));
+	this->publishMembers();
+	if (this->directory.expire(now))
+	{
+		this->publishEndpoints();
+	}
+	this->askPeers(now);
+}
+
+/// While the platform is away, or has not answered yet, other nodes may know more.
+void ForwardControl::askPeers(Micros _now)
+{
+	const bool away = this->routeLoop.lost() || this->endpointLoop.lost() || !this->ready();
+	if (!away || _now < this->askAt)
+	{
+		return;
+	}
+	std::vector<std::string> peers = this->members;
+	peers.insert(peers.end(), this->settings.seeds.begin(), this->settings.seeds.end());
+	std::erase(peers, this->settings.self);
+	if (peers.empty())
+	{
+		return;
+	}
+	this->askAt = _now + kAskEvery;
+	this->askTurn += 1;
+	RoutesAsk ask;
+	ask.version = this->plan == nullptr ? 0 : this->plan->data().version;
+	ask.endpoints = !this->endpointsKnown;
+	this->send(peers[this->askTurn % peers.size()], ask);
+}
+
+void ForwardControl::onRoutesAsk(const std::string& _peer, const RoutesAsk& _ask)
+{
+	RoutesGive give;
+	if (this->plan != nullptr && this->plan->data().version > _ask.version)
+	{
+		give.record = this->planRecord;
+	}
+	if (_ask.endpoints && this->endpointsKnown)
+	{
+		give.endpoints = this->directory.endpoints();
+	}
+	give.leaving.assign(this->directory.leaving().begin(), this->directory.leaving().end());
+	if (!give.record.empty() || !give.endpoints.empty() || !give.leaving.empty())
+	{
+		this->send(_peer, give);
+	}
+}
+
+void ForwardControl::onRoutesGive(const std::string& _peer, const RoutesGive& _give)
+{
+	if (!_give.record.empty())
+	{
+		const absl::StatusOr<RoutesRead> read = this->feed.readRecord(_give.record);
+		if (read.ok())
+		{
+			this->takePlan(*read, _peer);
+		}
+		else
+		{
+			logEvent("control", "routes_unreadable",
+					 {{"name", _peer}, {"fault", std::string(read.status().message())}});
+		}
+	}
+	if (!this->endpointsKnown && !_give.endpoints.empty())
+	{
+		this->endpointsKnown = true;
+		for (const Endpoint& endpoint : _give.endpoints)
+		{
+			this->directory.listed(endpoint, monotonicNow());
+		}
+		logEvent("control", "endpoints_from_peer", {{"peer", _peer}, {"endpoints", _give.endpoints.size()}});
+	}
+	for (const std::string& endpoint : _give.leaving)
+	{
+		this->directory.markLeaving(endpoint);
+	}
+	this->publishEndpoints();
+}
+
+void ForwardControl::carry(const std::vector<SendGossip>& _messages)
+{
+	for (const SendGossip& message : _messages)
+	{
+		this->send(message.to, message.message);
+	}
+}
+
+void ForwardControl::onGossip(const std::string& _peer, const Gossip& _message)
+{
+	this->carry(this->membership.receive(_peer, _message, monotonicNow()));
+	this->publishMembers();
+}
+
+void ForwardControl::leave()
+{
+	this->carry(this->membership.leave());
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/src/forward_node.cpp
@@ -0,0 +1,278 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Implementation of the node that forwards.
+
+#include "forward_node.h"
+
+#include "clock.h"
+#include "logging.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace roadferry
+{
+
+namespace
+{
+
+constexpr int kReadyPeriodMs = 20;
+constexpr int kDrainPeriodMs = 20;
+constexpr int kSettingsPeriodMs = 1'000;
+/// Balancers ask once a second and need two answers that say no; what they still send until then is served.
+constexpr Micros kBalancerNotice = 2'600 * kMillisecond;
+constexpr Micros kFarewellTime = 100 * kMillisecond; ///< For the last messages to leave.
+constexpr Micros kStopMargin = 400 * kMillisecond;   ///< Kept of the time for a planned stop, for its own end.
+constexpr Micros kBodyTime = 30 * kSecond;           ///< For a client to send a body.
+
+} // namespace
+
+ForwardNode::ForwardNode(Settings _settings)
+	: settings(std::move(_settings)), pool(1), client(pool), settingsText(settings.fileText)
+{
+}
+
+ForwardNode::~ForwardNode()
+{
+	if (this->link != nullptr)
+	{
+		this->link->close();
+	}
+	this->pool.stop();
+}
+
+absl::Status ForwardNode::listenForPeers()
+{
+	PeerHandlers handlers;
+	handlers.onMessage = [this](const std::string& _peer, const std::string& _bytes)
+	{ this->onPeerMessage(_peer, _bytes); };
+	handlers.onClosed = [this](const std::string& _peer) { this->traffic->peerClosed(_peer); };
+	this->link = std::make_unique<PeerLink>(this->pool, this->settings.peerSecret, handlers);
+	const std::string fault = this->link->listen(this->settings.ip, this->settings.peerPort);
+	return fault.empty() ? absl::OkStatus() : absl::UnavailableError(fault);
+}
+
+void ForwardNode::makeTraffic()
+{
+	ForwardSettings forward;
+	forward.self = this->link->self();
+	forward.dispatcher = this->settings.dispatcher;
+	forward.dispatcher.seed = randomNumber();
+	forward.pieces.shared = this->settings.sharedBatches;
+	this->traffic = std::make_unique<ForwardTraffic>(
+		this->pool, this->client, *this->wire, this->metrics, std::move(forward),
+		[this](const std::string& _to, const PieceMessage& _message)
+		{
+			const PeerMessage message = std::visit([](const auto& _typed) { return PeerMessage(_typed); }, _message);
+			this->link->send(_to, encode(message));
+		});
+}
+
+void ForwardNode::makeControl(const Adapter& _adapter)
+{
+	this->feed = _adapter.makeFeed(this->client, this->pool, this->settings.feedAddress);
+	ForwardControlSettings control;
+	control.self = this->link->self();
+	control.seeds = this->settings.seeds;
+	control.retryShare = this->settings.dispatcher.retryShare;
+	control.retrySlack = this->settings.retrySlack;
+	this->control = std::make_unique<ForwardControl>(
+		*this->feed, *this->traffic, std::move(control),
+		[this](const std::string& _peer, const PeerMessage& _message) { this->link->send(_peer, encode(_message)); },
+		[this](const RoutePlan& _plan) { this->applyLimits(_plan); });
+}
+
+absl::Status ForwardNode::listenForClients()
+{
+	this->server = std::make_unique<HttpServer>(this->pool, this->settings.http, this->settings.tls,
+												[this](HttpRequest _request, const std::shared_ptr<HttpReply>& _reply)
+												{ this->traffic->handle(std::move(_request), _reply); });
+	const std::string fault = this->server->listen(this->settings.ip, this->settings.port);
+	if (!fault.empty())
+	{
+		return absl::UnavailableError(fault);
+	}
+	this->readinessServer =
+		std::make_unique<HttpServer>(this->pool, HttpServerLimits{}, TlsFiles{},
+									 [this](const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply)
+									 { this->handleReadiness(_request, _reply); });
+	const std::string readinessFault = this->readinessServer->listen(this->settings.ip, this->settings.readinessPort);
+	return readinessFault.empty() ? absl::OkStatus() : absl::UnavailableError(readinessFault);
+}
+
+absl::Status ForwardNode::start(std::function<void()> _stopped)
+{
+	this->stopped = std::move(_stopped);
+	const Adapter* adapter = findAdapter(this->settings.adapter);
+	if (adapter == nullptr)
+	{
+		return absl::InvalidArgumentError(absl::StrCat("there is no adapter ", this->settings.adapter));
+	}
+	this->wire = adapter->makeWire();
+	absl::Status status = this->listenForPeers();
+	if (!status.ok())
+	{
+		return status;
+	}
+	this->makeTraffic();
+	this->makeControl(*adapter);
+	status = this->listenForClients();
+	if (!status.ok())
+	{
+		return status;
+	}
+	this->traffic->start();
+	this->control->start();
+	QObject::connect(&this->readyTimer, &QTimer::timeout, [this] { this->isReady = this->control->ready(); });
+	this->readyTimer.start(kReadyPeriodMs);
+	QObject::connect(&this->settingsTimer, &QTimer::timeout, [this] { this->watchSettings(); });
+	this->settingsTimer.start(kSettingsPeriodMs);
+	logEvent("node", "started",
+			 {{"clients", this->callerAddress()},
+			  {"peers", this->peerAddress()},
+			  {"failure_domain", this->settings.failureDomain},
+			  {"feed", this->settings.feedAddress}});
+	return absl::OkStatus();
+}
+
+void ForwardNode::applyLimits(const RoutePlan& _plan)
+{
+	const ClientLimits& limits = _plan.data().limits;
+	HttpServerLimits http = this->settings.http;
+	http.headerBytes = static_cast<std::size_t>(limits.headerBytes);
+	http.bodyBytes = static_cast<std::size_t>(limits.bodyBytes);
+	http.headerTimeout = limits.headerTime;
+	http.requestTimeout = kBodyTime;
+	http.idleTimeout = limits.idleTime;
+	this->server->setLimits(http);
+}
+
+void ForwardNode::handleReadiness(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply)
+{
+	HttpResponse response;
+	response.contentType = "text/plain";
+	if (this->wire->asksReadiness(_request))
+	{
+		response.status = this->isReady && !this->leaving ? 200 : 503;
+	}
+	else if (_request.target == "/metrics")
+	{
+		response.body = this->traffic->metricsText();
+	}
+	else
+	{
+		response.status = 404;
+	}
+	_reply->send(std::move(response));
+}
+
+void ForwardNode::onPeerMessage(const std::string& _peer, const std::string& _bytes)
+{
+	auto message = decode(_bytes);
+	if (!message.ok())
+	{
+		logWarning("peer", absl::StrCat(_peer, ": ", std::string(message.status().message())));
+		return;
+	}
+	const auto onControl = [this](std::function<void()> _function)
+	{ QMetaObject::invokeMethod(&this->controlThread, std::move(_function), Qt::QueuedConnection); };
+	std::visit(
+		Overloaded{
+			[&](const Gossip& _typed) { onControl([this, _peer, _typed] { this->control->onGossip(_peer, _typed); }); },
+			[&](const RoutesAsk& _typed)
+			{ onControl([this, _peer, _typed] { this->control->onRoutesAsk(_peer, _typed); }); },
+			[&](const RoutesGive& _typed)
+			{ onControl([this, _peer, _typed] { this->control->onRoutesGive(_peer, _typed); }); },
+			[&](const PieceAsk& _typed) { this->traffic->receive(_peer, _typed); },
+			[&](const PieceGive& _typed) { this->traffic->receive(_peer, _typed); },
+			[&](const PieceDrop& _typed) { this->traffic->receive(_peer, _typed); },
+			[&](const auto&) { logWarning("peer", absl::StrCat(_peer, ": a message for another kind of node")); },
+		},
+		*message);
+}
+
+void ForwardNode::reload()
+{
+	const absl::StatusOr<Settings> read = rereadSettings();
+	if (!read.ok())
+	{
+		logEvent("node", "reload_refused", {{"fault", std::string(read.status().message())}});
+		return;
+	}
+	this->settingsText = read->fileText;
+	const bool moved = read->port != this->settings.port || read->peerPort != this->settings.peerPort ||
+					   read->feedAddress != this->settings.feedAddress;
+	this->settings.drainSeconds = read->drainSeconds;
+	// Addresses hold until the next start.
+	logEvent("node", "reloaded", {{"needs_restart", moved}});
+}
+
+/// The file may change without a signal.
+void ForwardNode::watchSettings()
+{
+	const std::string text = settingsFileText();
+	if (!text.empty() && text != this->settingsText)
+	{
+		this->reload();
+	}
+}
+
+void ForwardNode::drain()
+{
+	if (this->leaving.exchange(true))
+	{
+		return;
+	}
+	logEvent("node", "stop_begins", {{"in_flight", this->traffic->inFlight()}});
+	this->drainBegan = monotonicNow();
+	this->control->leave();
+	QObject::connect(&this->drainTimer, &QTimer::timeout, [this] { this->awaitIdle(); });
+	this->drainTimer.start(kDrainPeriodMs);
+}
+
+void ForwardNode::awaitIdle()
+{
+	const Micros waited = monotonicNow() - this->drainBegan;
+	if (waited < kBalancerNotice)
+	{
+		return;
+	}
+	// Requests that still come over open connections are served; each connection closes after its answer.
+	this->server->closeAfterAnswers();
+	const bool idle = this->traffic->inFlight() == 0 && this->server->connections() == 0;
+	if (!idle && waited < this->settings.drainSeconds * kSecond - kStopMargin)
+	{
+		return;
+	}
+	if (this->farewellAt == 0)
+	{
+		this->farewellAt = monotonicNow();
+		this->server->stopAccepting();
+		return;
+	}
+	if (monotonicNow() - this->farewellAt < kFarewellTime)
+	{
+		return;
+	}
+	this->drainTimer.stop();
+	logEvent("node", "stopped", {{"in_flight", this->traffic->inFlight()}, {"after_ms", waited / kMillisecond}});
+	if (this->stopped)
+	{
+		this->stopped();
+	}
+}
+
+std::string ForwardNode::callerAddress() const
+{
+	return absl::StrCat(this->settings.ip, ":", this->server->port());
+}
+
+std::string ForwardNode::peerAddress() const
+{
+	return this->link->self();
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/src/forward_node.h
@@ -0,0 +1,69 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// A node that forwards requests on a platform: listeners, traffic, control, and its planned stop.
+
+#ifndef ROADFERRY_FORWARD_NODE_H_HEADER_GUARD
+#define ROADFERRY_FORWARD_NODE_H_HEADER_GUARD
+
+#include "daemon.h"
+#include "forward_control.h"
+#include "peer_link.h"
+#include "settings.h"
+
+namespace roadferry
+{
+
+/// The daemon in its forwarding form.
+class ForwardNode final : public Daemon
+{
+public:
+	explicit ForwardNode(Settings _settings);
+	~ForwardNode() override;
+
+	absl::Status start(std::function<void()> _stopped) override;
+	void drain() override;
+	void reload() override;
+	[[nodiscard]] std::string callerAddress() const override;
+	[[nodiscard]] std::string peerAddress() const override;
+
+private:
+	absl::Status listenForPeers();
+	absl::Status listenForClients();
+	void makeTraffic();
+	void makeControl(const Adapter& _adapter);
+	void onPeerMessage(const std::string& _peer, const std::string& _bytes);
+	void handleReadiness(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply);
+	void applyLimits(const RoutePlan& _plan);
+	void awaitIdle();
+	void watchSettings();
+
+	Settings settings;
+	IoPool pool;
+	HttpClient client;
+	Metrics metrics;
+	QObject controlThread; ///< Receives what is to run on the control thread.
+	std::unique_ptr<Wire> wire;
+	std::unique_ptr<Feed> feed;
+	std::unique_ptr<PeerLink> link;
+	std::unique_ptr<ForwardTraffic> traffic;
+	std::unique_ptr<ForwardControl> control;
+	std::unique_ptr<HttpServer> server;
+	std::unique_ptr<HttpServer> readinessServer;
+	QTimer readyTimer;
+	QTimer drainTimer;
+	QTimer settingsTimer;
+	std::function<void()> stopped;
+	std::string settingsText; ///< As read last.
+	std::atomic<bool> isReady{false};
+	std::atomic<bool> leaving{false};
+	Micros drainBegan = 0;
+	Micros farewellAt = 0;
+};
+
+} // namespace roadferry
+
+#endif // ROADFERRY_FORWARD_NODE_H_HEADER_GUARD
--- /dev/null
+++ b/src/forward_traffic.cpp
@@ -0,0 +1,620 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Implementation of the forwarded requests.
+
+#include "forward_traffic.h"
+
+#include "clock.h"
+#include "logging.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
+#include <xxhash.h>
+
+namespace roadferry
+{
+
+namespace
+{
+
+constexpr Micros kTickPeriod = 20 * kMillisecond;
+constexpr Micros kConnectTimeout = 400 * kMillisecond; ///< Across failure domains a connection opens in 2 ms.
+constexpr Micros kCallSlack = 200 * kMillisecond;      ///< The dispatcher gives up first; this is for when it does not.
+constexpr Micros kRetrySoon = 300 * kMillisecond;      ///< Advice when trouble is over in a moment.
+constexpr Micros kRetryUnready = kSecond;              ///< Advice of a node that does not know the routes yet.
+constexpr Micros kDefaultPatience = 60 * kSecond;      ///< Of clients that do not say how long they wait.
+constexpr std::int64_t kRemakesMost = 2;
+constexpr std::int64_t kLargeResult = 100'000; ///< Bytes from which on it matters where a result lies.
+constexpr double kMicrosPerSecond = 1e6;
+constexpr unsigned kUnauthorized = 401;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kGatewayTimeout = 504;
+
+/// @returns Hash of the parts of a prompt that other requests may share, 0 when there are none.
+std::uint64_t sharedPrefix(const std::vector<PromptPart>& _prompt)
+{
+	std::uint64_t hash = 0;
+	for (std::size_t index = 0; index + 1 < _prompt.size(); ++index)
+	{
+		hash = XXH3_64bits_withSeed(&_prompt[index].id, sizeof(_prompt[index].id), hash);
+	}
+	return hash;
+}
+
+} // namespace
+
+/// A request under way.
+struct ForwardTraffic::Active
+{
+	Active(ForwardRequest _request, const Wire& _wire, const std::shared_ptr<HttpReply>& _reply, const Route& _route)
+		: request(std::move(_request)), route(_route),
+		  answer(_wire, _reply, request.id, _route.streaming, _route.repeatable),
+		  graph(_route.stages, request.pieceCounts)
+	{
+	}
+
+	std::uint64_t id = 0;
+	ForwardRequest request;
+	std::shared_ptr<const RoutePlan> plan; ///< Version under which it was admitted.
+	const Route& route;
+	std::string workspace;
+	std::int64_t priority = 0;
+	Micros arrived = 0;
+	Micros giveUpAt = 0;
+	ForwardAnswer answer;
+	StageGraph graph;
+	std::map<std::string, std::string> domainOf; ///< Failure domain of each result.
+	std::set<std::uint64_t> orders;              ///< Pieces that are being made.
+	std::int64_t remakes = 0;
+	bool submitted = false; ///< The dispatcher has it.
+	std::int64_t attempts = 0;
+	std::uint64_t attempt = 0; ///< The one under way, 0 for none.
+	std::string endpoint;
+	std::shared_ptr<HttpCall> call;
+};
+
+ForwardTraffic::ForwardTraffic(IoPool& _pool, HttpClient& _client, const Wire& _wire, Metrics& _metrics,
+							   ForwardSettings _settings,
+							   std::function<void(const std::string&, const PieceMessage&)> _send)
+	: pool(_pool), client(_client), wire(_wire), metrics(_metrics), dispatcher(_settings.dispatcher),
+	  pieces(_client, _wire, PieceDesk(_settings.self, _settings.pieces),
+			 PieceHandlers{[this](const PieceMade& _made) { this->pieceMade(_made); },
+						   [this](const PieceFailed& _failed) { this->pieceFailed(_failed); }, std::move(_send)})
+{
+}
+
+ForwardTraffic::~ForwardTraffic() = default;
+
+void ForwardTraffic::start()
+{
+	this->pool.every(0, kTickPeriod, [this] { this->tick(); });
+}
+
+void ForwardTraffic::setPlan(const std::shared_ptr<const RoutePlan>& _plan)
+{
+	this->pool.post(0,
+					[this, _plan]
+					{
+						this->plan = _plan;
+						this->pieces.setPlan(*_plan);
+					});
+}
+
+void ForwardTraffic::setEndpoints(const std::vector<Endpoint>& _endpoints)
+{
+	this->pool.post(0,
+					[this, _endpoints]
+					{
+						this->dispatcher.setEndpoints(_endpoints);
+						this->pieces.setEndpoints(_endpoints);
+					});
+}
+
+void ForwardTraffic::setMembers(const std::vector<std::string>& _members)
+{
+	this->pool.post(0,
+					[this, _members]
+					{
+						this->dispatcher.setNodes(_members.size());
+						this->pieces.setMembers(_members);
+					});
+}
+
+void ForwardTraffic::setRetryBounds(double _share, double _burst)
+{
+	this->pool.post(0, [this, _share, _burst] { this->dispatcher.setRetryBounds(_share, _burst); });
+}
+
+void ForwardTraffic::receive(const std::string& _from, const PieceMessage& _message)
+{
+	this->pool.post(0, [this, _from, _message] { this->pieces.receive(_from, _message); });
+}
+
+void ForwardTraffic::peerClosed(const std::string& _peer)
+{
+	this->pool.post(0, [this, _peer] { this->pieces.peerClosed(_peer); });
+}
+
+std::size_t ForwardTraffic::inFlight() const
+{
+	return this->activeCount;
+}
+
+std::string ForwardTraffic::metricsText() const
+{
+	DispatcherCounters counters;
+	counters.attempts = this->attemptCount;
+	counters.retries = this->retryCount;
+	return this->metrics.text(counters, this->activeCount);
+}
+
+void ForwardTraffic::refuse(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply, unsigned _status,
+							const std::string& _code, const std::string& _message)
+{
+	logEvent("request", "refused",
+			 {{"status", _status},
+			  {"code", _code},
+			  {"target", _request.target},
+			  {"routes_version", this->plan == nullptr ? 0 : this->plan->data().version}});
+	ForwardAnswer(this->wire, _reply, {}, false, false)
+		.refuse(_status, _status == kUnavailable ? kRetryUnready : 0, _code, _message);
+}
+
+void ForwardTraffic::handle(HttpRequest _request, const std::shared_ptr<HttpReply>& _reply)
+{
+	if (this->plan == nullptr)
+	{
+		this->refuse(_request, _reply, kUnavailable, "not_ready", "the routes are not known yet");
+		return;
+	}
+	const HttpRequest original{_request.method, _request.target, {}, {}};
+	absl::StatusOr<ForwardRequest> decoded = this->wire.readRequest(std::move(_request));
+	if (!decoded.ok())
+	{
+		this->refuse(original, _reply, kBadRequest, "bad_request", std::string(decoded.status().message()));
+		return;
+	}
+	const Route* route = this->plan->match(decoded->host, decoded->target);
+	if (route == nullptr)
+	{
+		this->refuse(original, _reply, kNotFound, "not_found", "there is no such route");
+		return;
+	}
+	const bool needsCredential = !route->anonymous && !this->plan->data().workspaces.empty();
+	const WorkspaceAccess* workspace = needsCredential ? this->plan->workspaceOf(decoded->credential) : nullptr;
+	if (needsCredential && workspace == nullptr)
+	{
+		this->refuse(original, _reply, kUnauthorized, "unauthorized", "the credential is not known");
+		return;
+	}
+	auto active = std::make_shared<Active>(std::move(*decoded), this->wire, _reply, *route);
+	active->id = ++this->lastRequest;
+	active->plan = this->plan;
+	active->workspace = workspace == nullptr ? std::string() : workspace->name;
+	active->priority = workspace != nullptr ? workspace->priority.value_or(route->priority) : route->priority;
+	active->arrived = monotonicNow();
+	const Micros patience = active->request.patience.value_or(kDefaultPatience);
+	active->giveUpAt = active->arrived + std::min(patience, route->timeLimit);
+	this->begin(active);
+}
+
+void ForwardTraffic::begin(const ActivePointer& _active)
+{
+	this->actives.emplace(_active->id, _active);
+	this->activeCount = this->actives.size();
+	this->deadlines.emplace(_active->giveUpAt, _active->id);
+	logEvent("request", "admitted",
+			 {{"request", _active->request.id},
+			  {"route", _active->route.name},
+			  {"workspace", _active->workspace},
+			  {"routes_version", _active->plan->data().version},
+			  {"patience_ms", (_active->giveUpAt - _active->arrived) / kMillisecond}});
+	_active->answer.reply()->onGone([this, id = _active->id] { this->gone(id); });
+	if (this->find(_active->id) == nullptr)
+	{
+		return; // The client had left already.
+	}
+	if (_active->graph.complete())
+	{
+		this->submit(_active);
+		return;
+	}
+	this->orderPieces(_active);
+}
+
+ForwardTraffic::ActivePointer ForwardTraffic::find(std::uint64_t _id)
+{
+	const auto found = this->actives.find(_id);
+	return found == this->actives.end() ? nullptr : found->second;
+}
+
+/// Predicted time from the end of a stage until the request itself can be sent.
+Micros ForwardTraffic::timeAfter(const Active& _active, std::size_t _stage) const
+{
+	Micros longest = 0;
+	const std::vector<RouteStage>& stages = _active.route.stages;
+	for (std::size_t next = 0; next < stages.size(); ++next)
+	{
+		if (std::find(stages[next].after.begin(), stages[next].after.end(), _stage) == stages[next].after.end())
+		{
+			continue;
+		}
+		const PoolSpec* pool = _active.plan->pool(stages[next].pool);
+		const Micros call = pool != nullptr && pool->batches ? pool->batches->callTime : 0;
+		longest = std::max(longest, call + this->timeAfter(_active, next));
+	}
+	return longest;
+}
+
+PieceOrder ForwardTraffic::orderOf(const Active& _active, const PieceName& _piece) const
+{
+	const RouteStage& stage = _active.route.stages[_piece.stage];
+	const Micros after = this->timeAfter(_active, _piece.stage);
+	PieceOrder order;
+	order.request = _active.request.id;
+	order.name = _piece;
+	order.key = stage.after.empty() ? _active.request.pieceKey : std::string();
+	order.inputs = _active.graph.inputsOf(_piece.stage);
+	order.deadline = _active.giveUpAt - after;
+	order.due = _active.arrived + _active.route.target - after;
+	order.priority = _active.priority;
+	order.resultBytes = stage.resultBytes;
+	return order;
+}
+
+void ForwardTraffic::orderPieces(const ActivePointer& _active)
+{
+	std::map<std::string, std::vector<PieceOrder>> byPool;
+	for (const PieceName& piece : _active->graph.takeReady())
+	{
+		PieceOrder order = this->orderOf(*_active, piece);
+		order.order = ++this->lastOrder;
+		_active->orders.insert(order.order);
+		this->pieceOrders.emplace(order.order, std::make_pair(_active->id, piece));
+		byPool[_active->route.stages[piece.stage].pool].push_back(std::move(order));
+	}
+	for (const auto& entry : byPool)
+	{
+		this->pieces.order(entry.first, entry.second);
+	}
+}
+
+void ForwardTraffic::pieceMade(const PieceMade& _made)
+{
+	const auto found = this->pieceOrders.find(_made.order);
+	if (found == this->pieceOrders.end())
+	{
+		this->pieces.free({_made.handle});
+		return;
+	}
+	const auto [request, piece] = found->second;
+	this->pieceOrders.erase(found);
+	const ActivePointer active = this->find(request);
+	active->orders.erase(_made.order);
+	active->graph.made(piece, _made.handle);
+	active->domainOf[_made.handle] = _made.failureDomain;
+	this->pieces.free(active->graph.takeSpent());
+	if (active->graph.complete())
+	{
+		this->submit(active);
+		return;
+	}
+	this->orderPieces(active);
+}
+
+void ForwardTraffic::pieceFailed(const PieceFailed& _failed)
+{
+	const auto found = this->pieceOrders.find(_failed.order);
+	if (found == this->pieceOrders.end())
+	{
+		return;
+	}
+	const auto [request, piece] = found->second;
+	this->pieceOrders.erase(found);
+	const ActivePointer active = this->find(request);
+	active->orders.erase(_failed.order);
+	logEvent("request", "piece_failed",
+			 {{"request", active->request.id},
+			  {"stage", piece.stage},
+			  {"piece", piece.piece},
+			  {"fault", std::string(nameOf(_failed.fault))}});
+	if (_failed.fault == PieceFault::InputGone && active->remakes < kRemakesMost)
+	{
+		this->remake(active);
+		return;
+	}
+	const bool late = _failed.fault == PieceFault::Late;
+	this->giveUp(active, late ? Reason::WouldBeLate : Reason::NoEndpoint, kRetrySoon);
+}
+
+/// Makes all pieces again, after a result was lost.
+void ForwardTraffic::remake(const ActivePointer& _active)
+{
+	_active->remakes += 1;
+	_active->submitted = false;
+	const std::vector<std::uint64_t> orders(_active->orders.begin(), _active->orders.end());
+	_active->orders.clear();
+	for (const std::uint64_t order : orders)
+	{
+		this->pieceOrders.erase(order);
+	}
+	this->pieces.cancel(orders);
+	this->pieces.free(_active->graph.takeAll());
+	_active->graph = StageGraph(_active->route.stages, _active->request.pieceCounts);
+	this->deadlines.emplace(_active->giveUpAt, _active->id);
+	this->orderPieces(_active);
+}
+
+/// @returns The failure domain that holds most of the results, where they are large.
+std::string ForwardTraffic::domainOfResults(const Active& _active) const
+{
+	const bool large = std::any_of(_active.route.stages.begin(), _active.route.stages.end(),
+								   [](const RouteStage& _stage) { return _stage.resultBytes >= kLargeResult; });
+	if (!large)
+	{
+		return {};
+	}
+	std::map<std::string, std::size_t> counts;
+	for (const std::string& handle : _active.graph.results())
+	{
+		const auto domain = _active.domainOf.find(handle);
+		if (domain != _active.domainOf.end())
+		{
+			counts[domain->second] += 1;
+		}
+	}
+	const auto most =
+		std::max_element(counts.begin(), counts.end(),
+						 [](const auto& _left, const auto& _right) { return _left.second < _right.second; });
+	return most == counts.end() ? std::string() : most->first;
+}
+
+void ForwardTraffic::submit(const ActivePointer& _active)
+{
+	_active->submitted = true;
+	this->deadlines.erase({_active->giveUpAt, _active->id});
+	const Route& route = _active->route;
+	const std::string poolName = drawPool(route, XXH3_64bits(_active->request.id.data(), _active->request.id.size()));
+	RequestSpec spec{_active->id,
+					 _active->workspace,
+					 route.name,
+					 _active->giveUpAt,
+					 route.repeatable,
+					 _active->request.promptTokens,
+					 _active->request.maxTokens,
+					 sharedPrefix(_active->request.prompt)};
+	spec.repeat = _active->attempts > 0;
+	spec.nearDomain = this->domainOfResults(*_active);
+	PipelineRow pipeline;
+	pipeline.name = route.name;
+	pipeline.workspace = _active->workspace;
+	pipeline.urgent = _active->priority == 0;
+	StageRow stage;
+	stage.name = route.name;
+	stage.kind = route.streaming ? StageKind::Engine : StageKind::Service;
+	stage.pool = poolName;
+	stage.repeatable = route.repeatable;
+	stage.attempts = route.attempts - _active->attempts;
+	stage.expectedMs = std::max<std::int64_t>(1, route.target / kMillisecond / 2);
+	this->perform(this->dispatcher.submit(spec, pipeline, {stage}, monotonicNow()));
+}
+
+void ForwardTraffic::perform(const Actions& _actions)
+{
+	for (const Action& action : _actions)
+	{
+		std::visit(
+			Overloaded{
+				[&](const StartAttempt& _start) { this->startAttempt(_start); },
+				[&](const CancelAttempt& _cancel) { this->cancelAttempt(_cancel); },
+				[&](const FinishRequest& _finish)
+				{
+					const ActivePointer active = this->find(_finish.request);
+					if (active != nullptr && active->submitted)
+					{
+						this->finish(active, _finish.outcome);
+					}
+				},
+			},
+			action);
+	}
+}
+
+void ForwardTraffic::startAttempt(const StartAttempt& _attempt)
+{
+	const ActivePointer active = this->find(_attempt.request);
+	const Micros now = monotonicNow();
+	active->attempts += 1;
+	this->attemptCount += 1;
+	this->retryCount += active->attempts > 1 ? 1 : 0;
+	active->attempt = _attempt.attempt;
+	active->endpoint = _attempt.endpoint;
+	active->answer.beginAttempt();
+	ForwardAttempt attempt{_attempt.endpoint, active->workspace, active->giveUpAt - now, active->graph.results(),
+						   active->answer.lastEvent()};
+	CallSpec spec;
+	spec.address = _attempt.address;
+	spec.request = this->wire.endpointRequest(active->request, attempt);
+	spec.timeout = active->giveUpAt - now + kCallSlack;
+	spec.connectTimeout = kConnectTimeout;
+	spec.fresh = _attempt.once;
+	CallHandlers handlers;
+	handlers.onHead = [active](unsigned _status, const HttpHeaders& _headers)
+	{ return active->answer.takeHead(_status, _headers); };
+	if (active->route.streaming)
+	{
+		handlers.onData = [this, active](const std::string& _bytes)
+		{
+			active->answer.takeData(_bytes);
+			if (active->answer.started())
+			{
+				this->pieces.free(active->graph.takeAll()); // The endpoint has read its inputs.
+			}
+		};
+	}
+	handlers.onEnd = [this, active, number = _attempt.attempt](const CallEnd& _end)
+	{ this->attemptEnded(active, number, _end); };
+	logEvent("request", "attempt",
+			 {{"request", active->request.id},
+			  {"attempt", active->attempts},
+			  {"endpoint", _attempt.endpoint},
+			  {"waited_ms", (now - active->arrived) / kMillisecond},
+			  {"left_ms", (active->giveUpAt - now) / kMillisecond}});
+	active->call = this->client.call(0, std::move(spec), std::move(handlers));
+}
+
+void ForwardTraffic::attemptEnded(const ActivePointer& _active, std::uint64_t _attempt, const CallEnd& _end)
+{
+	const AttemptEnd end = _active->answer.endAttempt(_end);
+	const std::optional<ForwardHead>& head = _active->answer.head();
+	const bool answered = std::holds_alternative<AttemptAnswered>(end);
+	if (!answered)
+	{
+		logEvent("request", "attempt_failed",
+				 {{"request", _active->request.id},
+				  {"endpoint", _active->endpoint},
+				  {"status", head ? head->status : 0},
+				  {"not_run", head && head->notRun},
+				  {"error", _end.error}});
+	}
+	if (head && head->load)
+	{
+		this->dispatcher.reportLoad(_active->endpoint, *head->load);
+	}
+	_active->attempt = 0;
+	_active->call.reset();
+	const bool inputsNeeded = !_active->route.stages.empty() && !_active->graph.results().empty();
+	const bool inputsFreed = _active->answer.started() && inputsNeeded;
+	const bool again = !answered && inputsNeeded && ((head && head->inputGone) || inputsFreed);
+	if (!again)
+	{
+		this->perform(this->dispatcher.attemptEnded(_attempt, end, monotonicNow()));
+		return;
+	}
+	const bool mayRepeat = _active->route.repeatable || (head && head->notRun);
+	const bool possible = mayRepeat && _active->attempts < _active->route.attempts && _active->remakes < kRemakesMost;
+	_active->submitted = !possible;
+	this->perform(possible ? this->dispatcher.cancel(_active->id, monotonicNow())
+						   : this->dispatcher.attemptEnded(_attempt, end, monotonicNow()));
+	if (possible)
+	{
+		this->remake(_active);
+	}
+}
+
+void ForwardTraffic::cancelAttempt(const CancelAttempt& _cancel)
+{
+	const ActivePointer active = this->find(_cancel.request);
+	if (active != nullptr && active->call != nullptr && active->attempt == _cancel.attempt)
+	{
+		active->call->cancel();
+		active->call.reset();
+		active->attempt = 0;
+	}
+}
+
+void ForwardTraffic::finish(const ActivePointer& _active, const Outcome& _outcome)
+{
+	if (_outcome.verdict == Verdict::Answered)
+	{
+		_active->answer.deliver();
+		this->release(_active, _outcome, "answered");
+		return;
+	}
+	if (_active->answer.started())
+	{
+		this->release(_active, _outcome, "stream_broken_off");
+		_active->answer.abort();
+		return;
+	}
+	if (_active->answer.hasFailure() && _outcome.reason != Reason::Cancelled)
+	{
+		_active->answer.deliver();
+		this->release(_active, _outcome, "failure_passed_on");
+		return;
+	}
+	const std::string code(nameOf(_outcome.reason));
+	if (_outcome.verdict == Verdict::NotRun)
+	{
+		_active->answer.refuse(kUnavailable, std::max(kRetrySoon, _outcome.retryAfter), code,
+							   "the request has not run");
+		this->release(_active, _outcome, "refused");
+		return;
+	}
+	const bool late = _outcome.reason == Reason::DeadlinePassed;
+	_active->answer.refuse(late ? kGatewayTimeout : kBadGateway, 0, code, "the request may have run");
+	this->release(_active, _outcome, "unknown");
+}
+
+/// Ends a request that was not sent to an endpoint of its own.
+void ForwardTraffic::giveUp(const ActivePointer& _active, Reason _reason, Micros _retryAfter)
+{
+	const bool sent = _active->attempts > 0;
+	Outcome outcome{sent ? Verdict::Unknown : Verdict::NotRun, _reason, true, _retryAfter, {}};
+	this->finish(_active, outcome);
+}
+
+void ForwardTraffic::release(const ActivePointer& _active, const Outcome& _outcome, const std::string& _how)
+{
+	const Micros took = monotonicNow() - _active->arrived;
+	const std::vector<std::uint64_t> orders(_active->orders.begin(), _active->orders.end());
+	for (const std::uint64_t order : orders)
+	{
+		this->pieceOrders.erase(order);
+	}
+	_active->orders.clear();
+	this->deadlines.erase({_active->giveUpAt, _active->id});
+	this->actives.erase(_active->id);
+	this->activeCount = this->actives.size();
+	if (!orders.empty())
+	{
+		this->pieces.cancel(orders);
+	}
+	this->pieces.free(_active->graph.takeAll());
+	this->metrics.requestEnded(_active->route.streaming ? "streaming" : "plain", _outcome,
+							   static_cast<double>(took) / kMicrosPerSecond);
+	logEvent("request", _how,
+			 {{"request", _active->request.id},
+			  {"route", _active->route.name},
+			  {"verdict", std::string(nameOf(_outcome.verdict))},
+			  {"reason", std::string(nameOf(_outcome.reason))},
+			  {"attempts", _active->attempts},
+			  {"took_ms", took / kMillisecond}});
+}
+
+void ForwardTraffic::gone(std::uint64_t _id)
+{
+	const ActivePointer active = this->find(_id);
+	if (active == nullptr)
+	{
+		return;
+	}
+	const bool submitted = std::exchange(active->submitted, false);
+	if (submitted)
+	{
+		this->perform(this->dispatcher.cancel(_id, monotonicNow()));
+	}
+	this->release(active, Outcome{Verdict::Unknown, Reason::Cancelled, false, 0, {}}, "client_left");
+}
+
+void ForwardTraffic::tick()
+{
+	const Micros now = monotonicNow();
+	this->pieces.tick();
+	while (!this->deadlines.empty() && this->deadlines.begin()->first <= now)
+	{
+		const ActivePointer active = this->find(this->deadlines.begin()->second);
+		this->giveUp(active, Reason::DeadlinePassed, kRetrySoon);
+	}
+	this->perform(this->dispatcher.tick(now));
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/src/forward_traffic.h
@@ -0,0 +1,100 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Requests that are forwarded byte for byte: routed, admitted, taken through their stages, placed, and answered.
+
+#ifndef ROADFERRY_FORWARD_TRAFFIC_H_HEADER_GUARD
+#define ROADFERRY_FORWARD_TRAFFIC_H_HEADER_GUARD
+
+#include "forward_answer.h"
+#include "metrics.h"
+#include "piece_runner.h"
+
+#include <atomic>
+
+namespace roadferry
+{
+
+/// Settings of ForwardTraffic.
+struct ForwardSettings
+{
+	std::string self; ///< Address of this node, as other nodes know it.
+	DispatcherConfig dispatcher;
+	PieceDeskConfig pieces;
+};
+
+/// All forwarded requests of this node. Everything runs on thread 0 of the pool; functions that say so may be called
+/// from any thread.
+class ForwardTraffic
+{
+public:
+	ForwardTraffic(IoPool& _pool, HttpClient& _client, const Wire& _wire, Metrics& _metrics, ForwardSettings _settings,
+				   std::function<void(const std::string&, const PieceMessage&)> _send);
+	~ForwardTraffic();
+
+	/// Begins to watch deadlines.
+	void start();
+
+	/// Takes a client's request. On thread 0.
+	void handle(HttpRequest _request, const std::shared_ptr<HttpReply>& _reply);
+
+	/// Each of these may be called from any thread.
+	void setPlan(const std::shared_ptr<const RoutePlan>& _plan);
+	void setEndpoints(const std::vector<Endpoint>& _endpoints);
+	void setMembers(const std::vector<std::string>& _members);
+	void setRetryBounds(double _share, double _burst);
+	void receive(const std::string& _from, const PieceMessage& _message);
+	void peerClosed(const std::string& _peer);
+	[[nodiscard]] std::size_t inFlight() const;
+	[[nodiscard]] std::string metricsText() const;
+
+private:
+	struct Active;
+	using ActivePointer = std::shared_ptr<Active>;
+
+	void begin(const ActivePointer& _active);
+	ActivePointer find(std::uint64_t _id);
+	void orderPieces(const ActivePointer& _active);
+	[[nodiscard]] PieceOrder orderOf(const Active& _active, const PieceName& _piece) const;
+	[[nodiscard]] Micros timeAfter(const Active& _active, std::size_t _stage) const;
+	void pieceMade(const PieceMade& _made);
+	void pieceFailed(const PieceFailed& _failed);
+	void remake(const ActivePointer& _active);
+	void submit(const ActivePointer& _active);
+	[[nodiscard]] std::string domainOfResults(const Active& _active) const;
+	void perform(const Actions& _actions);
+	void startAttempt(const StartAttempt& _attempt);
+	void attemptEnded(const ActivePointer& _active, std::uint64_t _attempt, const CallEnd& _end);
+	void cancelAttempt(const CancelAttempt& _cancel);
+	void finish(const ActivePointer& _active, const Outcome& _outcome);
+	void giveUp(const ActivePointer& _active, Reason _reason, Micros _retryAfter);
+	void release(const ActivePointer& _active, const Outcome& _outcome, const std::string& _how);
+	void gone(std::uint64_t _id);
+	void refuse(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply, unsigned _status,
+				const std::string& _code, const std::string& _message);
+	void tick();
+
+	IoPool& pool;
+	HttpClient& client;
+	const Wire& wire;
+	Metrics& metrics;
+	Dispatcher dispatcher;
+	PieceRunner pieces;
+	std::shared_ptr<const RoutePlan> plan;
+	std::unordered_map<std::uint64_t, ActivePointer> actives;
+	std::unordered_map<std::uint64_t, std::pair<std::uint64_t, PieceName>>
+		pieceOrders;                                      ///< Request and piece, by order.
+	std::set<std::pair<Micros, std::uint64_t>> deadlines; ///< Of requests whose pieces are being made.
+	std::uint64_t lastRequest = 0;
+	std::uint64_t lastOrder = 0;
+	std::atomic<std::size_t> activeCount{0};
+	std::atomic<std::uint64_t> attemptCount{0};
+	std::atomic<std::uint64_t> retryCount{0};
+};
+
+} // namespace roadferry
+
+#endif // ROADFERRY_FORWARD_TRAFFIC_H_HEADER_GUARD
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -18,7 +18,10 @@
 #include <boost/beast/http.hpp>
 #include <boost/optional.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <cstdlib>
+#include <cstring>
 #include <unordered_map>
 #include <vector>
 
@@ -35,10 +38,36 @@
 using Error = boost::system::error_code;
 
 constexpr int kHttpVersion = 11;
+constexpr unsigned kFirstFinalStatus = 200;
 constexpr std::size_t kIdlePerAddress = 64;
 constexpr std::size_t kReadSize = 16 * 1024;
 
-using Idle = std::unordered_map<std::string, std::vector<std::unique_ptr<Tcp::socket>>>;
+using Clock = std::chrono::steady_clock;
+
+constexpr int kSkippedMost = 4;               ///< Responses to other requests that are read past on one connection.
+constexpr std::chrono::seconds kIdleLife{30}; ///< For servers that do not say how long they keep connections.
+constexpr std::chrono::milliseconds kIdleMargin{300}; ///< Before the server's own limit, so that closes rarely cross.
+
+/// A connection that is kept for the next call.
+struct KeptSocket
+{
+	std::unique_ptr<Tcp::socket> socket;
+	Clock::time_point until;
+};
+
+using Idle = std::unordered_map<std::string, std::vector<KeptSocket>>;
+
+/// @returns How long a server keeps an idle connection, as it said in Keep-Alive (RFC 2068, 19.7.1.1).
+Clock::duration idleLife(const std::string& _keepAlive)
+{
+	const std::size_t at = _keepAlive.find("timeout=");
+	if (at == std::string::npos)
+	{
+		return kIdleLife;
+	}
+	const long seconds = std::strtol(_keepAlive.c_str() + at + std::strlen("timeout="), nullptr, 10);
+	return std::max<Clock::duration>(Clock::duration::zero(), std::chrono::seconds(seconds) - kIdleMargin);
+}
 
 /// @returns Whether a kept connection is still open and silent.
 bool isQuiet(Tcp::socket& _socket)
@@ -55,11 +84,11 @@
 	auto& sockets = _idle[_address];
 	while (!sockets.empty())
 	{
-		auto socket = std::move(sockets.back());
+		KeptSocket kept = std::move(sockets.back());
 		sockets.pop_back();
-		if (isQuiet(*socket))
+		if (Clock::now() < kept.until && isQuiet(*kept.socket))
 		{
-			return socket;
+			return std::move(kept.socket);
 		}
 	}
 	return nullptr;
@@ -87,7 +116,8 @@
 {
 public:
 	Call(asio::io_context& _context, Idle& _idle, CallSpec _spec, CallHandlers _handlers)
-		: context(_context), idle(_idle), spec(std::move(_spec)), handlers(std::move(_handlers)), timer(_context)
+		: context(_context), idle(_idle), spec(std::move(_spec)), handlers(std::move(_handlers)), timer(_context),
+		  connectTimer(_context)
 	{
 	}
 
@@ -123,13 +153,24 @@
 		this->request.set(http::field::host, this->spec.address);
 		for (const auto& header : this->spec.request.headers)
 		{
-			this->request.set(header.first, header.second);
+			if (beast::iequals(header.first, "host"))
+			{
+				this->request.set(http::field::host, header.second);
+				continue;
+			}
+			this->request.insert(header.first, header.second);
 		}
 		this->request.keep_alive(true);
 		this->request.body() = std::move(this->spec.request.body);
 		this->request.prepare_payload();
-		this->parser.body_limit(this->spec.responseLimit);
-		this->parser.eager(true);
+		this->renewParser();
+	}
+
+	void renewParser()
+	{
+		this->parser.emplace();
+		this->parser->body_limit(this->spec.responseLimit);
+		this->parser->eager(true);
 	}
 
 	void armTimer()
@@ -155,9 +196,11 @@
 			return;
 		}
 		this->socket = std::make_unique<Tcp::socket>(this->context);
+		this->armConnectTimer();
 		this->socket->async_connect(endpoint,
 									[self = this->shared_from_this()](const Error& _error)
 									{
+										self->connectTimer.cancel();
 										if (self->done)
 										{
 											return;
@@ -173,30 +216,52 @@
 									});
 	}
 
+	void armConnectTimer()
+	{
+		if (this->spec.connectTimeout <= 0)
+		{
+			return;
+		}
+		this->connectTimer.expires_after(std::chrono::microseconds(this->spec.connectTimeout));
+		this->connectTimer.async_wait(
+			[self = this->shared_from_this()](const Error& _error)
+			{
+				if (!_error)
+				{
+					self->fail("connecting timed out");
+				}
+			});
+	}
+
+	/// Writes the request and reads at the same time, since a server may answer before it has read a long body.
 	void write()
 	{
 		this->sent = true;
 		http::async_write(*this->socket, this->request,
-						  [self = this->shared_from_this()](const Error& _error, std::size_t)
-						  {
-							  if (self->done)
-							  {
-								  return;
-							  }
-							  // A server may answer before it has read everything; the answer is read all the same.
-							  if (_error && _error != asio::error::broken_pipe &&
-								  _error != asio::error::connection_reset)
-							  {
-								  self->fail(_error.message());
-								  return;
-							  }
-							  self->read();
-						  });
+						  [self = this->shared_from_this()](const Error& _error, std::size_t _bytes)
+						  { self->written(_error, _bytes); });
+		this->read();
+	}
+
+	void written(const Error& _error, std::size_t _bytes)
+	{
+		this->writing = false;
+		if (this->done || !_error)
+		{
+			return;
+		}
+		this->broken = true;
+		if (_bytes == 0 && !this->parser->got_some())
+		{
+			this->sent = false;
+			this->fail(_error.message());
+		}
+		// Otherwise an answer may be on its way; reading says so.
 	}
 
 	void read()
 	{
-		http::async_read_some(*this->socket, this->buffer, this->parser,
+		http::async_read_some(*this->socket, this->buffer, *this->parser,
 							  [self = this->shared_from_this()](const Error& _error, std::size_t)
 							  { self->onRead(_error); });
 	}
@@ -212,7 +277,11 @@
 			this->fail(_error.message());
 			return;
 		}
-		if (this->parser.is_header_done() && this->handlers.onData)
+		if (this->parser->is_header_done() && !this->headSeen)
+		{
+			this->takeHead();
+		}
+		if (this->headSeen && !this->skipping && this->handlers.onData)
 		{
 			this->handOver();
 		}
@@ -220,17 +289,60 @@
 		{
 			return;
 		}
-		if (this->parser.is_done())
+		if (!this->parser->is_done())
+		{
+			this->read();
+			return;
+		}
+		if (this->skipping)
 		{
-			this->complete();
+			this->nextResponse();
 			return;
 		}
+		this->complete();
+	}
+
+	void takeHead()
+	{
+		this->headSeen = true;
+		if (!this->handlers.onHead)
+		{
+			return;
+		}
+		const bool informational = this->parser->get().result_int() < kFirstFinalStatus;
+		const auto handler = this->handlers.onHead;
+		this->skipping =
+			informational || handler(this->parser->get().result_int(), this->headers()) == HeadVerdict::Skip;
+	}
+
+	/// Goes on to the response behind one that belongs to another request.
+	void nextResponse()
+	{
+		this->skipped += 1;
+		if (this->skipped > kSkippedMost || !this->parser->get().keep_alive())
+		{
+			this->fail("no answer to this request on its connection");
+			return;
+		}
+		this->renewParser();
+		this->headSeen = false;
+		this->skipping = false;
 		this->read();
 	}
 
+	[[nodiscard]] HttpHeaders headers()
+	{
+		HttpHeaders result;
+		for (const auto& field : this->parser->get())
+		{
+			result.emplace_back(std::string(field.name_string()), std::string(field.value()));
+		}
+		return result;
+	}
+
 	void handOver()
 	{
-		std::string& body = this->parser.get().body();
+		std::string& body = this->parser->get().body();
 		if (body.empty())
 		{
 			return;
@@ -244,13 +356,17 @@
 	{
 		CallEnd end;
 		end.result = CallResult::Complete;
-		end.status = this->parser.get().result_int();
-		end.body = std::move(this->parser.get().body());
-		const bool keep = this->parser.get().keep_alive() && this->buffer.size() == 0;
+		end.status = this->parser->get().result_int();
+		end.headers = this->headers();
+		end.body = std::move(this->parser->get().body());
+		// A request that was not written whole leaves the connection in the middle of it.
+		const bool whole = !this->writing && !this->broken;
+		const bool keep = whole && this->parser->get().keep_alive() && this->buffer.size() == 0;
 		auto& sockets = this->idle[this->spec.address];
 		if (keep && sockets.size() < kIdlePerAddress)
 		{
-			sockets.push_back(std::move(this->socket));
+			const auto life = idleLife(std::string(this->parser->get()[http::field::keep_alive]));
+			sockets.push_back(KeptSocket{std::move(this->socket), Clock::now() + life});
 		}
 		this->finish(end);
 	}
@@ -281,6 +397,7 @@
 	void closeSocket()
 	{
 		this->timer.cancel();
+		this->connectTimer.cancel();
 		if (this->socket != nullptr)
 		{
 			Error ignored;
@@ -293,11 +410,17 @@
 	CallSpec spec;
 	CallHandlers handlers;
 	asio::steady_timer timer;
+	asio::steady_timer connectTimer;
 	std::unique_ptr<Tcp::socket> socket;
 	http::request<http::string_body> request;
-	http::response_parser<http::string_body> parser;
+	boost::optional<http::response_parser<http::string_body>> parser;
 	beast::flat_buffer buffer{kReadSize * 4};
-	bool sent = false;
+	int skipped = 0;
+	bool sent = false;     ///< Bytes of the request may have left.
+	bool writing = true;   ///< The request is not written whole yet.
+	bool broken = false;   ///< Writing failed.
+	bool headSeen = false; ///< The head of the response that is being read was looked at.
+	bool skipping = false; ///< The response that is being read belongs to another request.
 	bool done = false;
 };
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -32,23 +32,35 @@
 {
 	CallResult result = CallResult::NotSent;
 	unsigned status = 0;
+	HttpHeaders headers;
 	std::string body; ///< Empty when the body was handed over piece by piece.
 	std::string error;
 };
 
+/// What to do with a response whose head has arrived.
+enum class HeadVerdict
+{
+	Take, ///< It answers this request.
+	Skip  ///< It answers another request, which used the connection before: read past it.
+};
+
 /// One call to make.
 struct CallSpec
 {
 	std::string address; ///< IP number and port.
 	HttpRequest request;
-	std::int64_t timeout = 0; ///< Microseconds from now to the end of the response.
-	bool fresh = false;       ///< Use a connection of its own, so that a kept one that has gone stale cannot cut it.
+	std::int64_t timeout = 0;        ///< Microseconds from now to the end of the response.
+	std::int64_t connectTimeout = 0; ///< Microseconds for opening a connection, 0 for no limit of its own.
+	bool fresh = false; ///< Use a connection of its own, so that a kept one that has gone stale cannot cut it.
 	std::size_t responseLimit = 64 * 1024 * 1024;
 };
 
 /// Called on the call's thread.
 struct CallHandlers
 {
+	/// Head of a final response; where it is not set, every response is taken.
+	std::function<HeadVerdict(unsigned _status, const HttpHeaders& _headers)> onHead;
+
 	/// Piece of the body; where it is not set, the body is given with the end.
 	std::function<void(const std::string&)> onData;
 	std::function<void(const CallEnd&)> onEnd;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -18,9 +18,12 @@
 #include <boost/beast/ssl.hpp>
 #include <boost/optional.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <deque>
+#include <iterator>
+#include <mutex>
 #include <sstream>
 
 namespace roadferry
@@ -44,12 +47,47 @@
 /// What all connections of a server share.
 struct Shared
 {
+	std::mutex lock; ///< Guards the limits.
 	HttpServerLimits limits;
 	HttpHandler handler;
 	std::atomic<std::size_t> connections{0};
 	std::atomic<bool> closing{false};
+
+	HttpServerLimits limitsNow()
+	{
+		const std::lock_guard<std::mutex> guard(this->lock);
+		return this->limits;
+	}
 };
 
+/// Head of a response, as text. Headers that are given twice stay two.
+template<class Message>
+void addHeaders(Message& _message, const HttpHeaders& _headers)
+{
+	for (const auto& header : _headers)
+	{
+		_message.insert(header.first, header.second);
+	}
+}
+
+/// Framing that other servers may read in another way than this one: whoever sends it could hide a second request
+/// behind the first (RFC 9112, 11.2).
+template<class Message>
+bool hasDoubtfulFraming(const Message& _message)
+{
+	if (_message.count(http::field::host) > 1 || _message.count(http::field::content_length) > 1)
+	{
+		return true;
+	}
+	const std::size_t encodings = _message.count(http::field::transfer_encoding);
+	if (encodings == 0)
+	{
+		return false;
+	}
+	const bool plain = encodings == 1 && beast::iequals(_message[http::field::transfer_encoding], "chunked");
+	return !plain || _message.version() < kHttpVersion || _message.count(http::field::content_length) > 0;
+}
+
 HttpResponse errorResponse(unsigned _status, const std::string& _code, const std::string& _message)
 {
 	HttpResponse response;
@@ -63,7 +101,8 @@
 {
 public:
 	Connection(Stream _stream, std::shared_ptr<Shared> _shared, std::size_t _thread)
-		: stream(std::move(_stream)), shared(std::move(_shared)), timer(stream.get_executor()), threadIndex(_thread)
+		: stream(std::move(_stream)), shared(std::move(_shared)), limits(shared->limitsNow()),
+		  timer(stream.get_executor()), threadIndex(_thread)
 	{
 		this->shared->connections += 1;
 	}
@@ -77,7 +116,7 @@
 	{
 		if constexpr (std::is_same_v<Stream, beast::ssl_stream<beast::tcp_stream>>)
 		{
-			this->armTimer(this->shared->limits.requestTimeout);
+			this->armTimer(this->limits.headerTimeout);
 			this->stream.async_handshake(asio::ssl::stream_base::server,
 										 [self = this->shared_from_this()](const Error& _error)
 										 {
@@ -98,14 +137,13 @@
 		this->onThread([this, response = std::move(_response)]() mutable { this->sendNow(std::move(response)); });
 	}
 
-	void startStream(unsigned _status, std::string _contentType) override
+	void startStream(unsigned _status, HttpHeaders _headers) override
 	{
 		this->onThread(
-			[this, _status, type = std::move(_contentType)]
+			[this, _status, headers = std::move(_headers)]
 			{
 				http::response<http::empty_body> head(static_cast<http::status>(_status), kHttpVersion);
-				head.set(http::field::content_type, type);
-				head.set(http::field::cache_control, "no-cache");
+				addHeaders(head, headers);
 				head.keep_alive(this->keepAlive());
 				head.chunked(true);
 				std::ostringstream text;
@@ -191,9 +229,10 @@
 	/// Waits for the first byte of a request, for as long as a kept connection may be silent.
 	void awaitRequest()
 	{
+		this->limits = this->shared->limitsNow();
 		this->parser.emplace();
-		this->parser->header_limit(static_cast<std::uint32_t>(this->shared->limits.headerBytes));
-		this->parser->body_limit(this->shared->limits.bodyBytes);
+		this->parser->header_limit(static_cast<std::uint32_t>(this->limits.headerBytes));
+		this->parser->body_limit(this->limits.bodyBytes);
 		if (this->buffer.size() > 0)
 		{
 			this->readRequest();
@@ -201,7 +240,7 @@
 		}
 		this->idleSince = std::chrono::steady_clock::now();
 		this->idleTick();
-		this->stream.async_read_some(this->buffer.prepare(this->shared->limits.headerBytes),
+		this->stream.async_read_some(this->buffer.prepare(this->limits.headerBytes),
 									 [self = this->shared_from_this()](const Error& _error, std::size_t _bytes)
 									 {
 										 self->timer.cancel();
@@ -239,12 +278,39 @@
 
 	[[nodiscard]] std::chrono::microseconds idleLimit() const
 	{
-		return std::chrono::microseconds(this->shared->limits.idleTimeout);
+		return std::chrono::microseconds(this->limits.idleTimeout);
 	}
 
 	void readRequest()
 	{
-		this->armTimer(this->shared->limits.requestTimeout);
+		this->armTimer(this->limits.headerTimeout);
+		http::async_read_header(this->stream, this->buffer, *this->parser,
+								[self = this->shared_from_this()](const Error& _error, std::size_t)
+								{
+									self->timer.cancel();
+									if (_error)
+									{
+										self->refuse(_error);
+										return;
+									}
+									self->readBody();
+								});
+	}
+
+	void readBody()
+	{
+		if (hasDoubtfulFraming(this->parser->get()))
+		{
+			this->requestKeepAlive = false;
+			this->sendNow(errorResponse(400, "bad_request", "the request's framing is not clear"));
+			return;
+		}
+		if (this->parser->is_done())
+		{
+			this->handle();
+			return;
+		}
+		this->armTimer(this->limits.requestTimeout);
 		http::async_read(this->stream, this->buffer, *this->parser,
 						 [self = this->shared_from_this()](const Error& _error, std::size_t)
 						 {
@@ -261,8 +327,8 @@
 	void refuse(const Error& _error)
 	{
 		this->requestKeepAlive = false;
-		const std::string bodyLimit = std::to_string(this->shared->limits.bodyBytes);
-		const std::string headerLimit = std::to_string(this->shared->limits.headerBytes);
+		const std::string bodyLimit = std::to_string(this->limits.bodyBytes);
+		const std::string headerLimit = std::to_string(this->limits.headerBytes);
 		if (this->timedOut)
 		{
 			this->sendNow(errorResponse(408, "request_timeout", "the request was not sent whole in time"));
@@ -333,11 +399,11 @@
 			return;
 		}
 		http::response<http::string_body> message(static_cast<http::status>(_response.status), kHttpVersion);
-		message.set(http::field::content_type, _response.contentType);
-		for (const auto& header : _response.headers)
+		if (!_response.contentType.empty())
 		{
-			message.set(header.first, header.second);
+			message.set(http::field::content_type, _response.contentType);
 		}
+		addHeaders(message, _response.headers);
 		message.keep_alive(this->keepAlive());
 		message.body() = std::move(_response.body);
 		message.prepare_payload();
@@ -354,7 +420,7 @@
 			return;
 		}
 		this->unsent += _data.size();
-		if (this->unsent > this->shared->limits.unsentBytes)
+		if (this->unsent > this->limits.unsentBytes)
 		{
 			this->close();
 			return;
@@ -457,6 +523,7 @@
 
 	Stream stream;
 	std::shared_ptr<Shared> shared;
+	HttpServerLimits limits; ///< Of the request that is being read or answered.
 	asio::steady_timer timer;
 	std::size_t threadIndex;
 	beast::flat_buffer buffer;
@@ -487,6 +554,38 @@
 	return {};
 }
 
+std::size_t headerCount(const HttpHeaders& _headers, const std::string& _name)
+{
+	return static_cast<std::size_t>(std::count_if(
+		_headers.begin(), _headers.end(), [&](const auto& _header) { return beast::iequals(_header.first, _name); }));
+}
+
+HttpHeaders endToEndHeaders(const HttpHeaders& _headers)
+{
+	std::vector<std::string> dropped = {"connection", "keep-alive",        "proxy-connection", "te",
+										"trailer",    "transfer-encoding", "upgrade",          "content-length"};
+	for (const auto& header : _headers)
+	{
+		if (!beast::iequals(header.first, "connection"))
+		{
+			continue;
+		}
+		for (const auto& listed : http::token_list(header.second))
+		{
+			dropped.emplace_back(listed);
+		}
+	}
+	HttpHeaders result;
+	std::copy_if(_headers.begin(), _headers.end(), std::back_inserter(result),
+				 [&](const auto& _header)
+				 {
+					 return std::none_of(dropped.begin(), dropped.end(),
+										 [&](const std::string& _name)
+										 { return beast::iequals(_header.first, _name); });
+				 });
+	return result;
+}
+
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
 {
 	Impl(IoPool& _pool, HttpServerLimits _limits, TlsFiles _tls, HttpHandler _handler)
@@ -517,7 +616,7 @@
 
 	void begin(Tcp::socket _socket, std::size_t _thread)
 	{
-		if (this->shared->connections >= this->shared->limits.connections)
+		if (this->shared->connections >= this->shared->limitsNow().connections)
 		{
 			return;
 		}
@@ -613,6 +712,17 @@
 	return this->impl->boundPort;
 }
 
+void HttpServer::setLimits(const HttpServerLimits& _limits)
+{
+	const std::lock_guard<std::mutex> guard(this->impl->shared->lock);
+	this->impl->shared->limits = _limits;
+}
+
+void HttpServer::closeAfterAnswers()
+{
+	this->impl->shared->closing = true;
+}
+
 void HttpServer::stopAccepting()
 {
 	this->impl->shared->closing = true;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -26,8 +26,9 @@
 	std::size_t bodyBytes = 4 * 1024 * 1024;
 	std::size_t connections = 4'096;
 	std::size_t unsentBytes = 4 * 1024 * 1024; ///< Of a stream; a caller that reads more slowly is cut off.
-	std::int64_t requestTimeout = 10'000'000;  ///< Microseconds from the first byte of a request to its last.
-	std::int64_t idleTimeout = 60'000'000;     ///< Microseconds a kept connection may be silent.
+	std::int64_t headerTimeout = 10'000'000;  ///< Microseconds from the first byte of a request to the end of its head.
+	std::int64_t requestTimeout = 10'000'000; ///< Microseconds from the first byte of a request to its last.
+	std::int64_t idleTimeout = 60'000'000;    ///< Microseconds a kept connection may be silent.
 };
 
 /// Certificate of a listener; no TLS where both are empty.
@@ -47,7 +48,7 @@
 	virtual void send(HttpResponse _response) = 0;
 
 	/// Begins a response of unknown length.
-	virtual void startStream(unsigned _status, std::string _contentType) = 0;
+	virtual void startStream(unsigned _status, HttpHeaders _headers) = 0;
 	virtual void write(std::string _data) = 0;
 	virtual void endStream() = 0;
 
@@ -81,6 +82,12 @@
 	/// @returns Port that the server listens on.
 	[[nodiscard]] std::uint16_t port() const;
 
+	/// Uses other limits from the next request of each connection on. May be called from any thread.
+	void setLimits(const HttpServerLimits& _limits);
+
+	/// Closes each connection after its next answer, and those that stay silent; new ones are still taken.
+	void closeAfterAnswers();
+
 	/// Refuses new connections; those that are open go on, and close after their answer.
 	void stopAccepting();
 
--- a/src/http_types.h
+++ b/src/http_types.h
@@ -22,6 +22,13 @@
 /// @returns Value of the first header of that name, whatever its case; empty when there is none.
 std::string headerValue(const HttpHeaders& _headers, const std::string& _name);
 
+/// @returns How many headers have that name, whatever its case.
+std::size_t headerCount(const HttpHeaders& _headers, const std::string& _name);
+
+/// @returns The headers without those that concern one connection only (RFC 9110, 7.6.1): Connection and what it
+/// lists, framing, and upgrades.
+HttpHeaders endToEndHeaders(const HttpHeaders& _headers);
+
 /// A request with its whole body.
 struct HttpRequest
 {
@@ -35,7 +42,7 @@
 struct HttpResponse
 {
 	unsigned status = 200;
-	std::string contentType = "application/json";
+	std::string contentType = "application/json"; ///< Empty when the headers say it.
 	std::string body;
 	HttpHeaders headers;
 };
--- a/src/logging.cpp
+++ b/src/logging.cpp
@@ -8,35 +8,161 @@
 
 #include "logging.h"
 
+#include "clock.h"
+#include "json.h"
+
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
-#include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <QDateTime>
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
 
 namespace roadferry
 {
 
-void startLogging()
+namespace
+{
+
+constexpr int kQueueLines = 4'096;        ///< Lines that may wait for the reader.
+constexpr double kLinesPerSecond = 1'000; ///< Sustained; more are left out and counted.
+constexpr double kLinesBurst = 3'000;
+
+/// Lets through so many lines a second.
+class LineLimiter
 {
-	auto layout = std::make_shared<log4cxx::JSONLayout>();
-	auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
-	log4cxx::BasicConfigurator::configure(appender);
+public:
+	/// @returns Whether a line may be written.
+	bool take()
+	{
+		const std::lock_guard<std::mutex> guard(this->lock);
+		const Micros now = monotonicNow();
+		const double passed = static_cast<double>(now - this->filledAt) / static_cast<double>(kSecond);
+		this->saved = std::min(kLinesBurst, this->saved + passed * kLinesPerSecond);
+		this->filledAt = now;
+		if (this->saved < 1)
+		{
+			return false;
+		}
+		this->saved -= 1;
+		return true;
+	}
+
+private:
+	std::mutex lock;
+	Micros filledAt = 0;
+	double saved = kLinesBurst;
+};
+
+LineLimiter s_limiter;
+std::atomic<std::uint64_t> s_leftOut{0};
+std::atomic<std::uint64_t> s_leftOutTold{0};
+
+QJsonObject lineOf(const std::string& _part, const char* _level)
+{
+	return QJsonObject{{"time", QDateTime::currentDateTimeUtc().toString(Qt::ISODateWithMs)},
+					   {"steady_ms", static_cast<qint64>(monotonicNow() / kMillisecond)},
+					   {"level", QString::fromLatin1(_level)},
+					   {"part", QString::fromStdString(_part)}};
+}
+
+void write(const log4cxx::LevelPtr& _level, QJsonObject _line)
+{
+	static const log4cxx::LoggerPtr s_logger = log4cxx::Logger::getLogger("roadferry");
+	const bool important = _level->isGreaterOrEqual(log4cxx::Level::getWarn());
+	if (!s_limiter.take() && !important)
+	{
+		s_leftOut += 1;
+		return;
+	}
+	const std::uint64_t leftOut = s_leftOut;
+	if (leftOut > s_leftOutTold.exchange(leftOut))
+	{
+		_line["lines_left_out"] = static_cast<qint64>(leftOut);
+	}
+	s_logger->log(_level, toText(_line), LOG4CXX_LOCATION);
+}
+
+void writeMessage(const log4cxx::LevelPtr& _level, const char* _name, const std::string& _part,
+				  const std::string& _message)
+{
+	QJsonObject line = lineOf(_part, _name);
+	line["message"] = QString::fromStdString(_message);
+	write(_level, std::move(line));
+}
+
+QJsonValue toJson(const LogValue& _value)
+{
+	return std::visit(
+		[](const auto& _typed) -> QJsonValue
+		{
+			using Type = std::decay_t<decltype(_typed)>;
+			if constexpr (std::is_same_v<Type, std::string>)
+			{
+				return QString::fromStdString(_typed);
+			}
+			else if constexpr (std::is_same_v<Type, bool>)
+			{
+				return _typed;
+			}
+			else
+			{
+				return static_cast<qint64>(_typed);
+			}
+		},
+		_value);
+}
+
+} // namespace
+
+void startLogging(LogStream _stream)
+{
+	const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
+	const auto target = _stream == LogStream::Output ? log4cxx::ConsoleAppender::getSystemOut()
+													 : log4cxx::ConsoleAppender::getSystemErr();
+	const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, target);
+	const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+	queue->setBufferSize(kQueueLines);
+	queue->setBlocking(false);
+	queue->addAppender(console);
+	log4cxx::BasicConfigurator::configure(queue);
 	log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::getInfo());
 }
 
+std::uint64_t logLinesLeftOut()
+{
+	return s_leftOut;
+}
+
+void logEvent(const std::string& _part, const std::string& _event, const std::vector<LogField>& _fields)
+{
+	QJsonObject line = lineOf(_part, "info");
+	line["event"] = QString::fromStdString(_event);
+	for (const LogField& field : _fields)
+	{
+		line[QString::fromStdString(field.name)] = toJson(field.value);
+	}
+	write(log4cxx::Level::getInfo(), std::move(line));
+}
+
 void logInfo(const std::string& _part, const std::string& _message)
 {
-	LOG4CXX_INFO(log4cxx::Logger::getLogger(_part), _message);
+	writeMessage(log4cxx::Level::getInfo(), "info", _part, _message);
 }
 
 void logWarning(const std::string& _part, const std::string& _message)
 {
-	LOG4CXX_WARN(log4cxx::Logger::getLogger(_part), _message);
+	writeMessage(log4cxx::Level::getWarn(), "warning", _part, _message);
 }
 
 void logError(const std::string& _part, const std::string& _message)
 {
-	LOG4CXX_ERROR(log4cxx::Logger::getLogger(_part), _message);
+	writeMessage(log4cxx::Level::getError(), "error", _part, _message);
 }
 
 } // namespace roadferry
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -136,6 +136,12 @@
 			{ onControl([this, _peer, _typed] { this->view->onDemand(_peer, _typed); }); },
 			[&](const ShareGrant& _typed)
 			{ onControl([this, _peer, _typed] { this->view->onShares(_peer, _typed); }); },
+			// Of nodes that forward; this kind of node takes no part.
+			[](const RoutesAsk&) {},
+			[](const RoutesGive&) {},
+			[](const PieceAsk&) {},
+			[](const PieceGive&) {},
+			[](const PieceDrop&) {},
 		},
 		*message);
 }
@@ -152,6 +158,11 @@
 	this->drainTimer.start(kDrainPeriodMs);
 }
 
+void Node::reload()
+{
+	logInfo("node", "settings are read at the next start");
+}
+
 void Node::awaitIdle()
 {
 	const Micros waited = monotonicNow() - this->drainBegan;
--- a/src/node.h
+++ b/src/node.h
@@ -11,6 +11,7 @@
 
 #include "caller_api.h"
 #include "control.h"
+#include "daemon.h"
 #include "operator_api.h"
 #include "settings.h"
 
@@ -18,25 +19,28 @@
 {
 
 /// Owns all parts of the daemon. Made, started and stopped on the control thread.
-class Node
+class Node final : public Daemon
 {
 public:
 	explicit Node(Settings _settings);
-	~Node();
+	~Node() override;
 	Node(const Node&) = delete;
 	Node& operator=(const Node&) = delete;
 
 	/// Listens and begins to work.
 	/// @param[in] _stopped Called when a planned stop has ended.
 	/// @returns Ok, or what went wrong.
-	absl::Status start(std::function<void()> _stopped);
+	absl::Status start(std::function<void()> _stopped) override;
 
 	/// Begins a planned stop: fails the balancer's check, takes no new connections once the balancer has
 	/// noticed, and ends when all requests are answered.
-	void drain();
+	void drain() override;
 
-	[[nodiscard]] std::string callerAddress() const;
-	[[nodiscard]] std::string peerAddress() const;
+	/// Settings of this kind of node hold until the next start.
+	void reload() override;
+
+	[[nodiscard]] std::string callerAddress() const override;
+	[[nodiscard]] std::string peerAddress() const override;
 
 private:
 	void handle(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply);
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -7,6 +7,8 @@
 /// CBOR form of the messages between nodes.
 
 #include "peer_messages.h"
+#include "cbor_reader.h"
+#include "piece_messages.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -27,151 +29,6 @@
 constexpr std::int64_t kVerdicts = 3;
 constexpr std::int64_t kReasons = 18;
 
-QString text(const std::string& _text)
-{
-	return QString::fromStdString(_text);
-}
-
-/// Reads fields; the first fault is kept.
-class CborReader
-{
-public:
-	explicit CborReader(const QCborMap& _map) : map(_map)
-	{
-	}
-
-	std::string text(const char* _name)
-	{
-		const QCborValue value = this->map.value(QLatin1String(_name));
-		if (!value.isString())
-		{
-			this->fault(_name, "a text");
-		}
-		return value.toString().toStdString();
-	}
-
-	/// Bodies travel as bytes: they need not be valid UTF-8.
-	std::string bytes(const char* _name)
-	{
-		const QCborValue value = this->map.value(QLatin1String(_name));
-		if (!value.isByteArray())
-		{
-			this->fault(_name, "bytes");
-		}
-		return value.toByteArray().toStdString();
-	}
-
-	std::int64_t integer(const char* _name)
-	{
-		const QCborValue value = this->map.value(QLatin1String(_name));
-		if (!value.isInteger())
-		{
-			this->fault(_name, "a whole number");
-		}
-		return value.toInteger();
-	}
-
-	QCborValue value(const char* _name)
-	{
-		return this->map.value(QLatin1String(_name));
-	}
-
-	std::uint64_t natural(const char* _name)
-	{
-		return static_cast<std::uint64_t>(this->integer(_name));
-	}
-
-	std::vector<std::string> texts(const char* _name)
-	{
-		const QCborValue value = this->map.value(QLatin1String(_name));
-		if (!value.isArray())
-		{
-			this->fault(_name, "a list of texts");
-		}
-		std::vector<std::string> result;
-		const QCborArray array = value.toArray();
-		for (const QCborValue element : array)
-		{
-			result.push_back(element.toString().toStdString());
-		}
-		return result;
-	}
-
-	bool boolean(const char* _name)
-	{
-		const QCborValue value = this->map.value(QLatin1String(_name));
-		if (!value.isBool())
-		{
-			this->fault(_name, "true or false");
-		}
-		return value.toBool();
-	}
-
-	/// A list of lists of a certain length.
-	std::vector<QCborArray> arrays(const char* _name, qsizetype _length)
-	{
-		std::vector<QCborArray> result;
-		const QCborValue value = this->map.value(QLatin1String(_name));
-		if (!value.isArray())
-		{
-			this->fault(_name, "a list of lists");
-		}
-		const QCborArray outer = value.toArray();
-		for (const QCborValue element : outer)
-		{
-			const QCborArray inner = element.toArray();
-			if (inner.size() != _length)
-			{
-				this->fault(_name, "a list of lists of the right length");
-				return {};
-			}
-			result.push_back(inner);
-		}
-		return result;
-	}
-
-	std::map<std::string, std::int64_t> numbers(const char* _name)
-	{
-		std::map<std::string, std::int64_t> result;
-		const QCborValue value = this->map.value(QLatin1String(_name));
-		if (!value.isMap())
-		{
-			this->fault(_name, "a map of whole numbers");
-		}
-		const QCborMap inner = value.toMap();
-		for (const auto entry : inner)
-		{
-			result[entry.first.toString().toStdString()] = entry.second.toInteger();
-		}
-		return result;
-	}
-
-	/// A number that stands for one of an enumeration's values.
-	std::int64_t below(const QCborValue& _value, std::int64_t _limit, const char* _name)
-	{
-		const std::int64_t number = _value.toInteger(-1);
-		if (number < 0 || number >= _limit)
-		{
-			this->fault(_name, "a known value");
-			return 0;
-		}
-		return number;
-	}
-
-	void fault(const char* _name, const char* _limit)
-	{
-		if (this->status.ok())
-		{
-			this->status = absl::InvalidArgumentError(absl::StrCat("peer message: ", _name, ": must be ", _limit));
-		}
-	}
-
-	absl::Status status;
-
-private:
-	const QCborMap& map;
-};
-
 QCborMap toCbor(const RelayRequest& _message)
 {
 	return QCborMap{{"type", "relay_request"},
@@ -213,12 +70,7 @@
 
 QCborMap toCbor(const LeavingWord& _message)
 {
-	QCborArray endpoints;
-	for (const std::string& endpoint : _message.endpoints)
-	{
-		endpoints.append(text(endpoint));
-	}
-	return QCborMap{{"type", "leaving"}, {"endpoints", endpoints}};
+	return QCborMap{{"type", "leaving"}, {"endpoints", textArray(_message.endpoints)}};
 }
 
 QCborMap toCbor(const Farewell& _message)
@@ -272,6 +124,41 @@
 	return QCborMap{{"type", "shares"}, {"shares", toCbor(_message.shares)}};
 }
 
+QCborMap toCbor(const RoutesAsk& _message)
+{
+	return QCborMap{
+		{"type", "routes_ask"}, {"version", static_cast<qint64>(_message.version)}, {"endpoints", _message.endpoints}};
+}
+
+QCborMap toCbor(const RoutesGive& _message)
+{
+	QCborArray endpoints;
+	for (const Endpoint& endpoint : _message.endpoints)
+	{
+		endpoints.append(QCborArray{text(endpoint.id), text(endpoint.address), text(endpoint.pool),
+									text(endpoint.failureDomain), static_cast<qint64>(endpoint.slots),
+									endpoint.leaving});
+	}
+	return QCborMap{{"type", "routes_give"},
+					{"record", QByteArray::fromStdString(_message.record)},
+					{"endpoints", endpoints},
+					{"leaving", textArray(_message.leaving)}};
+}
+
+RoutesGive readRoutesGive(CborReader& _reader)
+{
+	RoutesGive message;
+	message.record = _reader.bytes("record");
+	for (const QCborArray& entry : _reader.arrays("endpoints", 6))
+	{
+		message.endpoints.push_back(Endpoint{entry.at(0).toString().toStdString(), entry.at(1).toString().toStdString(),
+											 entry.at(2).toString().toStdString(), entry.at(3).toString().toStdString(),
+											 entry.at(4).toInteger(), entry.at(5).toBool()});
+	}
+	message.leaving = _reader.texts("leaving");
+	return message;
+}
+
 Farewell readFarewell(CborReader& _reader)
 {
 	Farewell message;
@@ -357,6 +244,26 @@
 	{
 		return ShareGrant{_reader.numbers("shares")};
 	}
+	if (_type == "routes_ask")
+	{
+		return RoutesAsk{_reader.natural("version"), _reader.boolean("endpoints")};
+	}
+	if (_type == "routes_give")
+	{
+		return readRoutesGive(_reader);
+	}
+	if (_type == "piece_ask")
+	{
+		return readPieceAsk(_reader);
+	}
+	if (_type == "piece_give")
+	{
+		return readPieceGive(_reader);
+	}
+	if (_type == "piece_drop")
+	{
+		return PieceDrop{_reader.naturals("orders")};
+	}
 	_reader.fault(kTypeField, "one that this version knows");
 	return TableAsk{};
 }
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -75,8 +75,26 @@
 	bool operator==(const LeavingWord&) const = default;
 };
 
-using PeerMessage = std::variant<RelayRequest, RelayToken, RelayResult, TableAsk, TableGive, LeavingWord, Farewell,
-								 Gossip, DemandReport, ShareGrant>;
+/// Asks for what another node knows of routes and endpoints, while the platform is away.
+struct RoutesAsk
+{
+	std::uint64_t version = 0; ///< Version of the routes that the sender holds, 0 for none.
+	bool endpoints = false;    ///< Whether the sender knows no endpoints yet.
+	bool operator==(const RoutesAsk&) const = default;
+};
+
+/// What a node knows beyond what was asked with.
+struct RoutesGive
+{
+	std::string record; ///< The routes as the platform keeps them; empty when the asker holds them.
+	std::vector<Endpoint> endpoints;
+	std::vector<std::string> leaving; ///< Endpoints that were seen leaving.
+	bool operator==(const RoutesGive&) const = default;
+};
+
+using PeerMessage =
+	std::variant<RelayRequest, RelayToken, RelayResult, TableAsk, TableGive, LeavingWord, Farewell, Gossip,
+				 DemandReport, ShareGrant, RoutesAsk, RoutesGive, PieceAsk, PieceGive, PieceDrop>;
 
 /// @returns The message as CBOR.
 std::string encode(const PeerMessage& _message);
--- /dev/null
+++ b/src/piece_desk.cpp
@@ -0,0 +1,349 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Pieces over nodes: who makes them, and what happens when that node falls silent.
+
+#include <roadferry/roadferry.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace roadferry
+{
+
+PieceDesk::PieceDesk(std::string _self, PieceDeskConfig _config)
+	: self(std::move(_self)), config(_config), maker(_config.batches), members({self})
+{
+}
+
+void PieceDesk::setPools(const std::vector<PoolSpec>& _pools)
+{
+	this->maker.setPools(_pools);
+}
+
+void PieceDesk::setEndpoints(const std::vector<Endpoint>& _endpoints)
+{
+	this->maker.setEndpoints(_endpoints);
+}
+
+void PieceDesk::setMembers(const std::vector<std::string>& _members)
+{
+	this->members = _members;
+}
+
+std::string PieceDesk::nodeOf(const std::string& _pool, Micros _now) const
+{
+	if (!this->config.shared)
+	{
+		return this->self;
+	}
+	std::vector<std::string> candidates;
+	for (const std::string& member : this->members)
+	{
+		const auto silent = this->silentUntil.find(member);
+		if (silent == this->silentUntil.end() || silent->second <= _now)
+		{
+			candidates.push_back(member);
+		}
+	}
+	return candidates.empty() ? this->self : batchNodeOf(_pool, candidates);
+}
+
+void PieceDesk::makeHere(const std::string& _pool, const std::string& _peer, const PieceOrder& _order)
+{
+	PieceOrder numbered = _order;
+	numbered.order = ++this->lastNumber;
+	this->inHand.emplace(numbered.order, InHand{_peer, _order.order, true});
+	this->numberOf[{_peer, _order.order}] = numbered.order;
+	this->maker.add(_pool, numbered);
+}
+
+void PieceDesk::send(const std::string& _to, PieceMessage _message, PieceActions& _actions)
+{
+	_actions.emplace_back(SendPieceMessage{_to, std::move(_message)});
+}
+
+void PieceDesk::place(const std::string& _pool, const std::vector<PieceOrder>& _orders, Micros _now,
+					  PieceActions& _actions)
+{
+	const std::string node = this->nodeOf(_pool, _now);
+	if (node == this->self)
+	{
+		for (const PieceOrder& order : _orders)
+		{
+			this->makeHere(_pool, {}, order);
+		}
+		return;
+	}
+	PieceAsk ask{_pool, _orders};
+	for (PieceOrder& order : ask.orders)
+	{
+		this->away[order.order] = Away{node, _pool, order};
+		order.deadline -= _now;
+		order.due -= _now;
+	}
+	this->heardAt.try_emplace(node, _now);
+	this->send(node, std::move(ask), _actions);
+}
+
+PieceActions PieceDesk::order(const std::string& _pool, const std::vector<PieceOrder>& _orders, Micros _now)
+{
+	PieceActions actions;
+	this->place(_pool, _orders, _now, actions);
+	this->takeBatchActions(this->maker.tick(_now), _now, actions);
+	return actions;
+}
+
+PieceActions PieceDesk::cancel(const std::vector<std::uint64_t>& _orders, Micros _now)
+{
+	PieceActions actions;
+	std::map<std::string, PieceDrop> drops;
+	for (const std::uint64_t order : _orders)
+	{
+		const auto found = this->away.find(order);
+		if (found != this->away.end())
+		{
+			drops[found->second.peer].orders.push_back(order);
+			this->away.erase(found);
+			continue;
+		}
+		this->onDrop({}, PieceDrop{{order}});
+	}
+	for (auto& entry : drops)
+	{
+		this->send(entry.first, std::move(entry.second), actions);
+	}
+	this->takeBatchActions(this->maker.tick(_now), _now, actions);
+	return actions;
+}
+
+void PieceDesk::onDrop(const std::string& _from, const PieceDrop& _drop)
+{
+	for (const std::uint64_t order : _drop.orders)
+	{
+		const auto number = this->numberOf.find({_from, order});
+		if (number == this->numberOf.end())
+		{
+			continue;
+		}
+		if (this->maker.cancel(number->second))
+		{
+			this->inHand.erase(number->second);
+			this->numberOf.erase(number);
+			continue;
+		}
+		this->inHand.at(number->second).wanted = false;
+	}
+}
+
+void PieceDesk::onAsk(const std::string& _from, const PieceAsk& _ask, Micros _now)
+{
+	this->toldAt.try_emplace(_from, _now);
+	for (const PieceOrder& asked : _ask.orders)
+	{
+		PieceOrder order = asked;
+		order.deadline += _now;
+		order.due += _now;
+		this->makeHere(_ask.pool, _from, order);
+	}
+}
+
+void PieceDesk::onGive(const std::string& _from, const PieceGive& _give, PieceActions& _actions)
+{
+	for (const PieceMade& made : _give.made)
+	{
+		const auto found = this->away.find(made.order);
+		if (found == this->away.end() || found->second.peer != _from)
+		{
+			_actions.emplace_back(FreeResult{made.handle});
+			continue;
+		}
+		this->away.erase(found);
+		_actions.emplace_back(made);
+	}
+	for (const PieceFailed& failed : _give.failed)
+	{
+		const auto found = this->away.find(failed.order);
+		if (found != this->away.end() && found->second.peer == _from)
+		{
+			this->away.erase(found);
+			_actions.emplace_back(failed);
+		}
+	}
+}
+
+PieceActions PieceDesk::receive(const std::string& _from, const PieceMessage& _message, Micros _now)
+{
+	PieceActions actions;
+	const auto heard = this->heardAt.find(_from);
+	if (heard != this->heardAt.end())
+	{
+		heard->second = _now;
+	}
+	std::visit(
+		Overloaded{
+			[&](const PieceAsk& _ask) { this->onAsk(_from, _ask, _now); },
+			[&](const PieceGive& _give) { this->onGive(_from, _give, actions); },
+			[&](const PieceDrop& _drop) { this->onDrop(_from, _drop); },
+		},
+		_message);
+	this->takeBatchActions(this->maker.tick(_now), _now, actions);
+	return actions;
+}
+
+void PieceDesk::takeBack(const std::string& _peer, Micros _now, PieceActions& _actions)
+{
+	this->silentUntil[_peer] = _now + this->config.silentFor;
+	this->heardAt.erase(_peer);
+	std::map<std::string, std::vector<PieceOrder>> again;
+	for (auto entry = this->away.begin(); entry != this->away.end();)
+	{
+		if (entry->second.peer != _peer)
+		{
+			++entry;
+			continue;
+		}
+		again[entry->second.pool].push_back(entry->second.order);
+		entry = this->away.erase(entry);
+	}
+	for (const auto& entry : again)
+	{
+		this->place(entry.first, entry.second, _now, _actions);
+	}
+}
+
+PieceActions PieceDesk::peerClosed(const std::string& _peer, Micros _now)
+{
+	PieceActions actions;
+	const bool busy = std::any_of(this->away.begin(), this->away.end(),
+								  [&](const auto& _entry) { return _entry.second.peer == _peer; });
+	if (busy)
+	{
+		this->takeBack(_peer, _now, actions);
+	}
+	this->takeBatchActions(this->maker.tick(_now), _now, actions);
+	return actions;
+}
+
+void PieceDesk::takeBatchActions(const BatchActions& _batch, Micros _now, PieceActions& _actions)
+{
+	std::map<std::string, PieceGive> gives;
+	const auto settle = [this](std::uint64_t _number)
+	{
+		const auto found = this->inHand.find(_number);
+		const InHand hand = found->second;
+		this->numberOf.erase({hand.peer, hand.order});
+		this->inHand.erase(found);
+		return hand;
+	};
+	for (const BatchAction& action : _batch)
+	{
+		std::visit(
+			Overloaded{
+				[&](const StartBatch& _start) { _actions.emplace_back(_start); },
+				[&](const CancelBatch& _cancel) { _actions.emplace_back(_cancel); },
+				[&](PieceMade _made)
+				{
+					const InHand hand = settle(_made.order);
+					_made.order = hand.order;
+					if (!hand.wanted)
+					{
+						_actions.emplace_back(FreeResult{_made.handle});
+					}
+					else if (hand.peer.empty())
+					{
+						_actions.emplace_back(std::move(_made));
+					}
+					else
+					{
+						gives[hand.peer].made.push_back(std::move(_made));
+					}
+				},
+				[&](PieceFailed _failed)
+				{
+					const InHand hand = settle(_failed.order);
+					_failed.order = hand.order;
+					if (hand.wanted && hand.peer.empty())
+					{
+						_actions.emplace_back(_failed);
+					}
+					else if (hand.wanted)
+					{
+						gives[hand.peer].failed.push_back(_failed);
+					}
+				},
+			},
+			action);
+	}
+	for (auto& entry : gives)
+	{
+		this->toldAt[entry.first] = _now;
+		this->send(entry.first, std::move(entry.second), _actions);
+	}
+}
+
+PieceActions PieceDesk::batchEnded(std::uint64_t _batch, const BatchEnd& _end, Micros _now)
+{
+	PieceActions actions;
+	this->takeBatchActions(this->maker.batchEnded(_batch, _end, _now), _now, actions);
+	return actions;
+}
+
+void PieceDesk::checkSilence(Micros _now, PieceActions& _actions)
+{
+	std::set<std::string> holders;
+	for (const auto& entry : this->away)
+	{
+		holders.insert(entry.second.peer);
+	}
+	std::erase_if(this->heardAt, [&](const auto& _entry) { return holders.count(_entry.first) == 0; });
+	std::vector<std::string> silent;
+	for (const auto& entry : this->heardAt)
+	{
+		if (_now - entry.second > this->config.silentAfter)
+		{
+			silent.push_back(entry.first);
+		}
+	}
+	for (const std::string& peer : silent)
+	{
+		this->takeBack(peer, _now, _actions);
+	}
+}
+
+void PieceDesk::tellNews(Micros _now, PieceActions& _actions)
+{
+	std::set<std::string> askers;
+	for (const auto& entry : this->numberOf)
+	{
+		askers.insert(entry.first.first);
+	}
+	std::erase_if(this->toldAt, [&](const auto& _entry) { return askers.count(_entry.first) == 0; });
+	for (auto& entry : this->toldAt)
+	{
+		if (_now - entry.second >= this->config.newsEvery)
+		{
+			entry.second = _now;
+			this->send(entry.first, PieceGive{}, _actions);
+		}
+	}
+}
+
+PieceActions PieceDesk::tick(Micros _now)
+{
+	PieceActions actions;
+	this->checkSilence(_now, actions);
+	this->takeBatchActions(this->maker.tick(_now), _now, actions);
+	this->tellNews(_now, actions);
+	return actions;
+}
+
+Micros PieceDesk::predictedTime(const std::string& _pool, Micros _now) const
+{
+	return this->maker.predictedTime(_pool, _now);
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/src/piece_messages.cpp
@@ -0,0 +1,124 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Implementation of the messages about pieces.
+
+#include "piece_messages.h"
+
+namespace roadferry
+{
+
+namespace
+{
+
+constexpr std::int64_t kFaults = 5;
+constexpr qsizetype kOrderFields = 10;
+
+std::vector<std::string> textsOf(const QCborArray& _array)
+{
+	std::vector<std::string> result;
+	for (const QCborValue element : _array)
+	{
+		result.push_back(element.toString().toStdString());
+	}
+	return result;
+}
+
+QCborArray orderToCbor(const PieceOrder& _order)
+{
+	return QCborArray{static_cast<qint64>(_order.order),
+					  text(_order.request),
+					  static_cast<qint64>(_order.name.stage),
+					  static_cast<qint64>(_order.name.piece),
+					  text(_order.key),
+					  textArray(_order.inputs),
+					  static_cast<qint64>(_order.deadline),
+					  static_cast<qint64>(_order.due),
+					  static_cast<qint64>(_order.priority),
+					  static_cast<qint64>(_order.resultBytes)};
+}
+
+PieceOrder orderFromCbor(const QCborArray& _fields)
+{
+	PieceOrder order;
+	order.order = static_cast<std::uint64_t>(_fields.at(0).toInteger());
+	order.request = _fields.at(1).toString().toStdString();
+	order.name.stage = static_cast<std::size_t>(_fields.at(2).toInteger());
+	order.name.piece = static_cast<std::size_t>(_fields.at(3).toInteger());
+	order.key = _fields.at(4).toString().toStdString();
+	order.inputs = textsOf(_fields.at(5).toArray());
+	order.deadline = _fields.at(6).toInteger();
+	order.due = _fields.at(7).toInteger();
+	order.priority = _fields.at(8).toInteger();
+	order.resultBytes = _fields.at(9).toInteger();
+	return order;
+}
+
+} // namespace
+
+QCborMap toCbor(const PieceAsk& _message)
+{
+	QCborArray orders;
+	for (const PieceOrder& order : _message.orders)
+	{
+		orders.append(orderToCbor(order));
+	}
+	return QCborMap{{"type", "piece_ask"}, {"pool", text(_message.pool)}, {"orders", orders}};
+}
+
+QCborMap toCbor(const PieceGive& _message)
+{
+	QCborArray made;
+	for (const PieceMade& piece : _message.made)
+	{
+		made.append(QCborArray{static_cast<qint64>(piece.order), text(piece.handle), text(piece.failureDomain)});
+	}
+	QCborArray failed;
+	for (const PieceFailed& piece : _message.failed)
+	{
+		failed.append(QCborArray{static_cast<qint64>(piece.order), static_cast<qint64>(piece.fault)});
+	}
+	return QCborMap{{"type", "piece_give"}, {"made", made}, {"failed", failed}};
+}
+
+QCborMap toCbor(const PieceDrop& _message)
+{
+	QCborArray orders;
+	for (const std::uint64_t order : _message.orders)
+	{
+		orders.append(static_cast<qint64>(order));
+	}
+	return QCborMap{{"type", "piece_drop"}, {"orders", orders}};
+}
+
+PieceAsk readPieceAsk(CborReader& _reader)
+{
+	PieceAsk message;
+	message.pool = _reader.text("pool");
+	for (const QCborArray& fields : _reader.arrays("orders", kOrderFields))
+	{
+		message.orders.push_back(orderFromCbor(fields));
+	}
+	return message;
+}
+
+PieceGive readPieceGive(CborReader& _reader)
+{
+	PieceGive message;
+	for (const QCborArray& fields : _reader.arrays("made", 3))
+	{
+		message.made.push_back(PieceMade{static_cast<std::uint64_t>(fields.at(0).toInteger()),
+										 fields.at(1).toString().toStdString(), fields.at(2).toString().toStdString()});
+	}
+	for (const QCborArray& fields : _reader.arrays("failed", 2))
+	{
+		message.failed.push_back(PieceFailed{static_cast<std::uint64_t>(fields.at(0).toInteger()),
+											 static_cast<PieceFault>(_reader.below(fields.at(1), kFaults, "failed"))});
+	}
+	return message;
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/src/piece_messages.h
@@ -0,0 +1,29 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// CBOR form of the messages about pieces.
+
+#ifndef ROADFERRY_PIECE_MESSAGES_H_HEADER_GUARD
+#define ROADFERRY_PIECE_MESSAGES_H_HEADER_GUARD
+
+#include "cbor_reader.h"
+
+#include <roadferry/roadferry.h>
+
+namespace roadferry
+{
+
+QCborMap toCbor(const PieceAsk& _message);
+QCborMap toCbor(const PieceGive& _message);
+QCborMap toCbor(const PieceDrop& _message);
+
+/// Faults are kept by the reader.
+PieceAsk readPieceAsk(CborReader& _reader);
+PieceGive readPieceGive(CborReader& _reader);
+
+} // namespace roadferry
+
+#endif // ROADFERRY_PIECE_MESSAGES_H_HEADER_GUARD
--- /dev/null
+++ b/src/piece_runner.cpp
@@ -0,0 +1,169 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Implementation of the making of pieces.
+
+#include "piece_runner.h"
+
+#include "clock.h"
+#include "logging.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace roadferry
+{
+
+namespace
+{
+
+constexpr Micros kConnectTimeout = 400 * kMillisecond; ///< Across failure domains a connection opens in 2 ms.
+constexpr Micros kFreeTimeout = kSecond;
+
+std::string_view nameOfEnd(const BatchEnd& _end)
+{
+	return std::visit(Overloaded{[](const BatchAnswered&) { return "answered"; },
+								 [](const BatchRefused&) { return "refused"; }, [](const BatchCut&) { return "cut"; }},
+					  _end);
+}
+
+} // namespace
+
+PieceRunner::PieceRunner(HttpClient& _client, const Wire& _wire, PieceDesk _desk, PieceHandlers _handlers)
+	: client(_client), wire(_wire), desk(std::move(_desk)), handlers(std::move(_handlers))
+{
+}
+
+void PieceRunner::setPlan(const RoutePlan& _plan)
+{
+	this->desk.setPools(_plan.data().pools);
+}
+
+void PieceRunner::setEndpoints(const std::vector<Endpoint>& _endpoints)
+{
+	this->desk.setEndpoints(_endpoints);
+	this->tick();
+}
+
+void PieceRunner::setMembers(const std::vector<std::string>& _members)
+{
+	this->desk.setMembers(_members);
+}
+
+void PieceRunner::order(const std::string& _pool, const std::vector<PieceOrder>& _orders)
+{
+	this->perform(this->desk.order(_pool, _orders, monotonicNow()));
+}
+
+void PieceRunner::cancel(const std::vector<std::uint64_t>& _orders)
+{
+	this->perform(this->desk.cancel(_orders, monotonicNow()));
+}
+
+void PieceRunner::free(const std::vector<std::string>& _handles)
+{
+	for (const std::string& handle : _handles)
+	{
+		const std::string keeper = this->wire.keeperOf(handle);
+		if (!keeper.empty())
+		{
+			this->frees[keeper].push_back(handle);
+		}
+	}
+}
+
+void PieceRunner::receive(const std::string& _from, const PieceMessage& _message)
+{
+	this->perform(this->desk.receive(_from, _message, monotonicNow()));
+}
+
+void PieceRunner::peerClosed(const std::string& _peer)
+{
+	this->perform(this->desk.peerClosed(_peer, monotonicNow()));
+}
+
+void PieceRunner::tick()
+{
+	this->sendFrees();
+	this->perform(this->desk.tick(monotonicNow()));
+}
+
+Micros PieceRunner::predictedTime(const std::string& _pool) const
+{
+	return this->desk.predictedTime(_pool, monotonicNow());
+}
+
+void PieceRunner::perform(const PieceActions& _actions)
+{
+	for (const PieceAction& action : _actions)
+	{
+		std::visit(
+			Overloaded{
+				[&](const StartBatch& _start) { this->start(_start); },
+				[&](const CancelBatch& _cancel) { this->cancelCall(_cancel.batch); },
+				[&](const PieceMade& _made) { this->handlers.onMade(_made); },
+				[&](const PieceFailed& _failed) { this->handlers.onFailed(_failed); },
+				[&](const SendPieceMessage& _send) { this->handlers.send(_send.to, _send.message); },
+				[&](const FreeResult& _free) { this->free({_free.handle}); },
+			},
+			action);
+	}
+}
+
+void PieceRunner::start(const StartBatch& _batch)
+{
+	const Micros now = monotonicNow();
+	CallSpec spec;
+	spec.address = _batch.endpoint.address;
+	spec.request = this->wire.batchRequest(_batch, now);
+	spec.timeout = _batch.giveUpAt - now + kConnectTimeout; // The desk gives up first; this is for when it does not.
+	spec.connectTimeout = kConnectTimeout;
+	CallHandlers calls;
+	calls.onEnd = [this, batch = _batch.batch, size = _batch.orders.size(), endpoint = _batch.endpoint.id,
+				   pool = _batch.pool, now](const CallEnd& _end)
+	{
+		this->calls.erase(batch);
+		const BatchEnd end = this->wire.readBatch(_end, size);
+		logEvent("pieces", "batch_ended",
+				 {{"pool", pool},
+				  {"endpoint", endpoint},
+				  {"pieces", size},
+				  {"end", std::string(nameOfEnd(end))},
+				  {"status", _end.status},
+				  {"error", _end.error},
+				  {"took_ms", (monotonicNow() - now) / kMillisecond}});
+		this->perform(this->desk.batchEnded(batch, end, monotonicNow()));
+	};
+	this->calls[_batch.batch] = this->client.call(0, std::move(spec), std::move(calls));
+}
+
+void PieceRunner::cancelCall(std::uint64_t _batch)
+{
+	const auto found = this->calls.find(_batch);
+	if (found == this->calls.end())
+	{
+		return;
+	}
+	logEvent("pieces", "batch_given_up", {{"batch", _batch}});
+	found->second->cancel();
+	this->calls.erase(found);
+}
+
+void PieceRunner::sendFrees()
+{
+	const auto collected = std::exchange(this->frees, {});
+	for (const auto& entry : collected)
+	{
+		CallSpec spec;
+		spec.address = entry.first;
+		spec.request = this->wire.freeRequest(entry.second);
+		spec.timeout = kFreeTimeout;
+		spec.connectTimeout = kConnectTimeout;
+		// Whether it arrives does not matter: results that nobody frees expire.
+		this->client.call(0, std::move(spec), CallHandlers{});
+	}
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/src/piece_runner.h
@@ -0,0 +1,63 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Carries out what the piece desk decides: calls to endpoints and messages to other nodes.
+
+#ifndef ROADFERRY_PIECE_RUNNER_H_HEADER_GUARD
+#define ROADFERRY_PIECE_RUNNER_H_HEADER_GUARD
+
+#include "adapter.h"
+
+namespace roadferry
+{
+
+/// Called on the runner's thread.
+struct PieceHandlers
+{
+	std::function<void(const PieceMade&)> onMade;
+	std::function<void(const PieceFailed&)> onFailed;
+	std::function<void(const std::string& _to, const PieceMessage&)> send;
+};
+
+/// Makes pieces. All functions run on thread 0 of the pool.
+class PieceRunner
+{
+public:
+	PieceRunner(HttpClient& _client, const Wire& _wire, PieceDesk _desk, PieceHandlers _handlers);
+
+	void setPlan(const RoutePlan& _plan);
+	void setEndpoints(const std::vector<Endpoint>& _endpoints);
+	void setMembers(const std::vector<std::string>& _members);
+
+	void order(const std::string& _pool, const std::vector<PieceOrder>& _orders);
+	void cancel(const std::vector<std::uint64_t>& _orders);
+
+	/// Lets endpoints drop results. Those of one endpoint are collected until the next tick.
+	void free(const std::vector<std::string>& _handles);
+
+	void receive(const std::string& _from, const PieceMessage& _message);
+	void peerClosed(const std::string& _peer);
+	void tick();
+
+	[[nodiscard]] Micros predictedTime(const std::string& _pool) const;
+
+private:
+	void perform(const PieceActions& _actions);
+	void start(const StartBatch& _batch);
+	void cancelCall(std::uint64_t _batch);
+	void sendFrees();
+
+	HttpClient& client;
+	const Wire& wire;
+	PieceDesk desk;
+	PieceHandlers handlers;
+	std::map<std::uint64_t, std::shared_ptr<HttpCall>> calls; ///< By batch.
+	std::map<std::string, std::vector<std::string>> frees;    ///< Results to drop, by the endpoint that keeps them.
+};
+
+} // namespace roadferry
+
+#endif // ROADFERRY_PIECE_RUNNER_H_HEADER_GUARD
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -40,6 +40,14 @@
 		return true;
 	}
 
+	/// Changes the bounds; what is saved up shrinks at once where the bound does.
+	void setBounds(double _share, double _burst)
+	{
+		this->share = _share;
+		this->burst = _burst;
+		this->saved = std::min(this->saved, _burst);
+	}
+
 private:
 	double share;
 	double burst;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -9,15 +9,21 @@
 #include "settings.h"
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
 #include <gflags/gflags.h>
 
 #include <QHostAddress>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
+#include <set>
+#include <sstream>
 
 DEFINE_string(ip, "127.0.0.1", "IP number to listen on and to announce to other nodes");
 DEFINE_int32(port, 0, "port for callers and operators, 0 for one that is free (0 to 65535)");
@@ -37,6 +43,15 @@
 DEFINE_int32(body_limit_kb, 4096, "largest body of a request in KB (1 to 65536)");
 DEFINE_int32(connections, 4096, "most open connections of callers (16 to 65536)");
 DEFINE_int32(request_timeout_ms, 10000, "time a caller has to send a request whole, in ms (100 to 600000)");
+DEFINE_string(adapter, "", "platform to forward requests on; empty for a node that issues tickets");
+DEFINE_string(settings, "", "file with further flags, one to a line; flags and environment win over it");
+DEFINE_string(listen, "", "IP:port for clients, in place of ip and port");
+DEFINE_string(peer_listen, "", "IP:port for other nodes, in place of ip and peer_port");
+DEFINE_string(readiness_listen, "", "IP:port for readiness and metrics, of a node that forwards");
+DEFINE_string(feed_address, "", "IP:port of what tells of routes and endpoints, of a node that forwards");
+DEFINE_string(seeds, "", "IP:port of some other nodes, parted by commas, of a node that forwards");
+DEFINE_double(retry_slack, 20, "retries that all nodes together may make beyond retry_share (0 to 100000)");
+DEFINE_bool(shared_batches, true, "form batches of pieces together with the other nodes");
 DEFINE_string(placement, "affinity_gated", "placement policy");
 DEFINE_double(urgent_reserve, 0.1, "share of a pool's slots kept for urgent pipelines (0 to 0.9)");
 DEFINE_double(retry_share, 0.1, "retries earned by each first attempt (0 to 1)");
@@ -53,18 +68,54 @@
 constexpr std::size_t kCredentialLeast = 8;
 constexpr std::size_t kMegabyte = 1024 * 1024;
 constexpr std::int64_t kMostPort = 65'535;
+/// Endpoints that may be found unreachable before a request gives up, beyond its attempts.
+constexpr std::int64_t kSpareConnects = 3;
 
 /// Flags of this file; gflags knows others too, which are none of the daemon's settings.
 const std::vector<std::string>& flagNames()
 {
-	static const std::vector<std::string> s_names = {
-		"ip",         "port",           "peer_port",   "failure_domain",    "log_address",       "vm_list_address",
-		"callers",    "operators",      "peer_secret", "tls_certificate",   "tls_key",           "threads",
-		"trace_file", "drain_seconds",  "answer_mb",   "body_limit_kb",     "connections",       "request_timeout_ms",
-		"placement",  "urgent_reserve", "retry_share", "admit_by_deadline", "endpoints_per_pool"};
+	static const std::vector<std::string> s_names = {"ip",
+													 "port",
+													 "peer_port",
+													 "failure_domain",
+													 "log_address",
+													 "vm_list_address",
+													 "callers",
+													 "operators",
+													 "peer_secret",
+													 "tls_certificate",
+													 "tls_key",
+													 "threads",
+													 "trace_file",
+													 "drain_seconds",
+													 "answer_mb",
+													 "body_limit_kb",
+													 "connections",
+													 "request_timeout_ms",
+													 "placement",
+													 "urgent_reserve",
+													 "retry_share",
+													 "admit_by_deadline",
+													 "endpoints_per_pool",
+													 "adapter",
+													 "settings",
+													 "listen",
+													 "peer_listen",
+													 "readiness_listen",
+													 "feed_address",
+													 "seeds",
+													 "retry_slack",
+													 "shared_batches"};
 	return s_names;
 }
 
+/// Flags whose value came from the settings file, which may change it again.
+std::set<std::string>& fileFlags()
+{
+	static std::set<std::string> s_flags;
+	return s_flags;
+}
+
 std::string environmentName(const std::string& _flag)
 {
 	return absl::StrCat("ROADFERRY_", absl::AsciiStrToUpper(_flag));
@@ -146,6 +197,37 @@
 	std::vector<std::string> faults;
 };
 
+/// Takes each flag of the settings file that was not given otherwise.
+void takeFile(Checker& _checker, const std::string& _text)
+{
+	for (const auto line : absl::StrSplit(_text, '\n'))
+	{
+		const absl::string_view stripped = absl::StripAsciiWhitespace(line);
+		if (stripped.empty() || stripped.front() == '#')
+		{
+			continue;
+		}
+		const std::pair<std::string, std::string> pair =
+			absl::StrSplit(absl::StripPrefix(stripped, "--"), absl::MaxSplits('=', 1));
+		const std::vector<std::string>& names = flagNames();
+		if (std::find(names.begin(), names.end(), pair.first) == names.end())
+		{
+			continue; // Of a later version, or another program's.
+		}
+		gflags::CommandLineFlagInfo info;
+		const bool fromFile = fileFlags().count(pair.first) > 0;
+		if (!gflags::GetCommandLineFlagInfo(pair.first.c_str(), &info) || (!info.is_default && !fromFile))
+		{
+			continue;
+		}
+		fileFlags().insert(pair.first);
+		if (gflags::SetCommandLineOption(pair.first.c_str(), pair.second.c_str()).empty())
+		{
+			_checker.fault(pair.first, absl::StrCat("of type ", info.type));
+		}
+	}
+}
+
 void takeEnvironment(Checker& _checker)
 {
 	for (const std::string& name : flagNames())
@@ -175,6 +257,44 @@
 	_config.admitByDeadline = FLAGS_admit_by_deadline;
 }
 
+/// Puts an address of IP and port in place of the two flags for them.
+void readListen(Checker& _checker, const std::string& _flag, const std::string& _value, std::string& _ip,
+				std::uint16_t& _port)
+{
+	if (_value.empty())
+	{
+		return;
+	}
+	_checker.address(_flag, _value);
+	const std::pair<std::string, std::string> parts = absl::StrSplit(_value, absl::MaxSplits(':', 1));
+	int port = 0;
+	if (absl::SimpleAtoi(parts.second, &port))
+	{
+		_ip = parts.first;
+		_port = static_cast<std::uint16_t>(port);
+	}
+}
+
+void readForwarding(Checker& _checker, Settings& _settings)
+{
+	_settings.adapter = FLAGS_adapter;
+	readListen(_checker, "listen", FLAGS_listen, _settings.ip, _settings.port);
+	readListen(_checker, "peer_listen", FLAGS_peer_listen, _settings.ip, _settings.peerPort);
+	readListen(_checker, "readiness_listen", FLAGS_readiness_listen, _settings.ip, _settings.readinessPort);
+	if (FLAGS_adapter.empty())
+	{
+		return;
+	}
+	_settings.feedAddress = _checker.address("feed_address", FLAGS_feed_address);
+	for (const auto seed : absl::StrSplit(FLAGS_seeds, ',', absl::SkipEmpty()))
+	{
+		_settings.seeds.push_back(_checker.address("seeds", std::string(seed)));
+	}
+	_settings.retrySlack = _checker.number("retry_slack", FLAGS_retry_slack, 0, 100'000);
+	_settings.sharedBatches = FLAGS_shared_batches;
+	_settings.dispatcher.spareConnects = kSpareConnects;
+}
+
 void readHttp(Checker& _checker, HttpServerLimits& _limits)
 {
 	_limits.bodyBytes =
@@ -182,15 +302,35 @@
 	_limits.connections = static_cast<std::size_t>(_checker.whole("connections", FLAGS_connections, 16, 65'536));
 	_limits.requestTimeout =
 		_checker.whole("request_timeout_ms", FLAGS_request_timeout_ms, 100, 600'000) * kMillisecond;
+	_limits.headerTimeout = _limits.requestTimeout;
 }
 
 } // namespace
 
+std::string settingsFileText()
+{
+	std::ifstream file(FLAGS_settings);
+	std::ostringstream text;
+	text << file.rdbuf();
+	return FLAGS_settings.empty() || !file ? std::string() : text.str();
+}
+
+absl::StatusOr<Settings> rereadSettings()
+{
+	return readSettings();
+}
+
 absl::StatusOr<Settings> readSettings()
 {
 	Checker checker;
 	takeEnvironment(checker);
 	Settings settings;
+	settings.fileText = settingsFileText();
+	if (!FLAGS_settings.empty() && settings.fileText.empty())
+	{
+		checker.fault("settings", "the path of a file that can be read");
+	}
+	takeFile(checker, settings.fileText);
 	settings.ip = FLAGS_ip;
 	if (QHostAddress(QString::fromStdString(FLAGS_ip)).isNull())
 	{
@@ -203,8 +343,11 @@
 	{
 		checker.fault("failure_domain", "the name of this VM's failure domain");
 	}
-	settings.logAddress = checker.address("log_address", FLAGS_log_address);
-	settings.vmListAddress = checker.address("vm_list_address", FLAGS_vm_list_address);
+	if (FLAGS_adapter.empty())
+	{
+		settings.logAddress = checker.address("log_address", FLAGS_log_address);
+		settings.vmListAddress = checker.address("vm_list_address", FLAGS_vm_list_address);
+	}
 	settings.callers = checker.credentials("callers", FLAGS_callers);
 	settings.operators = checker.credentials("operators", FLAGS_operators);
 	settings.peerSecret = FLAGS_peer_secret;
@@ -227,6 +370,7 @@
 	settings.answerBytes = static_cast<std::size_t>(checker.whole("answer_mb", FLAGS_answer_mb, 1, 1'024)) * kMegabyte;
 	readHttp(checker, settings.http);
 	readDispatcher(checker, settings.dispatcher);
+	readForwarding(checker, settings);
 	const absl::Status status = checker.status();
 	return status.ok() ? absl::StatusOr<Settings>(settings) : status;
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -40,13 +40,28 @@
 	HttpServerLimits http;
 	std::size_t endpointsPerPool = 256;
 	DispatcherConfig dispatcher;
+
+	// Of a node that forwards.
+	std::string adapter; ///< Name of the platform's adapter; empty for a node with tickets of its own.
+	std::uint16_t readinessPort = 0;
+	std::string feedAddress;        ///< What tells of routes and endpoints.
+	std::vector<std::string> seeds; ///< Addresses of some other nodes.
+	double retrySlack = 20;         ///< Retries that all nodes together may make beyond retry_share, in each window.
+	bool sharedBatches = true;      ///< Whether nodes form batches together.
+	std::string fileText;           ///< Text of the settings file, empty when there is none.
 };
 
-/// Reads the flags, which gflags has parsed, after taking each one that was not given from the environment variable
-/// ROADFERRY_ with the flag's name in capitals.
+/// Reads the settings file, if one is named, and the flags, which gflags has parsed, after taking each one that was not
+/// given from the environment variable ROADFERRY_ with the flag's name in capitals.
 /// @returns The settings, or InvalidArgument that names every fault, one to a line.
 absl::StatusOr<Settings> readSettings();
 
+/// Reads the settings file again, over the flags as they are.
+absl::StatusOr<Settings> rereadSettings();
+
+/// @returns Text of the settings file, empty when none is named or it cannot be read.
+std::string settingsFileText();
+
 /// @returns One line for each setting: name, value, default, description. Credentials are not shown.
 std::string describeSettings();
 
--- /dev/null
+++ b/src/stage_graph.cpp
@@ -0,0 +1,178 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// The pieces of one request and what they wait for.
+
+#include <roadferry/parts/batches.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace roadferry
+{
+
+StageGraph::StageGraph(std::vector<RouteStage> _stages, std::vector<std::int64_t> _counts)
+	: plan(std::move(_stages)), pieces(plan.size())
+{
+	for (std::size_t stage = 0; stage < this->pieces.size() && stage < _counts.size(); ++stage)
+	{
+		this->pieces[stage].resize(static_cast<std::size_t>(std::max<std::int64_t>(0, _counts[stage])));
+	}
+}
+
+bool StageGraph::stageMade(std::size_t _stage) const
+{
+	return std::all_of(this->pieces[_stage].begin(), this->pieces[_stage].end(),
+					   [](const Piece& _piece) { return !_piece.handle.empty(); });
+}
+
+bool StageGraph::hasFollower(std::size_t _stage) const
+{
+	return std::any_of(this->plan.begin(), this->plan.end(),
+					   [_stage](const RouteStage& _other)
+					   { return std::find(_other.after.begin(), _other.after.end(), _stage) != _other.after.end(); });
+}
+
+std::vector<PieceName> StageGraph::takeReady()
+{
+	std::vector<PieceName> ready;
+	for (std::size_t stage = 0; stage < this->pieces.size(); ++stage)
+	{
+		const std::vector<std::size_t>& after = this->plan[stage].after;
+		if (!std::all_of(after.begin(), after.end(), [this](std::size_t _before) { return this->stageMade(_before); }))
+		{
+			continue;
+		}
+		for (std::size_t piece = 0; piece < this->pieces[stage].size(); ++piece)
+		{
+			Piece& state = this->pieces[stage][piece];
+			if (state.handle.empty() && !state.handedOut)
+			{
+				state.handedOut = true;
+				ready.push_back(PieceName{stage, piece});
+			}
+		}
+	}
+	return ready;
+}
+
+void StageGraph::made(const PieceName& _piece, const std::string& _handle)
+{
+	this->pieces.at(_piece.stage).at(_piece.piece).handle = _handle;
+}
+
+void StageGraph::failed(const PieceName& _piece)
+{
+	Piece& state = this->pieces.at(_piece.stage).at(_piece.piece);
+	state.handedOut = false;
+	state.handle.clear();
+}
+
+void StageGraph::lost(const std::string& _handle)
+{
+	for (auto& stage : this->pieces)
+	{
+		for (Piece& piece : stage)
+		{
+			if (piece.handle == _handle)
+			{
+				piece = Piece{};
+			}
+		}
+	}
+}
+
+std::vector<std::string> StageGraph::inputsOf(std::size_t _stage) const
+{
+	std::vector<std::string> inputs;
+	for (const std::size_t before : this->plan.at(_stage).after)
+	{
+		for (const Piece& piece : this->pieces[before])
+		{
+			inputs.push_back(piece.handle);
+		}
+	}
+	return inputs;
+}
+
+bool StageGraph::complete() const
+{
+	for (std::size_t stage = 0; stage < this->plan.size(); ++stage)
+	{
+		if (!this->hasFollower(stage) && !this->stageMade(stage))
+		{
+			return false;
+		}
+	}
+	return true;
+}
+
+std::vector<std::string> StageGraph::results() const
+{
+	std::vector<std::string> handles;
+	for (std::size_t stage = 0; stage < this->plan.size(); ++stage)
+	{
+		if (this->hasFollower(stage))
+		{
+			continue;
+		}
+		for (const Piece& piece : this->pieces[stage])
+		{
+			handles.push_back(piece.handle);
+		}
+	}
+	return handles;
+}
+
+std::vector<std::string> StageGraph::takeSpent()
+{
+	std::vector<std::string> handles;
+	for (std::size_t stage = 0; stage < this->plan.size(); ++stage)
+	{
+		if (!this->hasFollower(stage))
+		{
+			continue;
+		}
+		bool needed = false;
+		for (std::size_t other = 0; other < this->plan.size(); ++other)
+		{
+			const std::vector<std::size_t>& after = this->plan[other].after;
+			const bool follows = std::find(after.begin(), after.end(), stage) != after.end();
+			needed = needed || (follows && !this->stageMade(other));
+		}
+		for (const Piece& piece : this->pieces[stage])
+		{
+			if (!needed && !piece.handle.empty() && this->spent.insert(piece.handle).second)
+			{
+				handles.push_back(piece.handle);
+			}
+		}
+	}
+	return handles;
+}
+
+std::vector<std::string> StageGraph::takeAll()
+{
+	std::vector<std::string> handles;
+	for (const auto& stage : this->pieces)
+	{
+		for (const Piece& piece : stage)
+		{
+			if (!piece.handle.empty() && this->spent.insert(piece.handle).second)
+			{
+				handles.push_back(piece.handle);
+			}
+		}
+	}
+	return handles;
+}
+
+const std::vector<RouteStage>& StageGraph::stages() const
+{
+	return this->plan;
+}
+
+} // namespace roadferry
--- a/src/standin_endpoint.cpp
+++ b/src/standin_endpoint.cpp
@@ -187,7 +187,7 @@
 		}
 		if (this->settings.kind == "engine")
 		{
-			_run->reply->startStream(200, "text/event-stream");
+			_run->reply->startStream(200, {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}});
 			this->stream(_run);
 			return;
 		}
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -14,10 +14,6 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
-#include <QRandomGenerator>
-
-#include <chrono>
-
 namespace roadferry
 {
 
@@ -82,17 +78,6 @@
 	std::shared_ptr<HttpCall> call;
 };
 
-Micros monotonicNow()
-{
-	const auto now = std::chrono::steady_clock::now().time_since_epoch();
-	return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
-}
-
-std::uint64_t randomNumber()
-{
-	return QRandomGenerator::system()->generate64();
-}
-
 Traffic::Traffic(IoPool& _pool, HttpClient& _client, Metrics& _metrics, TraceWriter& _traces, TrafficSettings _settings)
 	: pool(_pool), client(_client), metrics(_metrics), traces(_traces), settings(std::move(_settings)),
 	  dispatcher(settings.dispatcher), tickets(settings.self, settings.tickets), results(settings.answerBytes),
--- a/src/traffic.h
+++ b/src/traffic.h
@@ -9,6 +9,7 @@
 #ifndef ROADFERRY_TRAFFIC_H_HEADER_GUARD
 #define ROADFERRY_TRAFFIC_H_HEADER_GUARD
 
+#include "clock.h"
 #include "http_client.h"
 #include "json.h"
 #include "metrics.h"
@@ -68,12 +69,6 @@
 	std::size_t answerBytes = 0; ///< Memory for results kept for later questions.
 };
 
-/// Time on the monotonic clock in microseconds.
-Micros monotonicNow();
-
-/// @returns Random number for nonces and incarnations.
-std::uint64_t randomNumber();
-
 /// All requests that this incarnation runs. Its functions may be called from any thread.
 class Traffic
 {
--- a/tests/test_messages.cpp
+++ b/tests/test_messages.cpp
@@ -26,16 +26,22 @@
 	gossip.kind = GossipKind::Join;
 	gossip.sequence = 7;
 	gossip.news = {Member{"10.0.0.2:8500", 9, MemberState::Suspect, 12}};
-	return {RelayRequest{1, RelayKind::Cancel, "t", "hall", "mark", std::string("\0\xff{", 3), "00-a-b-01"},
-			RelayToken{1, 2, "token"},
-			RelayResult{1, 503, 200'000, "{}"},
-			TableAsk{5},
-			TableGive{"{}"},
-			LeavingWord{{"engine-1", "engine-2"}},
-			farewell,
-			gossip,
-			DemandReport{true, {{"hall", 4}}},
-			ShareGrant{{{"hall", 4}}}};
+	return {
+		RelayRequest{1, RelayKind::Cancel, "t", "hall", "mark", std::string("\0\xff{", 3), "00-a-b-01"},
+		RelayToken{1, 2, "token"},
+		RelayResult{1, 503, 200'000, "{}"},
+		TableAsk{5},
+		TableGive{"{}"},
+		LeavingWord{{"engine-1", "engine-2"}},
+		farewell,
+		gossip,
+		DemandReport{true, {{"hall", 4}}},
+		ShareGrant{{{"hall", 4}}},
+		RoutesAsk{7, true},
+		RoutesGive{std::string("\0{", 2), {Endpoint{"e-1", "10.0.0.3:80", "pool", "north", 6, true}}, {"e-1", "e-2"}},
+		PieceAsk{"pool", {PieceOrder{5, "abc", {1, 2}, "key", {"10.0.0.3:80/1"}, 900'000, 400'000, 1, 60'000}}},
+		PieceGive{{PieceMade{5, "10.0.0.3:80/2", "north"}}, {PieceFailed{6, PieceFault::NoRoom}}},
+		PieceDrop{{5, 6}}};
 }
 
 } // namespace
--- a/tools/roadferryd.cpp
+++ b/tools/roadferryd.cpp
@@ -6,6 +6,7 @@
 /// @file
 /// roadferryd: the daemon of one entry VM.
 
+#include "forward_node.h"
 #include "logging.h"
 #include "node.h"
 
@@ -16,7 +17,9 @@
 
 #include <csignal>
 #include <iostream>
+#include <memory>
 #include <sys/signalfd.h>
+#include <unistd.h>
 
 DEFINE_bool(check_settings, false, "check the settings, print them and end");
 
@@ -33,28 +36,50 @@
 	sigemptyset(&signals);
 	sigaddset(&signals, SIGTERM);
 	sigaddset(&signals, SIGINT);
+	sigaddset(&signals, SIGHUP);
 	pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 	std::signal(SIGPIPE, SIG_IGN);
 	return signalfd(-1, &signals, SFD_CLOEXEC | SFD_NONBLOCK);
 }
 
-int run(QCoreApplication& _application, const roadferry::Settings& _settings, int _signals)
+std::unique_ptr<roadferry::Daemon> makeDaemon(const roadferry::Settings& _settings)
 {
-	roadferry::Node node(_settings);
-	const absl::Status status = node.start([&_application] { _application.quit(); });
+	if (_settings.adapter.empty())
+	{
+		return std::make_unique<roadferry::Node>(_settings);
+	}
+	return std::make_unique<roadferry::ForwardNode>(_settings);
+}
+
+void onSignal(roadferry::Daemon& _daemon, int _signals)
+{
+	signalfd_siginfo signal{};
+	while (read(_signals, &signal, sizeof(signal)) == static_cast<ssize_t>(sizeof(signal)))
+	{
+		if (signal.ssi_signo == SIGHUP)
+		{
+			_daemon.reload();
+			continue;
+		}
+		_daemon.drain();
+	}
+}
+
+int run(const roadferry::Settings& _settings, int _signals)
+{
+	const std::unique_ptr<roadferry::Daemon> daemon = makeDaemon(_settings);
+	const absl::Status status = daemon->start([] { QCoreApplication::quit(); });
 	if (!status.ok())
 	{
 		std::cerr << "roadferryd: " << status.message() << std::endl;
 		return 1;
 	}
 	QSocketNotifier notifier(_signals, QSocketNotifier::Read);
-	QObject::connect(&notifier, &QSocketNotifier::activated,
-					 [&node, &notifier]
-					 {
-						 notifier.setEnabled(false);
-						 node.drain();
-					 });
-	std::cout << "listening " << node.callerAddress() << " peer " << node.peerAddress() << std::endl;
+	QObject::connect(&notifier, &QSocketNotifier::activated, [&] { onSignal(*daemon, _signals); });
+	if (_settings.adapter.empty())
+	{
+		std::cout << "listening " << daemon->callerAddress() << " peer " << daemon->peerAddress() << std::endl;
+	}
 	return QCoreApplication::exec();
 }
 
@@ -66,8 +91,9 @@
 	gflags::SetUsageMessage("serves multi-stage model pipelines; one daemon on each entry VM");
 	gflags::SetVersionString("0.1.0");
 	gflags::ParseCommandLineFlags(&_argc, &_argv, true);
-	roadferry::startLogging();
 	const auto settings = roadferry::readSettings();
+	const bool forwards = settings.ok() && !settings->adapter.empty();
+	roadferry::startLogging(forwards ? roadferry::LogStream::Output : roadferry::LogStream::Error);
 	if (!settings.ok())
 	{
 		std::cerr << settings.status().message() << std::endl;
@@ -79,5 +105,5 @@
 		return 0;
 	}
 	QCoreApplication application(_argc, _argv);
-	return run(application, *settings, signals);
+	return run(*settings, signals);
 }
