Hand events on as they come; account for the room that results take

Ruled out: slow engines (the first event left them in time), Nagle (off on both sides). Change: the parser is eager only for answers that are not streamed; the node that forms a pool's batches keeps account of each endpoint's room and is told which results are spent.

--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -178,6 +178,7 @@
 	Micros slack = 400 * kMillisecond;       ///< Added to that, for transfers.
 	Micros asideFor = 1500 * kMillisecond;   ///< How long an endpoint that failed gets no call.
 	std::int64_t tries = 4;                  ///< Calls in which one piece may be.
+	Micros fullPause = 150 * kMillisecond;   ///< Before an endpoint without room gets another large piece.
 	Micros refusedPause = 60 * kMillisecond; ///< Before an endpoint that was busy gets another call.
 	bool operator==(const BatchConfig&) const = default;
 };
@@ -201,6 +202,9 @@
 	BatchActions batchEnded(std::uint64_t _batch, const BatchEnd& _end, Micros _now);
 	BatchActions tick(Micros _now);
 
+	/// A result is not needed any more: its endpoint has room again.
+	void freed(const std::string& _handle);
+
 	/// @returns Predicted time until a piece that was added now would be made.
 	[[nodiscard]] Micros predictedTime(const std::string& _pool, Micros _now) const;
 
@@ -229,8 +233,10 @@
 	{
 		Endpoint endpoint;
 		std::int64_t calls = 0;
-		Micros freeAt = 0;     ///< Predicted end of its call.
-		Micros asideUntil = 0; ///< Gets no call until then.
+		Micros freeAt = 0;         ///< Predicted end of its call.
+		Micros asideUntil = 0;     ///< Gets no call until then.
+		Micros fullUntil = 0;      ///< Gets no piece with a large result until then: it said that it has no room.
+		std::int64_t roomUsed = 0; ///< Bytes of results that it keeps or is making.
 		std::int64_t failures = 0;
 		double slowness = 1; ///< Smoothed ratio of measured to told time.
 		bool listed = true;
@@ -242,13 +248,29 @@
 		std::vector<Waiting> queue; ///< Most urgent first.
 	};
 
+	/// A result that an endpoint keeps.
+	struct Kept
+	{
+		std::string endpoint;
+		std::int64_t bytes = 0;
+		Micros until = 0; ///< The endpoint drops it then, if nobody frees it before.
+	};
+
 	[[nodiscard]] static bool before(const Waiting& _left, const Waiting& _right);
 	void enqueue(Pool& _pool, Waiting _waiting);
 	void dropLate(Pool& _pool, Micros _now, BatchActions& _actions);
 	Maker* chooseMaker(const std::string& _pool, const Pool& _spec, Micros _now);
-	void startOne(const std::string& _name, Pool& _pool, Maker& _maker, Micros _now, BatchActions& _actions);
+	[[nodiscard]] static bool fits(const Pool& _pool, const Maker& _maker, std::int64_t _used, const Waiting& _piece,
+								   Micros _now);
+	[[nodiscard]] static std::vector<std::size_t> choosePieces(const Pool& _pool, const Maker& _maker, Micros _now);
+	void startOne(const std::string& _name, Pool& _pool, Maker& _maker, const std::vector<std::size_t>& _chosen,
+				  Micros _now, BatchActions& _actions);
+	void keep(const Call& _call, const PieceOrder& _order, const std::string& _handle, Micros _now);
+	void markFull(const std::string& _endpoint, Micros _now);
+	void giveRoomBack(const std::string& _endpoint, std::int64_t _bytes);
+	void expireResults(Micros _now);
 	void retry(Waiting _piece, const Call& _call, PieceFault _fault, BatchActions& _actions);
-	void takeResults(const Call& _call, const BatchAnswered& _answer, BatchActions& _actions);
+	void takeResults(const Call& _call, const BatchAnswered& _answer, Micros _now, BatchActions& _actions);
 	void expireCalls(Micros _now, BatchActions& _actions);
 	Call endCall(std::uint64_t _batch);
 	[[nodiscard]] Micros expectedTime(const BatchLimits& _limits, const Maker& _maker, std::size_t _pieces) const;
@@ -257,6 +279,8 @@
 	std::map<std::string, Pool> pools;
 	std::map<std::string, Maker> makers; ///< By endpoint.
 	std::map<std::uint64_t, Call> calls;
+	std::unordered_map<std::string, Kept> kept; ///< By handle.
+	Micros nextExpiry = 0;
 	std::set<std::string> left; ///< Endpoints that were seen leaving; the mark is never taken back.
 	std::uint64_t lastBatch = 0;
 };
@@ -291,7 +315,14 @@
 	bool operator==(const PieceDrop&) const = default;
 };
 
-using PieceMessage = std::variant<PieceAsk, PieceGive, PieceDrop>;
+/// Tells the node that had results made that they are not needed any more.
+struct PieceFree
+{
+	std::vector<std::string> handles;
+	bool operator==(const PieceFree&) const = default;
+};
+
+using PieceMessage = std::variant<PieceAsk, PieceGive, PieceDrop, PieceFree>;
 
 /// Send a message to another node.
 struct SendPieceMessage
@@ -342,6 +373,9 @@
 	/// Nobody wants these pieces any more.
 	PieceActions cancel(const std::vector<std::uint64_t>& _orders, Micros _now);
 
+	/// Results are not needed any more. The node that had them made keeps account of the endpoints' room.
+	PieceActions free(const std::vector<std::string>& _handles, Micros _now);
+
 	PieceActions receive(const std::string& _from, const PieceMessage& _message, Micros _now);
 
 	/// The connection to a node has ended.
@@ -380,6 +414,7 @@
 	void onAsk(const std::string& _from, const PieceAsk& _ask, Micros _now);
 	void onGive(const std::string& _from, const PieceGive& _give, PieceActions& _actions);
 	void onDrop(const std::string& _from, const PieceDrop& _drop);
+	void freeHere(const std::vector<std::string>& _handles, PieceActions& _actions);
 	void takeBack(const std::string& _peer, Micros _now, PieceActions& _actions);
 	void checkSilence(Micros _now, PieceActions& _actions);
 	void tellNews(Micros _now, PieceActions& _actions);
@@ -392,8 +427,9 @@
 	std::unordered_map<std::uint64_t, InHand> inHand;                        ///< By the number that the maker knows.
 	std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> numberOf; ///< The other way round.
 	std::map<std::uint64_t, Away> away;                                      ///< By order.
-	std::map<std::string, Micros> heardAt; ///< Nodes that have pieces of ours in hand.
-	std::map<std::string, Micros> toldAt;  ///< Nodes whose pieces are in hand here.
+	std::map<std::string, Micros> heardAt;                ///< Nodes that have pieces of ours in hand.
+	std::unordered_map<std::string, std::string> makerOf; ///< Nodes that had results made for this one, by handle.
+	std::map<std::string, Micros> toldAt;                 ///< Nodes whose pieces are in hand here.
 	std::uint64_t lastNumber = 0;
 };
 
--- a/src/batch_maker.cpp
+++ b/src/batch_maker.cpp
@@ -25,6 +25,8 @@
 constexpr std::array<std::string_view, 5> kFaultNames = {"late", "input_gone", "no_room", "no_endpoint", "error"};
 constexpr double kSlownessSmoothing = 0.3;
 constexpr double kSlownessMost = 8.0;
+constexpr double kLargeShare = 0.02; ///< Of an endpoint's room: smaller results find room nearly always.
+constexpr Micros kExpiryPeriod = 100 * kMillisecond;
 
 } // namespace
 
@@ -129,6 +131,10 @@
 		{
 			continue;
 		}
+		if (choosePieces(_spec, maker, _now).empty())
+		{
+			continue;
+		}
 		const bool avoided = !_spec.queue.empty() && _spec.queue.front().avoid == maker.endpoint.id;
 		const bool better = best == nullptr || maker.slowness < best->slowness;
 		if (better && (!avoided || best == nullptr))
@@ -139,31 +145,124 @@
 	return best;
 }
 
-void BatchMaker::startOne(const std::string& _name, Pool& _pool, Maker& _maker, Micros _now, BatchActions& _actions)
+bool BatchMaker::fits(const Pool& _pool, const Maker& _maker, std::int64_t _used, const Waiting& _piece, Micros _now)
+{
+	const std::int64_t room = _pool.limits.resultRoom;
+	const std::int64_t bytes = _piece.order.resultBytes;
+	if (room <= 0 || _used == 0)
+	{
+		return true;
+	}
+	const bool large = static_cast<double>(bytes) > kLargeShare * static_cast<double>(room);
+	return _used + bytes <= room && !(large && _now < _maker.fullUntil);
+}
+
+/// @returns Places in the queue of the pieces for one call: the most urgent ones whose results the endpoint can keep.
+std::vector<std::size_t> BatchMaker::choosePieces(const Pool& _pool, const Maker& _maker, Micros _now)
+{
+	const auto most = static_cast<std::size_t>(std::max<std::int64_t>(1, _pool.limits.batch));
+	std::vector<std::size_t> chosen;
+	std::int64_t used = _maker.roomUsed;
+	for (std::size_t index = 0; index < _pool.queue.size() && chosen.size() < most; ++index)
+	{
+		if (fits(_pool, _maker, used, _pool.queue[index], _now))
+		{
+			chosen.push_back(index);
+			used += _pool.queue[index].order.resultBytes;
+		}
+	}
+	return chosen;
+}
+
+void BatchMaker::startOne(const std::string& _name, Pool& _pool, Maker& _maker, const std::vector<std::size_t>& _chosen,
+						  Micros _now, BatchActions& _actions)
 {
-	const std::size_t most = static_cast<std::size_t>(std::max<std::int64_t>(1, _pool.limits.batch));
-	const std::size_t count = std::min(most, _pool.queue.size());
 	Call call;
 	call.pool = _name;
 	call.endpoint = _maker.endpoint;
 	call.startedAt = _now;
-	call.expected = _pool.limits.callTime + _pool.limits.pieceTime * static_cast<Micros>(count);
-	const double longest = static_cast<double>(this->expectedTime(_pool.limits, _maker, count)) * this->config.slowest;
+	call.expected = _pool.limits.callTime + _pool.limits.pieceTime * static_cast<Micros>(_chosen.size());
+	const double longest =
+		static_cast<double>(this->expectedTime(_pool.limits, _maker, _chosen.size())) * this->config.slowest;
 	call.giveUpAt = _now + static_cast<Micros>(longest) + this->config.slack;
 	StartBatch action{++this->lastBatch, _name, _maker.endpoint, {}, call.giveUpAt};
-	for (std::size_t index = 0; index < count; ++index)
+	for (const std::size_t index : _chosen)
 	{
 		action.orders.push_back(_pool.queue[index].order);
 		call.pieces.push_back(std::move(_pool.queue[index]));
 		call.pieces.back().tries += 1;
+		_maker.roomUsed += action.orders.back().resultBytes;
+	}
+	for (auto index = _chosen.rbegin(); index != _chosen.rend(); ++index)
+	{
+		_pool.queue.erase(_pool.queue.begin() + static_cast<std::ptrdiff_t>(*index));
 	}
-	_pool.queue.erase(_pool.queue.begin(), _pool.queue.begin() + static_cast<std::ptrdiff_t>(count));
 	_maker.calls += 1;
-	_maker.freeAt = _now + this->expectedTime(_pool.limits, _maker, count);
+	_maker.freeAt = _now + this->expectedTime(_pool.limits, _maker, _chosen.size());
 	this->calls.emplace(action.batch, std::move(call));
 	_actions.emplace_back(std::move(action));
 }
 
+void BatchMaker::giveRoomBack(const std::string& _endpoint, std::int64_t _bytes)
+{
+	const auto maker = this->makers.find(_endpoint);
+	if (maker != this->makers.end())
+	{
+		maker->second.roomUsed = std::max<std::int64_t>(0, maker->second.roomUsed - _bytes);
+	}
+}
+
+void BatchMaker::keep(const Call& _call, const PieceOrder& _order, const std::string& _handle, Micros _now)
+{
+	const auto maker = this->makers.find(_call.endpoint.id);
+	if (maker != this->makers.end())
+	{
+		maker->second.roomUsed += _order.resultBytes;
+	}
+	const Micros life = this->pools[_call.pool].limits.resultLife;
+	this->kept[_handle] = Kept{_call.endpoint.id, _order.resultBytes, _now + life};
+}
+
+void BatchMaker::markFull(const std::string& _endpoint, Micros _now)
+{
+	const auto maker = this->makers.find(_endpoint);
+	if (maker != this->makers.end())
+	{
+		maker->second.fullUntil = _now + this->config.fullPause;
+	}
+}
+
+void BatchMaker::freed(const std::string& _handle)
+{
+	const auto found = this->kept.find(_handle);
+	if (found != this->kept.end())
+	{
+		this->giveRoomBack(found->second.endpoint, found->second.bytes);
+		this->kept.erase(found);
+	}
+}
+
+void BatchMaker::expireResults(Micros _now)
+{
+	if (_now < this->nextExpiry)
+	{
+		return;
+	}
+	this->nextExpiry = _now + kExpiryPeriod;
+	std::vector<std::string> expired;
+	for (const auto& entry : this->kept)
+	{
+		if (entry.second.until <= _now)
+		{
+			expired.push_back(entry.first);
+		}
+	}
+	for (const std::string& handle : expired)
+	{
+		this->freed(handle);
+	}
+}
+
 BatchMaker::Call BatchMaker::endCall(std::uint64_t _batch)
 {
 	const auto found = this->calls.find(_batch);
@@ -174,6 +273,10 @@
 	{
 		maker->second.calls -= 1;
 	}
+	for (const Waiting& piece : call.pieces)
+	{
+		this->giveRoomBack(call.endpoint.id, piece.order.resultBytes); // Those that were made take theirs again.
+	}
 	return call;
 }
 
@@ -188,14 +291,16 @@
 	this->enqueue(this->pools[_call.pool], std::move(_piece));
 }
 
-void BatchMaker::takeResults(const Call& _call, const BatchAnswered& _answer, BatchActions& _actions)
+void BatchMaker::takeResults(const Call& _call, const BatchAnswered& _answer, Micros _now, BatchActions& _actions)
 {
 	for (std::size_t index = 0; index < _call.pieces.size(); ++index)
 	{
 		const Waiting& piece = _call.pieces[index];
 		std::visit(
 			Overloaded{
-				[&](const std::string& _handle) {
+				[&](const std::string& _handle)
+				{
+					this->keep(_call, piece.order, _handle, _now);
 					_actions.emplace_back(PieceMade{piece.order.order, _handle, _call.endpoint.failureDomain});
 				},
 				[&](PieceFault _fault)
@@ -206,6 +311,10 @@
 						_actions.emplace_back(PieceFailed{piece.order.order, _fault});
 						return;
 					}
+					if (_fault == PieceFault::NoRoom)
+					{
+						this->markFull(_call.endpoint.id, _now);
+					}
 					this->retry(piece, _call, _fault, _actions);
 				},
 			},
@@ -232,7 +341,7 @@
 			maker->slowness += kSlownessSmoothing * (std::min(ratio, kSlownessMost) - maker->slowness);
 			maker->failures = 0;
 		}
-		this->takeResults(call, *answered, actions);
+		this->takeResults(call, *answered, _now, actions);
 	}
 	else
 	{
@@ -281,6 +390,7 @@
 {
 	BatchActions actions;
 	this->expireCalls(_now, actions);
+	this->expireResults(_now);
 	for (auto& entry : this->pools)
 	{
 		Pool& pool = entry.second;
@@ -288,11 +398,13 @@
 		while (!pool.queue.empty())
 		{
 			Maker* maker = this->chooseMaker(entry.first, pool, _now);
-			if (maker == nullptr)
+			const std::vector<std::size_t> chosen =
+				maker == nullptr ? std::vector<std::size_t>{} : choosePieces(pool, *maker, _now);
+			if (chosen.empty())
 			{
 				break;
 			}
-			this->startOne(entry.first, pool, *maker, _now, actions);
+			this->startOne(entry.first, pool, *maker, chosen, _now, actions);
 		}
 	}
 	return actions;
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -8,6 +8,7 @@
 
 #include "forward_answer.h"
 
+#include "clock.h"
 #include "json.h"
 
 #include <absl/strings/str_cat.h>
@@ -85,6 +86,12 @@
 		return; // The client has it from an earlier attempt.
 	}
 	this->startStream();
+	const Micros now = monotonicNow();
+	StreamTimes& times = this->streamTimes;
+	times.longestPause = times.events == 0 ? 0 : std::max(times.longestPause, now - times.lastAt);
+	times.firstAt = times.events == 0 ? now : times.firstAt;
+	times.lastAt = now;
+	times.events += 1;
 	this->client->write(_event);
 	if (number)
 	{
@@ -194,6 +201,11 @@
 	return this->current;
 }
 
+const ForwardAnswer::StreamTimes& ForwardAnswer::times() const
+{
+	return this->streamTimes;
+}
+
 const std::shared_ptr<HttpReply>& ForwardAnswer::reply() const
 {
 	return this->client;
--- a/src/forward_answer.h
+++ b/src/forward_answer.h
@@ -59,6 +59,17 @@
 
 	[[nodiscard]] const std::shared_ptr<HttpReply>& reply() const;
 
+	/// What a stream has been like so far.
+	struct StreamTimes
+	{
+		Micros firstAt = 0; ///< Time point of the first event, 0 for none.
+		Micros lastAt = 0;
+		Micros longestPause = 0;
+		std::int64_t events = 0;
+	};
+
+	[[nodiscard]] const StreamTimes& times() const;
+
 private:
 	void passEvent(const std::string& _event);
 	void startStream();
@@ -79,6 +90,7 @@
 	std::string keptBody;
 	bool streamStarted = false;
 	std::optional<std::uint64_t> last;
+	StreamTimes streamTimes;
 };
 
 } // namespace roadferry
--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -189,6 +189,7 @@
 			[&](const PieceAsk& _typed) { this->traffic->receive(_peer, _typed); },
 			[&](const PieceGive& _typed) { this->traffic->receive(_peer, _typed); },
 			[&](const PieceDrop& _typed) { this->traffic->receive(_peer, _typed); },
+			[&](const PieceFree& _typed) { this->traffic->receive(_peer, _typed); },
 			[&](const auto&) { logWarning("peer", absl::StrCat(_peer, ": a message for another kind of node")); },
 		},
 		*message);
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -283,6 +283,12 @@
 	}
 	for (const auto& entry : byPool)
 	{
+		logEvent("request", "pieces_ordered",
+				 {{"request", _active->request.id},
+				  {"pool", entry.first},
+				  {"pieces", entry.second.size()},
+				  {"first_stage", entry.second.front().name.stage},
+				  {"waited_ms", (monotonicNow() - _active->arrived) / kMillisecond}});
 		this->pieces.order(entry.first, entry.second);
 	}
 }
@@ -581,13 +587,17 @@
 	this->pieces.free(_active->graph.takeAll());
 	this->metrics.requestEnded(_active->route.streaming ? "streaming" : "plain", _outcome,
 							   static_cast<double>(took) / kMicrosPerSecond);
+	const ForwardAnswer::StreamTimes& times = _active->answer.times();
 	logEvent("request", _how,
 			 {{"request", _active->request.id},
 			  {"route", _active->route.name},
 			  {"verdict", std::string(nameOf(_outcome.verdict))},
 			  {"reason", std::string(nameOf(_outcome.reason))},
 			  {"attempts", _active->attempts},
-			  {"took_ms", took / kMillisecond}});
+			  {"took_ms", took / kMillisecond},
+			  {"events", times.events},
+			  {"first_event_ms", times.events == 0 ? -1 : (times.firstAt - _active->arrived) / kMillisecond},
+			  {"longest_pause_ms", times.longestPause / kMillisecond}});
 }
 
 void ForwardTraffic::gone(std::uint64_t _id)
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -170,7 +170,8 @@
 	{
 		this->parser.emplace();
 		this->parser->body_limit(this->spec.responseLimit);
-		this->parser->eager(true);
+		// An eager parser asks for more bytes until the message ends, and would keep back what has come of a stream.
+		this->parser->eager(!this->handlers.onData);
 	}
 
 	void armTimer()
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -142,6 +142,7 @@
 			[](const PieceAsk&) {},
 			[](const PieceGive&) {},
 			[](const PieceDrop&) {},
+			[](const PieceFree&) {},
 		},
 		*message);
 }
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -264,6 +264,10 @@
 	{
 		return PieceDrop{_reader.naturals("orders")};
 	}
+	if (_type == "piece_free")
+	{
+		return PieceFree{_reader.texts("handles")};
+	}
 	_reader.fault(kTypeField, "one that this version knows");
 	return TableAsk{};
 }
--- a/src/piece_desk.cpp
+++ b/src/piece_desk.cpp
@@ -139,6 +139,44 @@
 	}
 }
 
+void PieceDesk::freeHere(const std::vector<std::string>& _handles, PieceActions& _actions)
+{
+	for (const std::string& handle : _handles)
+	{
+		this->maker.freed(handle);
+		_actions.emplace_back(FreeResult{handle});
+	}
+}
+
+PieceActions PieceDesk::free(const std::vector<std::string>& _handles, Micros _now)
+{
+	PieceActions actions;
+	std::vector<std::string> here;
+	std::map<std::string, PieceFree> elsewhere;
+	for (const std::string& handle : _handles)
+	{
+		const auto found = this->makerOf.find(handle);
+		const auto silent =
+			found == this->makerOf.end() ? this->silentUntil.end() : this->silentUntil.find(found->second);
+		if (found == this->makerOf.end() || (silent != this->silentUntil.end() && silent->second > _now))
+		{
+			here.push_back(handle);
+		}
+		else
+		{
+			elsewhere[found->second].handles.push_back(handle);
+		}
+		this->makerOf.erase(handle);
+	}
+	this->freeHere(here, actions);
+	for (auto& entry : elsewhere)
+	{
+		this->send(entry.first, std::move(entry.second), actions);
+	}
+	this->takeBatchActions(this->maker.tick(_now), _now, actions);
+	return actions;
+}
+
 void PieceDesk::onAsk(const std::string& _from, const PieceAsk& _ask, Micros _now)
 {
 	this->toldAt.try_emplace(_from, _now);
@@ -156,6 +194,7 @@
 	for (const PieceMade& made : _give.made)
 	{
 		const auto found = this->away.find(made.order);
+		this->makerOf[made.handle] = _from;
 		if (found == this->away.end() || found->second.peer != _from)
 		{
 			_actions.emplace_back(FreeResult{made.handle});
@@ -188,6 +227,7 @@
 			[&](const PieceAsk& _ask) { this->onAsk(_from, _ask, _now); },
 			[&](const PieceGive& _give) { this->onGive(_from, _give, actions); },
 			[&](const PieceDrop& _drop) { this->onDrop(_from, _drop); },
+			[&](const PieceFree& _free) { this->freeHere(_free.handles, actions); },
 		},
 		_message);
 	this->takeBatchActions(this->maker.tick(_now), _now, actions);
--- a/src/piece_messages.cpp
+++ b/src/piece_messages.cpp
@@ -94,6 +94,11 @@
 	return QCborMap{{"type", "piece_drop"}, {"orders", orders}};
 }
 
+QCborMap toCbor(const PieceFree& _message)
+{
+	return QCborMap{{"type", "piece_free"}, {"handles", textArray(_message.handles)}};
+}
+
 PieceAsk readPieceAsk(CborReader& _reader)
 {
 	PieceAsk message;
--- a/src/piece_messages.h
+++ b/src/piece_messages.h
@@ -19,6 +19,7 @@
 QCborMap toCbor(const PieceAsk& _message);
 QCborMap toCbor(const PieceGive& _message);
 QCborMap toCbor(const PieceDrop& _message);
+QCborMap toCbor(const PieceFree& _message);
 
 /// Faults are kept by the reader.
 PieceAsk readPieceAsk(CborReader& _reader);
--- a/src/piece_runner.cpp
+++ b/src/piece_runner.cpp
@@ -29,6 +29,19 @@
 					  _end);
 }
 
+/// One line for each batch: which pieces of which requests, and how long until they are due.
+void logBatch(const StartBatch& _batch, Micros _now)
+{
+	std::string pieces;
+	for (const PieceOrder& order : _batch.orders)
+	{
+		absl::StrAppend(&pieces, pieces.empty() ? "" : " ", order.request, "/", order.name.stage, "/", order.name.piece,
+						"/", (order.due - _now) / kMillisecond);
+	}
+	logEvent("pieces", "batch_started",
+			 {{"batch", _batch.batch}, {"pool", _batch.pool}, {"endpoint", _batch.endpoint.id}, {"pieces", pieces}});
+}
+
 } // namespace
 
 PieceRunner::PieceRunner(HttpClient& _client, const Wire& _wire, PieceDesk _desk, PieceHandlers _handlers)
@@ -64,13 +77,16 @@
 
 void PieceRunner::free(const std::vector<std::string>& _handles)
 {
-	for (const std::string& handle : _handles)
+	this->spent.insert(this->spent.end(), _handles.begin(), _handles.end());
+}
+
+/// A result that nobody wants is to be dropped by the endpoint that keeps it.
+void PieceRunner::freeAt(const std::string& _handle)
+{
+	const std::string keeper = this->wire.keeperOf(_handle);
+	if (!keeper.empty())
 	{
-		const std::string keeper = this->wire.keeperOf(handle);
-		if (!keeper.empty())
-		{
-			this->frees[keeper].push_back(handle);
-		}
+		this->frees[keeper].push_back(_handle);
 	}
 }
 
@@ -86,8 +102,12 @@
 
 void PieceRunner::tick()
 {
-	this->sendFrees();
+	if (!this->spent.empty())
+	{
+		this->perform(this->desk.free(std::exchange(this->spent, {}), monotonicNow()));
+	}
 	this->perform(this->desk.tick(monotonicNow()));
+	this->sendFrees();
 }
 
 Micros PieceRunner::predictedTime(const std::string& _pool) const
@@ -106,7 +126,7 @@
 				[&](const PieceMade& _made) { this->handlers.onMade(_made); },
 				[&](const PieceFailed& _failed) { this->handlers.onFailed(_failed); },
 				[&](const SendPieceMessage& _send) { this->handlers.send(_send.to, _send.message); },
-				[&](const FreeResult& _free) { this->free({_free.handle}); },
+				[&](const FreeResult& _free) { this->freeAt(_free.handle); },
 			},
 			action);
 	}
@@ -115,6 +135,7 @@
 void PieceRunner::start(const StartBatch& _batch)
 {
 	const Micros now = monotonicNow();
+	logBatch(_batch, now);
 	CallSpec spec;
 	spec.address = _batch.endpoint.address;
 	spec.request = this->wire.batchRequest(_batch, now);
@@ -127,7 +148,8 @@
 		this->calls.erase(batch);
 		const BatchEnd end = this->wire.readBatch(_end, size);
 		logEvent("pieces", "batch_ended",
-				 {{"pool", pool},
+				 {{"batch", batch},
+				  {"pool", pool},
 				  {"endpoint", endpoint},
 				  {"pieces", size},
 				  {"end", std::string(nameOfEnd(end))},
--- a/src/piece_runner.h
+++ b/src/piece_runner.h
@@ -35,7 +35,7 @@
 	void order(const std::string& _pool, const std::vector<PieceOrder>& _orders);
 	void cancel(const std::vector<std::uint64_t>& _orders);
 
-	/// Lets endpoints drop results. Those of one endpoint are collected until the next tick.
+	/// Results are not needed any more. They are collected until the next tick.
 	void free(const std::vector<std::string>& _handles);
 
 	void receive(const std::string& _from, const PieceMessage& _message);
@@ -48,6 +48,7 @@
 	void perform(const PieceActions& _actions);
 	void start(const StartBatch& _batch);
 	void cancelCall(std::uint64_t _batch);
+	void freeAt(const std::string& _handle);
 	void sendFrees();
 
 	HttpClient& client;
@@ -55,6 +56,7 @@
 	PieceDesk desk;
 	PieceHandlers handlers;
 	std::map<std::uint64_t, std::shared_ptr<HttpCall>> calls; ///< By batch.
+	std::vector<std::string> spent;                           ///< Results that nobody needs, until the next tick.
 	std::map<std::string, std::vector<std::string>> frees;    ///< Results to drop, by the endpoint that keeps them.
 };
 
