Keep prompts at one engine, make large results near it, and free inputs once fetched

An endpoint that refused for want of room was asked again at once, thousands of times after the batching node had changed. Change: large pieces wait up to 150 ms for an endpoint in the failure domain of the prompt's engine; inputs are freed 150 ms after the request was sent; a refusal for want of room fills the account for 60 ms.

--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -97,6 +97,7 @@
 	Micros due = 0;                  ///< Time point by which it should be made for the request to be in time.
 	std::int64_t priority = 5;       ///< 0 is the most urgent.
 	std::int64_t resultBytes = 0;    ///< Approximate size of the result.
+	std::string nearDomain = {};     ///< Failure domain where the result is needed, empty when it does not matter.
 	bool operator==(const PieceOrder&) const = default;
 };
 
@@ -178,7 +179,8 @@
 	Micros slack = 400 * kMillisecond;       ///< Added to that, for transfers.
 	Micros asideFor = 1500 * kMillisecond;   ///< How long an endpoint that failed gets no call.
 	std::int64_t tries = 4;                  ///< Calls in which one piece may be.
-	Micros fullPause = 150 * kMillisecond;   ///< Before an endpoint without room gets another large piece.
+	Micros fullPause = 60 * kMillisecond;    ///< How long an endpoint without room counts as full.
+	Micros nearWait = 150 * kMillisecond;    ///< How long a large piece waits for an endpoint near to its use.
 	Micros refusedPause = 60 * kMillisecond; ///< Before an endpoint that was busy gets another call.
 	bool operator==(const BatchConfig&) const = default;
 };
@@ -193,7 +195,7 @@
 	void setEndpoints(const std::vector<Endpoint>& _endpoints);
 
 	/// Adds a piece to make. Call tick() afterwards to start calls.
-	void add(const std::string& _pool, const PieceOrder& _order);
+	void add(const std::string& _pool, const PieceOrder& _order, Micros _now);
 
 	/// Forgets a piece that nobody wants; one that is being made is made, and its result given back by nobody.
 	/// @returns Whether it was still waiting.
@@ -217,6 +219,7 @@
 		PieceOrder order;
 		std::int64_t tries = 0;
 		std::string avoid; ///< Endpoint that failed it last.
+		Micros addedAt = 0;
 	};
 
 	struct Call
@@ -235,7 +238,6 @@
 		std::int64_t calls = 0;
 		Micros freeAt = 0;         ///< Predicted end of its call.
 		Micros asideUntil = 0;     ///< Gets no call until then.
-		Micros fullUntil = 0;      ///< Gets no piece with a large result until then: it said that it has no room.
 		std::int64_t roomUsed = 0; ///< Bytes of results that it keeps or is making.
 		std::int64_t failures = 0;
 		double slowness = 1; ///< Smoothed ratio of measured to told time.
@@ -260,9 +262,9 @@
 	void enqueue(Pool& _pool, Waiting _waiting);
 	void dropLate(Pool& _pool, Micros _now, BatchActions& _actions);
 	Maker* chooseMaker(const std::string& _pool, const Pool& _spec, Micros _now);
-	[[nodiscard]] static bool fits(const Pool& _pool, const Maker& _maker, std::int64_t _used, const Waiting& _piece,
-								   Micros _now);
-	[[nodiscard]] static std::vector<std::size_t> choosePieces(const Pool& _pool, const Maker& _maker, Micros _now);
+	[[nodiscard]] static bool fits(const Pool& _pool, std::int64_t _used, const Waiting& _piece);
+	[[nodiscard]] bool suits(const Waiting& _piece, const Maker& _maker, Micros _now) const;
+	[[nodiscard]] std::vector<std::size_t> choosePieces(const Pool& _pool, const Maker& _maker, Micros _now) const;
 	void startOne(const std::string& _name, Pool& _pool, Maker& _maker, const std::vector<std::size_t>& _chosen,
 				  Micros _now, BatchActions& _actions);
 	void keep(const Call& _call, const PieceOrder& _order, const std::string& _handle, Micros _now);
@@ -281,6 +283,7 @@
 	std::map<std::uint64_t, Call> calls;
 	std::unordered_map<std::string, Kept> kept; ///< By handle.
 	Micros nextExpiry = 0;
+	std::uint64_t lastUnknown = 0;
 	std::set<std::string> left; ///< Endpoints that were seen leaving; the mark is never taken back.
 	std::uint64_t lastBatch = 0;
 };
@@ -407,7 +410,7 @@
 		PieceOrder order;
 	};
 
-	void makeHere(const std::string& _pool, const std::string& _peer, const PieceOrder& _order);
+	void makeHere(const std::string& _pool, const std::string& _peer, const PieceOrder& _order, Micros _now);
 	void send(const std::string& _to, PieceMessage _message, PieceActions& _actions);
 	void place(const std::string& _pool, const std::vector<PieceOrder>& _orders, Micros _now, PieceActions& _actions);
 	void takeBatchActions(const BatchActions& _batch, Micros _now, PieceActions& _actions);
--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -859,6 +859,11 @@
 	Placement (*choose)(const PlacementInput& _input);
 };
 
+/// The endpoint that keeps a prompt prefix in its cache: the same on every node that sees the same endpoints, and one
+/// that moves few prefixes when endpoints come and go.
+/// @param[in] _usable Endpoints, at least one.
+EndpointState* prefixHome(const std::vector<EndpointState*>& _usable, std::uint64_t _prefix);
+
 /// Adds a policy under its name; called by the policies' own files before main.
 /// @returns True, so that it can initialise a static.
 bool registerPlacement(const PlacementPolicy& _policy);
@@ -1039,6 +1044,9 @@
 	Actions cancel(std::uint64_t _request, Micros _now);
 	Actions tick(Micros _now);
 
+	/// @returns Failure domain of the endpoint to which requests with a prompt prefix go by preference; empty for none.
+	[[nodiscard]] std::string homeDomain(const std::string& _pool, std::uint64_t _prefix, Micros _now) const;
+
 	[[nodiscard]] std::size_t inFlight() const;
 	[[nodiscard]] std::map<std::string, std::int64_t> inFlightByWorkspace() const;
 	[[nodiscard]] const DispatcherCounters& counters() const;
--- a/src/batch_maker.cpp
+++ b/src/batch_maker.cpp
@@ -10,6 +10,8 @@
 
 #include <roadferry/roadferry.h>
 
+#include <absl/strings/str_cat.h>
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -25,7 +27,6 @@
 constexpr std::array<std::string_view, 5> kFaultNames = {"late", "input_gone", "no_room", "no_endpoint", "error"};
 constexpr double kSlownessSmoothing = 0.3;
 constexpr double kSlownessMost = 8.0;
-constexpr double kLargeShare = 0.02; ///< Of an endpoint's room: smaller results find room nearly always.
 constexpr Micros kExpiryPeriod = 100 * kMillisecond;
 
 } // namespace
@@ -81,9 +82,9 @@
 	_pool.queue.insert(place, std::move(_waiting));
 }
 
-void BatchMaker::add(const std::string& _pool, const PieceOrder& _order)
+void BatchMaker::add(const std::string& _pool, const PieceOrder& _order, Micros _now)
 {
-	this->enqueue(this->pools[_pool], Waiting{_order, 0, {}});
+	this->enqueue(this->pools[_pool], Waiting{_order, 0, {}, _now});
 }
 
 bool BatchMaker::cancel(std::uint64_t _order)
@@ -145,7 +146,7 @@
 	return best;
 }
 
-bool BatchMaker::fits(const Pool& _pool, const Maker& _maker, std::int64_t _used, const Waiting& _piece, Micros _now)
+bool BatchMaker::fits(const Pool& _pool, std::int64_t _used, const Waiting& _piece)
 {
 	const std::int64_t room = _pool.limits.resultRoom;
 	const std::int64_t bytes = _piece.order.resultBytes;
@@ -153,19 +154,25 @@
 	{
 		return true;
 	}
-	const bool large = static_cast<double>(bytes) > kLargeShare * static_cast<double>(room);
-	return _used + bytes <= room && !(large && _now < _maker.fullUntil);
+	return _used + bytes <= room;
+}
+
+/// Whether a piece may go to an endpoint, or should wait for one that is nearer to where its result is needed.
+bool BatchMaker::suits(const Waiting& _piece, const Maker& _maker, Micros _now) const
+{
+	const std::string& near = _piece.order.nearDomain;
+	return near.empty() || near == _maker.endpoint.failureDomain || _now - _piece.addedAt >= this->config.nearWait;
 }
 
 /// @returns Places in the queue of the pieces for one call: the most urgent ones whose results the endpoint can keep.
-std::vector<std::size_t> BatchMaker::choosePieces(const Pool& _pool, const Maker& _maker, Micros _now)
+std::vector<std::size_t> BatchMaker::choosePieces(const Pool& _pool, const Maker& _maker, Micros _now) const
 {
 	const auto most = static_cast<std::size_t>(std::max<std::int64_t>(1, _pool.limits.batch));
 	std::vector<std::size_t> chosen;
 	std::int64_t used = _maker.roomUsed;
 	for (std::size_t index = 0; index < _pool.queue.size() && chosen.size() < most; ++index)
 	{
-		if (fits(_pool, _maker, used, _pool.queue[index], _now))
+		if (fits(_pool, used, _pool.queue[index]) && suits(_pool.queue[index], _maker, _now))
 		{
 			chosen.push_back(index);
 			used += _pool.queue[index].order.resultBytes;
@@ -223,12 +230,22 @@
 	this->kept[_handle] = Kept{_call.endpoint.id, _order.resultBytes, _now + life};
 }
 
+/// The endpoint keeps more than is known here, for instance for the node that formed the batches before: it counts as
+/// full for a while.
 void BatchMaker::markFull(const std::string& _endpoint, Micros _now)
 {
 	const auto maker = this->makers.find(_endpoint);
-	if (maker != this->makers.end())
+	const auto pool = maker == this->makers.end() ? this->pools.end() : this->pools.find(maker->second.endpoint.pool);
+	if (pool == this->pools.end())
+	{
+		return;
+	}
+	const std::int64_t unknown = pool->second.limits.resultRoom - maker->second.roomUsed;
+	if (unknown > 0)
 	{
-		maker->second.fullUntil = _now + this->config.fullPause;
+		maker->second.roomUsed += unknown;
+		this->kept[absl::StrCat("unknown results at ", _endpoint, " ", ++this->lastUnknown)] =
+			Kept{_endpoint, unknown, _now + this->config.fullPause};
 	}
 }
 
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -693,6 +693,11 @@
 	return actions;
 }
 
+std::string Dispatcher::homeDomain(const std::string& _pool, std::uint64_t _prefix, Micros _now) const
+{
+	return this->state->book.homeDomain(_pool, _prefix, _now);
+}
+
 std::size_t Dispatcher::inFlight() const
 {
 	return this->state->flights.size();
--- a/src/endpoint_book.cpp
+++ b/src/endpoint_book.cpp
@@ -208,6 +208,18 @@
 	return this->policy->choose(PlacementInput{candidates, usable, _prefix, this->random, found->second.turn, mean});
 }
 
+std::string EndpointBook::homeDomain(const std::string& _pool, std::uint64_t _prefix, Micros _now) const
+{
+	const auto found = this->pools.find(_pool);
+	std::vector<EndpointState*> usable;
+	if (found != this->pools.end())
+	{
+		std::copy_if(found->second.members.begin(), found->second.members.end(), std::back_inserter(usable),
+					 [_now](const EndpointState* _member) { return _member->usable(_now); });
+	}
+	return usable.empty() ? std::string() : prefixHome(usable, _prefix)->endpoint.failureDomain;
+}
+
 void EndpointBook::began(EndpointState& _endpoint, double _work, Micros _now)
 {
 	if (_endpoint.asideUntil > 0 && _now >= _endpoint.asideUntil)
--- a/src/endpoint_book.h
+++ b/src/endpoint_book.h
@@ -43,6 +43,9 @@
 	Placement choose(const std::string& _pool, std::uint64_t _prefix, const std::string& _avoid,
 					 const std::string& _near, Micros _now);
 
+	/// @returns Failure domain of the endpoint that keeps a prompt prefix, empty when there is none.
+	[[nodiscard]] std::string homeDomain(const std::string& _pool, std::uint64_t _prefix, Micros _now) const;
+
 	/// Counts a call as begun or ended on an endpoint.
 	void began(EndpointState& _endpoint, double _work, Micros _now);
 	void ended(const std::string& _endpoint, double _work);
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -28,6 +28,8 @@
 constexpr Micros kRetrySoon = 300 * kMillisecond;      ///< Advice when trouble is over in a moment.
 constexpr Micros kRetryUnready = kSecond;              ///< Advice of a node that does not know the routes yet.
 constexpr Micros kDefaultPatience = 60 * kSecond;      ///< Of clients that do not say how long they wait.
+/// Until an endpoint that takes a request at once has fetched its inputs: 1 ms for each 800 kB, and the way there.
+constexpr Micros kFetchTime = 150 * kMillisecond;
 constexpr std::int64_t kRemakesMost = 2;
 constexpr std::int64_t kLargeResult = 100'000; ///< Bytes from which on it matters where a result lies.
 constexpr double kMicrosPerSecond = 1e6;
@@ -73,6 +75,10 @@
 	StageGraph graph;
 	std::map<std::string, std::string> domainOf; ///< Failure domain of each result.
 	std::set<std::uint64_t> orders;              ///< Pieces that are being made.
+	std::string pool;                            ///< Where the request itself goes.
+	std::uint64_t prefix = 0;                    ///< Hash of what its prompt shares with others.
+	std::string homeDomain;                      ///< Failure domain of the endpoint that it will most likely go to.
+	bool inputsFreed = false;                    ///< Results that it needs were given back.
 	std::int64_t remakes = 0;
 	bool submitted = false; ///< The dispatcher has it.
 	std::int64_t attempts = 0;
@@ -217,6 +223,12 @@
 			  {"workspace", _active->workspace},
 			  {"routes_version", _active->plan->data().version},
 			  {"patience_ms", (_active->giveUpAt - _active->arrived) / kMillisecond}});
+	_active->pool = drawPool(_active->route, XXH3_64bits(_active->request.id.data(), _active->request.id.size()));
+	_active->prefix = sharedPrefix(_active->request.prompt);
+	if (_active->prefix != 0)
+	{
+		_active->homeDomain = this->dispatcher.homeDomain(_active->pool, _active->prefix, _active->arrived);
+	}
 	_active->answer.reply()->onGone([this, id = _active->id] { this->gone(id); });
 	if (this->find(_active->id) == nullptr)
 	{
@@ -267,6 +279,7 @@
 	order.due = _active.arrived + _active.route.target - after;
 	order.priority = _active.priority;
 	order.resultBytes = stage.resultBytes;
+	order.nearDomain = stage.resultBytes >= kLargeResult ? _active.homeDomain : std::string();
 	return order;
 }
 
@@ -345,6 +358,7 @@
 void ForwardTraffic::remake(const ActivePointer& _active)
 {
 	_active->remakes += 1;
+	_active->inputsFreed = false;
 	_active->submitted = false;
 	const std::vector<std::uint64_t> orders(_active->orders.begin(), _active->orders.end());
 	_active->orders.clear();
@@ -388,7 +402,6 @@
 	_active->submitted = true;
 	this->deadlines.erase({_active->giveUpAt, _active->id});
 	const Route& route = _active->route;
-	const std::string poolName = drawPool(route, XXH3_64bits(_active->request.id.data(), _active->request.id.size()));
 	RequestSpec spec{_active->id,
 					 _active->workspace,
 					 route.name,
@@ -396,9 +409,9 @@
 					 route.repeatable,
 					 _active->request.promptTokens,
 					 _active->request.maxTokens,
-					 sharedPrefix(_active->request.prompt)};
+					 _active->prefix};
 	spec.repeat = _active->attempts > 0;
-	spec.nearDomain = this->domainOfResults(*_active);
+	spec.nearDomain = _active->prefix == 0 ? this->domainOfResults(*_active) : std::string();
 	PipelineRow pipeline;
 	pipeline.name = route.name;
 	pipeline.workspace = _active->workspace;
@@ -406,7 +419,7 @@
 	StageRow stage;
 	stage.name = route.name;
 	stage.kind = route.streaming ? StageKind::Engine : StageKind::Service;
-	stage.pool = poolName;
+	stage.pool = _active->pool;
 	stage.repeatable = route.repeatable;
 	stage.attempts = route.attempts - _active->attempts;
 	stage.expectedMs = std::max<std::int64_t>(1, route.target / kMillisecond / 2);
@@ -462,7 +475,7 @@
 			active->answer.takeData(_bytes);
 			if (active->answer.started())
 			{
-				this->pieces.free(active->graph.takeAll()); // The endpoint has read its inputs.
+				this->freeInputs(active);
 			}
 		};
 	}
@@ -475,6 +488,24 @@
 			  {"waited_ms", (now - active->arrived) / kMillisecond},
 			  {"left_ms", (active->giveUpAt - now) / kMillisecond}});
 	active->call = this->client.call(0, std::move(spec), std::move(handlers));
+	if (!attempt.inputs.empty())
+	{
+		this->pool.after(0, kFetchTime,
+						 [this, active, number = _attempt.attempt]
+						 {
+							 if (active->attempt == number)
+							 {
+								 this->freeInputs(active);
+							 }
+						 });
+	}
+}
+
+/// The endpoint has fetched its inputs: they need not take up room any longer.
+void ForwardTraffic::freeInputs(const ActivePointer& _active)
+{
+	_active->inputsFreed = true;
+	this->pieces.free(_active->graph.takeAll());
 }
 
 void ForwardTraffic::attemptEnded(const ActivePointer& _active, std::uint64_t _attempt, const CallEnd& _end)
@@ -498,8 +529,7 @@
 	_active->attempt = 0;
 	_active->call.reset();
 	const bool inputsNeeded = !_active->route.stages.empty() && !_active->graph.results().empty();
-	const bool inputsFreed = _active->answer.started() && inputsNeeded;
-	const bool again = !answered && inputsNeeded && ((head && head->inputGone) || inputsFreed);
+	const bool again = !answered && inputsNeeded && ((head && head->inputGone) || _active->inputsFreed);
 	if (!again)
 	{
 		this->perform(this->dispatcher.attemptEnded(_attempt, end, monotonicNow()));
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -63,6 +63,7 @@
 	void pieceMade(const PieceMade& _made);
 	void pieceFailed(const PieceFailed& _failed);
 	void remake(const ActivePointer& _active);
+	void freeInputs(const ActivePointer& _active);
 	void submit(const ActivePointer& _active);
 	[[nodiscard]] std::string domainOfResults(const Active& _active) const;
 	void perform(const Actions& _actions);
--- a/src/piece_desk.cpp
+++ b/src/piece_desk.cpp
@@ -52,13 +52,13 @@
 	return candidates.empty() ? this->self : batchNodeOf(_pool, candidates);
 }
 
-void PieceDesk::makeHere(const std::string& _pool, const std::string& _peer, const PieceOrder& _order)
+void PieceDesk::makeHere(const std::string& _pool, const std::string& _peer, const PieceOrder& _order, Micros _now)
 {
 	PieceOrder numbered = _order;
 	numbered.order = ++this->lastNumber;
 	this->inHand.emplace(numbered.order, InHand{_peer, _order.order, true});
 	this->numberOf[{_peer, _order.order}] = numbered.order;
-	this->maker.add(_pool, numbered);
+	this->maker.add(_pool, numbered, _now);
 }
 
 void PieceDesk::send(const std::string& _to, PieceMessage _message, PieceActions& _actions)
@@ -74,7 +74,7 @@
 	{
 		for (const PieceOrder& order : _orders)
 		{
-			this->makeHere(_pool, {}, order);
+			this->makeHere(_pool, {}, order, _now);
 		}
 		return;
 	}
@@ -185,7 +185,7 @@
 		PieceOrder order = asked;
 		order.deadline += _now;
 		order.due += _now;
-		this->makeHere(_ask.pool, _from, order);
+		this->makeHere(_ask.pool, _from, order, _now);
 	}
 }
 
--- a/src/piece_messages.cpp
+++ b/src/piece_messages.cpp
@@ -15,7 +15,7 @@
 {
 
 constexpr std::int64_t kFaults = 5;
-constexpr qsizetype kOrderFields = 10;
+constexpr qsizetype kOrderFields = 11;
 
 std::vector<std::string> textsOf(const QCborArray& _array)
 {
@@ -38,7 +38,8 @@
 					  static_cast<qint64>(_order.deadline),
 					  static_cast<qint64>(_order.due),
 					  static_cast<qint64>(_order.priority),
-					  static_cast<qint64>(_order.resultBytes)};
+					  static_cast<qint64>(_order.resultBytes),
+					  text(_order.nearDomain)};
 }
 
 PieceOrder orderFromCbor(const QCborArray& _fields)
@@ -54,6 +55,7 @@
 	order.due = _fields.at(7).toInteger();
 	order.priority = _fields.at(8).toInteger();
 	order.resultBytes = _fields.at(9).toInteger();
+	order.nearDomain = _fields.at(10).toString().toStdString();
 	return order;
 }
 
--- a/src/piece_runner.cpp
+++ b/src/piece_runner.cpp
@@ -12,6 +12,7 @@
 #include "logging.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 namespace roadferry
 {
@@ -29,6 +30,24 @@
 					  _end);
 }
 
+/// @returns How many pieces were not made, by reason.
+std::string faultsOf(const BatchEnd& _end)
+{
+	const auto* answered = std::get_if<BatchAnswered>(&_end);
+	std::map<std::string, std::size_t> counts;
+	if (answered != nullptr)
+	{
+		for (const auto& result : answered->results)
+		{
+			if (const auto* fault = std::get_if<PieceFault>(&result))
+			{
+				counts[std::string(nameOf(*fault))] += 1;
+			}
+		}
+	}
+	return absl::StrJoin(counts, " ", absl::PairFormatter("="));
+}
+
 /// One line for each batch: which pieces of which requests, and how long until they are due.
 void logBatch(const StartBatch& _batch, Micros _now)
 {
@@ -153,6 +172,7 @@
 				  {"endpoint", endpoint},
 				  {"pieces", size},
 				  {"end", std::string(nameOfEnd(end))},
+				  {"faults", faultsOf(end)},
 				  {"status", _end.status},
 				  {"error", _end.error},
 				  {"took_ms", (monotonicNow() - now) / kMillisecond}});
--- a/src/placement_affinity.cpp
+++ b/src/placement_affinity.cpp
@@ -27,12 +27,9 @@
 	return XXH3_64bits_withSeed(_endpoint.endpoint.id.data(), _endpoint.endpoint.id.size(), _prefix);
 }
 
-/// The same choice on every node, and one that moves few prefixes when engines come and go.
 EndpointState* homeOf(const PlacementInput& _input)
 {
-	return *std::max_element(_input.usable.begin(), _input.usable.end(),
-							 [&](const EndpointState* _left, const EndpointState* _right)
-							 { return score(*_left, _input.prefix) < score(*_right, _input.prefix); });
+	return prefixHome(_input.usable, _input.prefix);
 }
 
 Placement leastFinish(const PlacementInput& _input)
@@ -71,6 +68,18 @@
 	return busy ? leastFinish(_input) : homeOrReluctantly(_input, home);
 }
 
+} // namespace
+
+EndpointState* prefixHome(const std::vector<EndpointState*>& _usable, std::uint64_t _prefix)
+{
+	return *std::max_element(_usable.begin(), _usable.end(),
+							 [&](const EndpointState* _left, const EndpointState* _right)
+							 { return score(*_left, _prefix) < score(*_right, _prefix); });
+}
+
+namespace
+{
+
 const bool s_affinity = registerPlacement({"affinity", &chooseAffinity});
 const bool s_affinityGated = registerPlacement({"affinity_gated", &chooseAffinityGated});
 
