Keep a request's chain of stages in one failure domain where its results are large

Cause: each piece of the third stage fetches all results of the second: 1.4 MB for a viva, three quarters of it across failure domains. Change: pieces carry the failure domain in which they should be made, and wait up to 50 ms for it.

--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -56,6 +57,9 @@
 	/// Results that a piece of a stage works on.
 	[[nodiscard]] std::vector<std::string> inputsOf(std::size_t _stage) const;
 
+	/// @returns Results of a stage.
+	[[nodiscard]] std::vector<std::string> handlesOf(std::size_t _stage) const;
+
 	/// @returns Whether all results that the request itself needs are there.
 	[[nodiscard]] bool complete() const;
 
@@ -180,7 +184,7 @@
 	Micros asideFor = 1500 * kMillisecond;   ///< How long an endpoint that failed gets no call.
 	std::int64_t tries = 4;                  ///< Calls in which one piece may be.
 	Micros fullPause = 60 * kMillisecond;    ///< How long an endpoint without room counts as full.
-	Micros nearWait = 150 * kMillisecond;    ///< How long a large piece waits for an endpoint near to its use.
+	Micros nearWait = 50 * kMillisecond;     ///< How long a large piece waits for an endpoint near to its use.
 	Micros refusedPause = 60 * kMillisecond; ///< Before an endpoint that was busy gets another call.
 	bool operator==(const BatchConfig&) const = default;
 };
@@ -261,6 +265,7 @@
 	[[nodiscard]] static bool before(const Waiting& _left, const Waiting& _right);
 	void enqueue(Pool& _pool, Waiting _waiting);
 	void dropLate(Pool& _pool, Micros _now, BatchActions& _actions);
+	[[nodiscard]] static std::tuple<bool, bool, double> rank(const Waiting& _piece, const Maker& _maker);
 	Maker* chooseMaker(const std::string& _pool, const Pool& _spec, Micros _now);
 	[[nodiscard]] static bool fits(const Pool& _pool, std::int64_t _used, const Waiting& _piece);
 	[[nodiscard]] bool suits(const Waiting& _piece, const Maker& _maker, Micros _now) const;
--- a/src/batch_maker.cpp
+++ b/src/batch_maker.cpp
@@ -27,6 +27,7 @@
 constexpr std::array<std::string_view, 5> kFaultNames = {"late", "input_gone", "no_room", "no_endpoint", "error"};
 constexpr double kSlownessSmoothing = 0.3;
 constexpr double kSlownessMost = 8.0;
+constexpr double kSlow = 1.7; ///< An endpoint that takes so many times as long as told is used last.
 constexpr Micros kExpiryPeriod = 100 * kMillisecond;
 
 } // namespace
@@ -121,6 +122,15 @@
 				  });
 }
 
+/// Order of endpoints for a piece, the best first: one that is much slower than told comes last, one that is near to
+/// where the result is needed comes first.
+std::tuple<bool, bool, double> BatchMaker::rank(const Waiting& _piece, const Maker& _maker)
+{
+	const std::string& near = _piece.order.nearDomain;
+	const bool far = !near.empty() && near != _maker.endpoint.failureDomain;
+	return {_maker.slowness > kSlow, far, _maker.slowness};
+}
+
 BatchMaker::Maker* BatchMaker::chooseMaker(const std::string& _pool, const Pool& _spec, Micros _now)
 {
 	Maker* best = nullptr;
@@ -137,7 +147,7 @@
 			continue;
 		}
 		const bool avoided = !_spec.queue.empty() && _spec.queue.front().avoid == maker.endpoint.id;
-		const bool better = best == nullptr || maker.slowness < best->slowness;
+		const bool better = best == nullptr || rank(_spec.queue.front(), maker) < rank(_spec.queue.front(), *best);
 		if (better && (!avoided || best == nullptr))
 		{
 			best = &maker;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -266,6 +266,47 @@
 	return longest;
 }
 
+/// Bytes that cross between a stage's results and those who work on them: each of their pieces fetches all results.
+std::int64_t ForwardTraffic::bytesOnward(const Active& _active, std::size_t _stage) const
+{
+	const std::vector<RouteStage>& stages = _active.route.stages;
+	const std::vector<std::int64_t>& counts = _active.request.pieceCounts;
+	const auto countOf = [&](std::size_t _index) { return _index < counts.size() ? counts[_index] : 0; };
+	std::int64_t fetches = 0;
+	for (std::size_t next = 0; next < stages.size(); ++next)
+	{
+		const std::vector<std::size_t>& after = stages[next].after;
+		fetches += std::find(after.begin(), after.end(), _stage) != after.end() ? countOf(next) : 0;
+	}
+	return stages[_stage].resultBytes * countOf(_stage) * std::max<std::int64_t>(1, fetches);
+}
+
+/// @returns Failure domain in which a stage's pieces should be made: where their inputs lie, if those are large, or
+/// where the request itself will go, if their results are; empty when it does not matter.
+std::string ForwardTraffic::domainFor(const Active& _active, std::size_t _stage) const
+{
+	std::map<std::string, std::int64_t> bytesIn;
+	for (const std::size_t before : _active.route.stages[_stage].after)
+	{
+		for (const std::string& handle : _active.graph.handlesOf(before))
+		{
+			const auto domain = _active.domainOf.find(handle);
+			if (domain != _active.domainOf.end())
+			{
+				bytesIn[domain->second] += this->bytesOnward(_active, before);
+			}
+		}
+	}
+	const auto most =
+		std::max_element(bytesIn.begin(), bytesIn.end(),
+						 [](const auto& _left, const auto& _right) { return _left.second < _right.second; });
+	if (most != bytesIn.end() && most->second >= kLargeResult)
+	{
+		return most->first;
+	}
+	return this->bytesOnward(_active, _stage) >= kLargeResult ? _active.homeDomain : std::string();
+}
+
 PieceOrder ForwardTraffic::orderOf(const Active& _active, const PieceName& _piece) const
 {
 	const RouteStage& stage = _active.route.stages[_piece.stage];
@@ -279,7 +320,7 @@
 	order.due = _active.arrived + _active.route.target - after;
 	order.priority = _active.priority;
 	order.resultBytes = stage.resultBytes;
-	order.nearDomain = stage.resultBytes >= kLargeResult ? _active.homeDomain : std::string();
+	order.nearDomain = this->domainFor(_active, _piece.stage);
 	return order;
 }
 
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -59,6 +59,8 @@
 	ActivePointer find(std::uint64_t _id);
 	void orderPieces(const ActivePointer& _active);
 	[[nodiscard]] PieceOrder orderOf(const Active& _active, const PieceName& _piece) const;
+	[[nodiscard]] std::int64_t bytesOnward(const Active& _active, std::size_t _stage) const;
+	[[nodiscard]] std::string domainFor(const Active& _active, std::size_t _stage) const;
 	[[nodiscard]] Micros timeAfter(const Active& _active, std::size_t _stage) const;
 	void pieceMade(const PieceMade& _made);
 	void pieceFailed(const PieceFailed& _failed);
--- a/src/stage_graph.cpp
+++ b/src/stage_graph.cpp
@@ -85,15 +85,23 @@
 	}
 }
 
+std::vector<std::string> StageGraph::handlesOf(std::size_t _stage) const
+{
+	std::vector<std::string> handles;
+	for (const Piece& piece : this->pieces.at(_stage))
+	{
+		handles.push_back(piece.handle);
+	}
+	return handles;
+}
+
 std::vector<std::string> StageGraph::inputsOf(std::size_t _stage) const
 {
 	std::vector<std::string> inputs;
 	for (const std::size_t before : this->plan.at(_stage).after)
 	{
-		for (const Piece& piece : this->pieces[before])
-		{
-			inputs.push_back(piece.handle);
-		}
+		const std::vector<std::string> handles = this->handlesOf(before);
+		inputs.insert(inputs.end(), handles.begin(), handles.end());
 	}
 	return inputs;
 }
