Late pieces go behind those in time; what would be late is told to come back at once

Change: pieces past their due time come last; the node that forms a pool's batches tells the others how long a piece takes there, and a first try whose stages would take over 0.9 of its target is refused at once with when to come back.

--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -211,8 +212,11 @@
 	/// A result is not needed any more: its endpoint has room again.
 	void freed(const std::string& _handle);
 
-	/// @returns Predicted time until a piece that was added now would be made.
-	[[nodiscard]] Micros predictedTime(const std::string& _pool, Micros _now) const;
+	/// @returns Predicted time until a piece that was added now would be made; nothing for a pool without pieces.
+	[[nodiscard]] std::optional<Micros> predictedTime(const std::string& _pool, Micros _now) const;
+
+	/// @returns Predicted time for each pool that makes pieces.
+	[[nodiscard]] std::map<std::string, Micros> predictedTimes(Micros _now) const;
 
 	/// @returns Pieces that wait for a call.
 	[[nodiscard]] std::size_t waiting(const std::string& _pool) const;
@@ -252,6 +256,8 @@
 	{
 		BatchLimits limits;
 		std::vector<Waiting> queue; ///< Most urgent first.
+		double rate = 0;            ///< Pieces made in a second, smoothed.
+		Micros rateAt = 0;
 	};
 
 	/// A result that an endpoint keeps.
@@ -280,6 +286,7 @@
 	void takeResults(const Call& _call, const BatchAnswered& _answer, Micros _now, BatchActions& _actions);
 	void expireCalls(Micros _now, BatchActions& _actions);
 	Call endCall(std::uint64_t _batch);
+	static void countMade(Pool& _pool, std::size_t _pieces, Micros _now);
 	[[nodiscard]] Micros expectedTime(const BatchLimits& _limits, const Maker& _maker, std::size_t _pieces) const;
 
 	BatchConfig config;
@@ -313,6 +320,7 @@
 {
 	std::vector<PieceMade> made;
 	std::vector<PieceFailed> failed;
+	std::map<std::string, Micros> times; ///< Predicted time of a piece, for each pool whose batches the sender forms.
 	bool operator==(const PieceGive&) const = default;
 };
 
@@ -357,6 +365,7 @@
 	Micros newsEvery = 250 * kMillisecond;   ///< A node that holds pieces of others tells them so.
 	Micros silentAfter = 800 * kMillisecond; ///< A node that does not is passed over: three times that, and some.
 	Micros silentFor = 3 * kSecond;          ///< How long it is passed over.
+	Micros toldLife = 1'500 * kMillisecond;  ///< How long a time that another node predicted is used.
 	bool shared = true;                      ///< Whether nodes form batches together, or each for itself.
 	bool operator==(const PieceDeskConfig&) const = default;
 };
@@ -392,7 +401,7 @@
 	PieceActions batchEnded(std::uint64_t _batch, const BatchEnd& _end, Micros _now);
 	PieceActions tick(Micros _now);
 
-	/// @returns Predicted time until a piece that was ordered now would be made.
+	/// @returns Predicted time until a piece that was ordered now would be made, as far as this node knows.
 	[[nodiscard]] Micros predictedTime(const std::string& _pool, Micros _now) const;
 
 	/// @returns The node that forms the pool's batches, as far as this one knows.
@@ -420,7 +429,8 @@
 	void place(const std::string& _pool, const std::vector<PieceOrder>& _orders, Micros _now, PieceActions& _actions);
 	void takeBatchActions(const BatchActions& _batch, Micros _now, PieceActions& _actions);
 	void onAsk(const std::string& _from, const PieceAsk& _ask, Micros _now);
-	void onGive(const std::string& _from, const PieceGive& _give, PieceActions& _actions);
+	void onGive(const std::string& _from, const PieceGive& _give, Micros _now, PieceActions& _actions);
+	[[nodiscard]] std::map<std::string, Micros> ownTimes(Micros _now) const;
 	void onDrop(const std::string& _from, const PieceDrop& _drop);
 	void freeHere(const std::vector<std::string>& _handles, PieceActions& _actions);
 	void takeBack(const std::string& _peer, Micros _now, PieceActions& _actions);
@@ -435,9 +445,10 @@
 	std::unordered_map<std::uint64_t, InHand> inHand;                        ///< By the number that the maker knows.
 	std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> numberOf; ///< The other way round.
 	std::map<std::uint64_t, Away> away;                                      ///< By order.
-	std::map<std::string, Micros> heardAt;                ///< Nodes that have pieces of ours in hand.
-	std::unordered_map<std::string, std::string> makerOf; ///< Nodes that had results made for this one, by handle.
-	std::map<std::string, Micros> toldAt;                 ///< Nodes whose pieces are in hand here.
+	std::map<std::string, Micros> heardAt;                 ///< Nodes that have pieces of ours in hand.
+	std::map<std::string, std::pair<Micros, Micros>> told; ///< Times that others predicted, with when, by pool.
+	std::unordered_map<std::string, std::string> makerOf;  ///< Nodes that had results made for this one, by handle.
+	std::map<std::string, Micros> toldAt;                  ///< Nodes whose pieces are in hand here.
 	std::uint64_t lastNumber = 0;
 };
 
--- a/src/batch_maker.cpp
+++ b/src/batch_maker.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace roadferry
@@ -27,6 +28,8 @@
 constexpr std::array<std::string_view, 5> kFaultNames = {"late", "input_gone", "no_room", "no_endpoint", "error"};
 constexpr double kSlownessSmoothing = 0.3;
 constexpr double kSlownessMost = 8.0;
+constexpr Micros kRateTime = 1'500 * kMillisecond; ///< Over which the rate of made pieces is smoothed: a few calls.
+constexpr double kLeastOfNominal = 0.4;
 constexpr double kSlow = 1.7; ///< An endpoint that takes so many times as long as told is used last.
 constexpr Micros kExpiryPeriod = 100 * kMillisecond;
 
@@ -180,14 +183,21 @@
 	const auto most = static_cast<std::size_t>(std::max<std::int64_t>(1, _pool.limits.batch));
 	std::vector<std::size_t> chosen;
 	std::int64_t used = _maker.roomUsed;
-	for (std::size_t index = 0; index < _pool.queue.size() && chosen.size() < most; ++index)
+	// What can no longer be in time is made too, but behind what can.
+	for (const bool late : {false, true})
 	{
-		if (fits(_pool, used, _pool.queue[index]) && suits(_pool.queue[index], _maker, _now))
+		for (std::size_t index = 0; index < _pool.queue.size() && chosen.size() < most; ++index)
 		{
-			chosen.push_back(index);
-			used += _pool.queue[index].order.resultBytes;
+			const Waiting& piece = _pool.queue[index];
+			const bool isLate = piece.order.due < _now + _pool.limits.callTime;
+			if (isLate == late && fits(_pool, used, piece) && this->suits(piece, _maker, _now))
+			{
+				chosen.push_back(index);
+				used += piece.order.resultBytes;
+			}
 		}
 	}
+	std::sort(chosen.begin(), chosen.end());
 	return chosen;
 }
 
@@ -259,6 +269,14 @@
 	}
 }
 
+void BatchMaker::countMade(Pool& _pool, std::size_t _pieces, Micros _now)
+{
+	const double passed = static_cast<double>(_now - _pool.rateAt) / static_cast<double>(kRateTime);
+	_pool.rate = _pool.rate * std::exp(-passed) +
+				 static_cast<double>(_pieces) * static_cast<double>(kSecond) / static_cast<double>(kRateTime);
+	_pool.rateAt = _now;
+}
+
 void BatchMaker::freed(const std::string& _handle)
 {
 	const auto found = this->kept.find(_handle);
@@ -320,6 +338,7 @@
 
 void BatchMaker::takeResults(const Call& _call, const BatchAnswered& _answer, Micros _now, BatchActions& _actions)
 {
+	countMade(this->pools[_call.pool], _call.pieces.size(), _now);
 	for (std::size_t index = 0; index < _call.pieces.size(); ++index)
 	{
 		const Waiting& piece = _call.pieces[index];
@@ -437,12 +456,12 @@
 	return actions;
 }
 
-Micros BatchMaker::predictedTime(const std::string& _pool, Micros _now) const
+std::optional<Micros> BatchMaker::predictedTime(const std::string& _pool, Micros _now) const
 {
 	const auto found = this->pools.find(_pool);
-	if (found == this->pools.end())
+	if (found == this->pools.end() || found->second.limits.callTime <= 0)
 	{
-		return 0;
+		return std::nullopt;
 	}
 	const BatchLimits& limits = found->second.limits;
 	std::vector<Micros> free;
@@ -460,11 +479,28 @@
 		return kSecond;
 	}
 	std::sort(free.begin(), free.end());
-	const std::size_t batch = static_cast<std::size_t>(std::max<std::int64_t>(1, limits.batch));
-	const std::size_t before = found->second.queue.size() / batch;
+	// What the pool makes in a second, at least the part of its capacity that it reaches with short batches.
 	const Micros full = limits.callTime + limits.pieceTime * limits.batch;
-	const Micros turns = static_cast<Micros>(before / free.size());
-	return free[before % free.size()] - _now + turns * full + limits.callTime + limits.pieceTime;
+	const double nominal = static_cast<double>(limits.batch) * static_cast<double>(free.size()) *
+						   static_cast<double>(kSecond) / static_cast<double>(full);
+	const double rate = std::max(found->second.rate, kLeastOfNominal * nominal);
+	const auto inTime = std::count_if(found->second.queue.begin(), found->second.queue.end(),
+									  [&](const Waiting& _waiting) { return _waiting.order.due > _now; });
+	const auto wait = static_cast<Micros>(static_cast<double>(inTime) / rate * static_cast<double>(kSecond));
+	return std::max(free.front() - _now, wait) + limits.callTime + limits.pieceTime;
+}
+
+std::map<std::string, Micros> BatchMaker::predictedTimes(Micros _now) const
+{
+	std::map<std::string, Micros> times;
+	for (const auto& entry : this->pools)
+	{
+		if (const auto time = this->predictedTime(entry.first, _now))
+		{
+			times[entry.first] = *time;
+		}
+	}
+	return times;
 }
 
 std::size_t BatchMaker::waiting(const std::string& _pool) const
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -30,6 +30,10 @@
 constexpr Micros kDefaultPatience = 60 * kSecond;      ///< Of clients that do not say how long they wait.
 /// Until an endpoint that takes a request at once has fetched its inputs: 1 ms for each 800 kB, and the way there.
 constexpr Micros kFetchTime = 150 * kMillisecond;
+/// Part of the target within which the stages have to be done for a request to be in time; the rest is for the engine.
+constexpr double kAdmitShare = 0.9;
+constexpr Micros kComeBackSoonest = kSecond;
+constexpr Micros kComeBackLatest = 4 * kSecond; ///< Clients wait for up to a third of their time, which is 15 s mostly.
 constexpr std::int64_t kRemakesMost = 2;
 constexpr std::int64_t kLargeResult = 100'000; ///< Bytes from which on it matters where a result lies.
 constexpr double kMicrosPerSecond = 1e6;
@@ -239,9 +243,45 @@
 		this->submit(_active);
 		return;
 	}
+	const Micros predicted = this->predictedStages(*_active);
+	if (this->comesTooLate(*_active, predicted))
+	{
+		// Later, when the queue has gone down, it can still be in time; now it would be late, and hold others up.
+		this->giveUp(_active, Reason::WouldBeLate, std::clamp(predicted, kComeBackSoonest, kComeBackLatest));
+		return;
+	}
 	this->orderPieces(_active);
 }
 
+/// Predicted time until all pieces are made, the longest way through the stages.
+Micros ForwardTraffic::predictedStages(const Active& _active) const
+{
+	const std::vector<RouteStage>& stages = _active.route.stages;
+	std::vector<Micros> done(stages.size(), 0);
+	Micros longest = 0;
+	for (std::size_t stage = 0; stage < stages.size(); ++stage)
+	{
+		Micros begin = 0;
+		for (const std::size_t before : stages[stage].after)
+		{
+			begin = std::max(begin, done[before]);
+		}
+		const bool leftOut = _active.graph.handlesOf(stage).empty();
+		done[stage] = begin + (leftOut ? 0 : this->pieces.predictedTime(stages[stage].pool));
+		longest = std::max(longest, done[stage]);
+	}
+	return longest;
+}
+
+/// Whether a request should be told to come back, since it would miss its target now.
+bool ForwardTraffic::comesTooLate(const Active& _active, Micros _predicted) const
+{
+	// One that comes with less time than its route gives has most likely been turned away before.
+	const bool first = _active.giveUpAt - _active.arrived > _active.route.timeLimit * 9 / 10;
+	const auto limit = static_cast<Micros>(kAdmitShare * static_cast<double>(_active.route.target));
+	return first && _predicted > limit;
+}
+
 ForwardTraffic::ActivePointer ForwardTraffic::find(std::uint64_t _id)
 {
 	const auto found = this->actives.find(_id);
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -65,6 +65,8 @@
 	void pieceMade(const PieceMade& _made);
 	void pieceFailed(const PieceFailed& _failed);
 	void remake(const ActivePointer& _active);
+	[[nodiscard]] Micros predictedStages(const Active& _active) const;
+	[[nodiscard]] bool comesTooLate(const Active& _active, Micros _predicted) const;
 	void freeInputs(const ActivePointer& _active);
 	void submit(const ActivePointer& _active);
 	[[nodiscard]] std::string domainOfResults(const Active& _active) const;
--- a/src/piece_desk.cpp
+++ b/src/piece_desk.cpp
@@ -189,7 +189,7 @@
 	}
 }
 
-void PieceDesk::onGive(const std::string& _from, const PieceGive& _give, PieceActions& _actions)
+void PieceDesk::onGive(const std::string& _from, const PieceGive& _give, Micros _now, PieceActions& _actions)
 {
 	for (const PieceMade& made : _give.made)
 	{
@@ -203,6 +203,10 @@
 		this->away.erase(found);
 		_actions.emplace_back(made);
 	}
+	for (const auto& entry : _give.times)
+	{
+		this->told[entry.first] = {entry.second, _now};
+	}
 	for (const PieceFailed& failed : _give.failed)
 	{
 		const auto found = this->away.find(failed.order);
@@ -225,7 +229,7 @@
 	std::visit(
 		Overloaded{
 			[&](const PieceAsk& _ask) { this->onAsk(_from, _ask, _now); },
-			[&](const PieceGive& _give) { this->onGive(_from, _give, actions); },
+			[&](const PieceGive& _give) { this->onGive(_from, _give, _now, actions); },
 			[&](const PieceDrop& _drop) { this->onDrop(_from, _drop); },
 			[&](const PieceFree& _free) { this->freeHere(_free.handles, actions); },
 		},
@@ -321,6 +325,7 @@
 	for (auto& entry : gives)
 	{
 		this->toldAt[entry.first] = _now;
+		entry.second.times = this->ownTimes(_now);
 		this->send(entry.first, std::move(entry.second), _actions);
 	}
 }
@@ -354,6 +359,14 @@
 	}
 }
 
+/// Predicted times of the pools whose batches this node forms.
+std::map<std::string, Micros> PieceDesk::ownTimes(Micros _now) const
+{
+	std::map<std::string, Micros> times = this->maker.predictedTimes(_now);
+	std::erase_if(times, [&](const auto& _entry) { return this->nodeOf(_entry.first, _now) != this->self; });
+	return times;
+}
+
 void PieceDesk::tellNews(Micros _now, PieceActions& _actions)
 {
 	std::set<std::string> askers;
@@ -367,7 +380,7 @@
 		if (_now - entry.second >= this->config.newsEvery)
 		{
 			entry.second = _now;
-			this->send(entry.first, PieceGive{}, _actions);
+			this->send(entry.first, PieceGive{{}, {}, this->ownTimes(_now)}, _actions);
 		}
 	}
 }
@@ -383,7 +396,14 @@
 
 Micros PieceDesk::predictedTime(const std::string& _pool, Micros _now) const
 {
-	return this->maker.predictedTime(_pool, _now);
+	const auto told = this->told.find(_pool);
+	const bool elsewhere = this->nodeOf(_pool, _now) != this->self;
+	if (elsewhere && told != this->told.end() && _now - told->second.second < this->config.toldLife)
+	{
+		return told->second.first;
+	}
+	// Without news from the node that forms the batches, nobody is turned away for want of capacity.
+	return this->maker.predictedTime(_pool, elsewhere ? 0 : _now).value_or(0);
 }
 
 } // namespace roadferry
--- a/src/piece_messages.cpp
+++ b/src/piece_messages.cpp
@@ -83,7 +83,12 @@
 	{
 		failed.append(QCborArray{static_cast<qint64>(piece.order), static_cast<qint64>(piece.fault)});
 	}
-	return QCborMap{{"type", "piece_give"}, {"made", made}, {"failed", failed}};
+	QCborMap times;
+	for (const auto& entry : _message.times)
+	{
+		times.insert(text(entry.first), static_cast<qint64>(entry.second));
+	}
+	return QCborMap{{"type", "piece_give"}, {"made", made}, {"failed", failed}, {"times", times}};
 }
 
 QCborMap toCbor(const PieceDrop& _message)
@@ -125,6 +130,7 @@
 		message.failed.push_back(PieceFailed{static_cast<std::uint64_t>(fields.at(0).toInteger()),
 											 static_cast<PieceFault>(_reader.below(fields.at(1), kFaults, "failed"))});
 	}
+	message.times = _reader.numbers("times");
 	return message;
 }
 
