--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -180,6 +180,7 @@
 /// Times and bounds of a BatchMaker.
 struct BatchConfig
 {
+	double lateShare = 0.25;                 ///< Part of each call that pieces past their due time may take.
 	double slowest = 4.0;                    ///< A call that takes so many times as long as told is given up.
 	Micros slack = 400 * kMillisecond;       ///< Added to that, for transfers.
 	Micros asideFor = 1500 * kMillisecond;   ///< How long an endpoint that failed gets no call.
--- a/src/batch_maker.cpp
+++ b/src/batch_maker.cpp
@@ -183,20 +183,25 @@
 	const auto most = static_cast<std::size_t>(std::max<std::int64_t>(1, _pool.limits.batch));
 	std::vector<std::size_t> chosen;
 	std::int64_t used = _maker.roomUsed;
-	// What can no longer be in time is made too, but behind what can.
-	for (const bool late : {false, true})
+	std::vector<bool> taken(_pool.queue.size(), false);
+	const auto take = [&](bool _late, std::size_t _upTo)
 	{
-		for (std::size_t index = 0; index < _pool.queue.size() && chosen.size() < most; ++index)
+		for (std::size_t index = 0; index < _pool.queue.size() && chosen.size() < _upTo; ++index)
 		{
 			const Waiting& piece = _pool.queue[index];
 			const bool isLate = piece.order.due < _now + _pool.limits.callTime;
-			if (isLate == late && fits(_pool, used, piece) && this->suits(piece, _maker, _now))
+			if (!taken[index] && isLate == _late && fits(_pool, used, piece) && this->suits(piece, _maker, _now))
 			{
+				taken[index] = true;
 				chosen.push_back(index);
 				used += piece.order.resultBytes;
 			}
 		}
-	}
+	};
+	// What can no longer be in time goes behind what can, apart from a share that keeps it from waiting for ever.
+	take(true, static_cast<std::size_t>(std::ceil(this->config.lateShare * static_cast<double>(most))));
+	take(false, most);
+	take(true, most);
 	std::sort(chosen.begin(), chosen.end());
 	return chosen;
 }
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -30,8 +30,10 @@
 constexpr Micros kDefaultPatience = 60 * kSecond;      ///< Of clients that do not say how long they wait.
 /// Until an endpoint that takes a request at once has fetched its inputs: 1 ms for each 800 kB, and the way there.
 constexpr Micros kFetchTime = 150 * kMillisecond;
-/// Part of the target within which the stages have to be done for a request to be in time; the rest is for the engine.
-constexpr double kAdmitShare = 0.9;
+/// Part of the target within which the first event has to be predicted for a request to be admitted.
+constexpr double kAdmitShare = 1.0;
+constexpr double kFirstEventSmoothing = 0.05;
+constexpr Micros kFirstEventGuess = 300 * kMillisecond; ///< Until one was measured.
 constexpr Micros kComeBackSoonest = kSecond;
 constexpr Micros kComeBackLatest = 4 * kSecond; ///< Clients wait for up to a third of their time, which is 15 s mostly.
 constexpr std::int64_t kRemakesMost = 2;
@@ -87,6 +89,7 @@
 	bool submitted = false; ///< The dispatcher has it.
 	std::int64_t attempts = 0;
 	std::uint64_t attempt = 0; ///< The one under way, 0 for none.
+	Micros attemptAt = 0;
 	std::string endpoint;
 	std::shared_ptr<HttpCall> call;
 };
@@ -273,13 +276,31 @@
 	return longest;
 }
 
+void ForwardTraffic::measureFirstEvent(const Active& _active)
+{
+	const Micros first = _active.answer.times().firstAt;
+	if (first <= _active.attemptAt || _active.attempts != 1)
+	{
+		return;
+	}
+	const auto sample = static_cast<double>(first - _active.attemptAt);
+	double& time = this->firstEventTimes.try_emplace(_active.pool, kFirstEventGuess).first->second;
+	time += kFirstEventSmoothing * (sample - time);
+}
+
+Micros ForwardTraffic::firstEventTime(const std::string& _pool) const
+{
+	const auto found = this->firstEventTimes.find(_pool);
+	return found == this->firstEventTimes.end() ? kFirstEventGuess : static_cast<Micros>(found->second);
+}
+
 /// Whether a request should be told to come back, since it would miss its target now.
 bool ForwardTraffic::comesTooLate(const Active& _active, Micros _predicted) const
 {
 	// One that comes with less time than its route gives has most likely been turned away before.
 	const bool first = _active.giveUpAt - _active.arrived > _active.route.timeLimit * 9 / 10;
 	const auto limit = static_cast<Micros>(kAdmitShare * static_cast<double>(_active.route.target));
-	return first && _predicted > limit;
+	return first && _predicted + this->firstEventTime(_active.pool) > limit;
 }
 
 ForwardTraffic::ActivePointer ForwardTraffic::find(std::uint64_t _id)
@@ -350,7 +371,7 @@
 PieceOrder ForwardTraffic::orderOf(const Active& _active, const PieceName& _piece) const
 {
 	const RouteStage& stage = _active.route.stages[_piece.stage];
-	const Micros after = this->timeAfter(_active, _piece.stage);
+	const Micros after = this->timeAfter(_active, _piece.stage) + this->firstEventTime(_active.pool);
 	PieceOrder order;
 	order.request = _active.request.id;
 	order.name = _piece;
@@ -536,6 +557,7 @@
 	this->attemptCount += 1;
 	this->retryCount += active->attempts > 1 ? 1 : 0;
 	active->attempt = _attempt.attempt;
+	active->attemptAt = now;
 	active->endpoint = _attempt.endpoint;
 	active->answer.beginAttempt();
 	ForwardAttempt attempt{_attempt.endpoint, active->workspace, active->giveUpAt - now, active->graph.results(),
@@ -642,6 +664,7 @@
 {
 	if (_outcome.verdict == Verdict::Answered)
 	{
+		this->measureFirstEvent(*_active);
 		_active->answer.deliver();
 		this->release(_active, _outcome, "answered");
 		return;
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -65,6 +65,8 @@
 	void pieceMade(const PieceMade& _made);
 	void pieceFailed(const PieceFailed& _failed);
 	void remake(const ActivePointer& _active);
+	void measureFirstEvent(const Active& _active);
+	[[nodiscard]] Micros firstEventTime(const std::string& _pool) const;
 	[[nodiscard]] Micros predictedStages(const Active& _active) const;
 	[[nodiscard]] bool comesTooLate(const Active& _active, Micros _predicted) const;
 	void freeInputs(const ActivePointer& _active);
@@ -93,6 +95,7 @@
 	std::unordered_map<std::uint64_t, std::pair<std::uint64_t, PieceName>>
 		pieceOrders;                                      ///< Request and piece, by order.
 	std::set<std::pair<Micros, std::uint64_t>> deadlines; ///< Of requests whose pieces are being made.
+	std::map<std::string, double> firstEventTimes; ///< Microseconds from sending to a stream's first event, by pool.
 	std::uint64_t lastRequest = 0;
 	std::uint64_t lastOrder = 0;
 	std::atomic<std::size_t> activeCount{0};
