Free results as soon as the calls that work on them have fetched them

Cause: room for results bounds the second stage (fill 20 of 42): results lay until the stage behind was made. Change: the batching node tells 100 ms after a call's begin that its pieces have started; what they fetched is freed then. Also: a result that its asker no longer wants goes back through the node that keeps account of the room.

--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -49,6 +49,9 @@
 	/// @param[in] _handle Name of its result, by which others refer to it.
 	void made(const PieceName& _piece, const std::string& _handle);
 
+	/// The endpoint has fetched what a piece works on, and is making it.
+	void started(const PieceName& _piece);
+
 	/// A piece has to be made again: making it failed.
 	void failed(const PieceName& _piece);
 
@@ -80,9 +83,11 @@
 	{
 		std::string handle; ///< Empty until it was made.
 		bool handedOut = false;
+		bool started = false; ///< Its inputs were fetched.
 	};
 
 	[[nodiscard]] bool stageMade(std::size_t _stage) const;
+	[[nodiscard]] bool stageStarted(std::size_t _stage) const;
 	[[nodiscard]] bool hasFollower(std::size_t _stage) const;
 
 	std::vector<RouteStage> plan;
@@ -136,6 +141,13 @@
 	bool operator==(const CancelBatch&) const = default;
 };
 
+/// The endpoint has fetched what a piece works on: these results are not needed for it any longer.
+struct PieceStarted
+{
+	std::uint64_t order = 0;
+	bool operator==(const PieceStarted&) const = default;
+};
+
 /// A piece was made.
 struct PieceMade
 {
@@ -153,7 +165,7 @@
 	bool operator==(const PieceFailed&) const = default;
 };
 
-using BatchAction = std::variant<StartBatch, CancelBatch, PieceMade, PieceFailed>;
+using BatchAction = std::variant<StartBatch, CancelBatch, PieceStarted, PieceMade, PieceFailed>;
 using BatchActions = std::vector<BatchAction>;
 
 /// The endpoint answered: one entry for each order, in order.
@@ -183,6 +195,7 @@
 	double lateShare = 0.25;                 ///< Part of each call that pieces past their due time may take.
 	double slowest = 4.0;                    ///< A call that takes so many times as long as told is given up.
 	Micros slack = 400 * kMillisecond;       ///< Added to that, for transfers.
+	Micros fetchTime = 100 * kMillisecond;   ///< In which a call has fetched its inputs: 15 MB take 12 ms on a link.
 	Micros asideFor = 1500 * kMillisecond;   ///< How long an endpoint that failed gets no call.
 	std::int64_t tries = 4;                  ///< Calls in which one piece may be.
 	Micros fullPause = 60 * kMillisecond;    ///< How long an endpoint without room counts as full.
@@ -239,6 +252,7 @@
 		Micros startedAt = 0;
 		Micros expected = 0;
 		Micros giveUpAt = 0;
+		bool fetched = false; ///< Its pieces were told to have started.
 	};
 
 	struct Maker
@@ -285,6 +299,7 @@
 	void expireResults(Micros _now);
 	void retry(Waiting _piece, const Call& _call, PieceFault _fault, BatchActions& _actions);
 	void takeResults(const Call& _call, const BatchAnswered& _answer, Micros _now, BatchActions& _actions);
+	void tellStarted(Micros _now, BatchActions& _actions);
 	void expireCalls(Micros _now, BatchActions& _actions);
 	Call endCall(std::uint64_t _batch);
 	static void countMade(Pool& _pool, std::size_t _pieces, Micros _now);
@@ -319,6 +334,7 @@
 /// Tells another node what became of pieces that it asked for. Without any it says that they are still in hand.
 struct PieceGive
 {
+	std::vector<PieceStarted> started;
 	std::vector<PieceMade> made;
 	std::vector<PieceFailed> failed;
 	std::map<std::string, Micros> times; ///< Predicted time of a piece, for each pool whose batches the sender forms.
@@ -356,7 +372,8 @@
 	bool operator==(const FreeResult&) const = default;
 };
 
-using PieceAction = std::variant<StartBatch, CancelBatch, PieceMade, PieceFailed, SendPieceMessage, FreeResult>;
+using PieceAction =
+	std::variant<StartBatch, CancelBatch, PieceStarted, PieceMade, PieceFailed, SendPieceMessage, FreeResult>;
 using PieceActions = std::vector<PieceAction>;
 
 /// Times of a PieceDesk.
--- a/src/batch_maker.cpp
+++ b/src/batch_maker.cpp
@@ -415,6 +415,26 @@
 	return actions;
 }
 
+void BatchMaker::tellStarted(Micros _now, BatchActions& _actions)
+{
+	for (auto& entry : this->calls)
+	{
+		Call& call = entry.second;
+		if (call.fetched || _now - call.startedAt < this->config.fetchTime)
+		{
+			continue;
+		}
+		call.fetched = true;
+		for (const Waiting& piece : call.pieces)
+		{
+			if (!piece.order.inputs.empty())
+			{
+				_actions.emplace_back(PieceStarted{piece.order.order});
+			}
+		}
+	}
+}
+
 void BatchMaker::expireCalls(Micros _now, BatchActions& _actions)
 {
 	std::vector<std::uint64_t> expired;
@@ -441,6 +461,7 @@
 {
 	BatchActions actions;
 	this->expireCalls(_now, actions);
+	this->tellStarted(_now, actions);
 	this->expireResults(_now);
 	for (auto& entry : this->pools)
 	{
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -99,7 +99,8 @@
 							   std::function<void(const std::string&, const PieceMessage&)> _send)
 	: pool(_pool), client(_client), wire(_wire), metrics(_metrics), dispatcher(_settings.dispatcher),
 	  pieces(_client, _wire, PieceDesk(_settings.self, _settings.pieces),
-			 PieceHandlers{[this](const PieceMade& _made) { this->pieceMade(_made); },
+			 PieceHandlers{[this](const PieceStarted& _started) { this->pieceStarted(_started); },
+						   [this](const PieceMade& _made) { this->pieceMade(_made); },
 						   [this](const PieceFailed& _failed) { this->pieceFailed(_failed); }, std::move(_send)})
 {
 }
@@ -408,6 +409,18 @@
 	}
 }
 
+void ForwardTraffic::pieceStarted(const PieceStarted& _started)
+{
+	const auto found = this->pieceOrders.find(_started.order);
+	if (found == this->pieceOrders.end())
+	{
+		return;
+	}
+	const ActivePointer active = this->find(found->second.first);
+	active->graph.started(found->second.second);
+	this->pieces.free(active->graph.takeSpent());
+}
+
 void ForwardTraffic::pieceMade(const PieceMade& _made)
 {
 	const auto found = this->pieceOrders.find(_made.order);
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -62,6 +62,7 @@
 	[[nodiscard]] std::int64_t bytesOnward(const Active& _active, std::size_t _stage) const;
 	[[nodiscard]] std::string domainFor(const Active& _active, std::size_t _stage) const;
 	[[nodiscard]] Micros timeAfter(const Active& _active, std::size_t _stage) const;
+	void pieceStarted(const PieceStarted& _started);
 	void pieceMade(const PieceMade& _made);
 	void pieceFailed(const PieceFailed& _failed);
 	void remake(const ActivePointer& _active);
--- a/src/piece_desk.cpp
+++ b/src/piece_desk.cpp
@@ -191,18 +191,31 @@
 
 void PieceDesk::onGive(const std::string& _from, const PieceGive& _give, Micros _now, PieceActions& _actions)
 {
+	for (const PieceStarted& started : _give.started)
+	{
+		const auto found = this->away.find(started.order);
+		if (found != this->away.end() && found->second.peer == _from)
+		{
+			_actions.emplace_back(started);
+		}
+	}
+	PieceFree unwanted;
 	for (const PieceMade& made : _give.made)
 	{
 		const auto found = this->away.find(made.order);
-		this->makerOf[made.handle] = _from;
 		if (found == this->away.end() || found->second.peer != _from)
 		{
-			_actions.emplace_back(FreeResult{made.handle});
+			unwanted.handles.push_back(made.handle);
 			continue;
 		}
+		this->makerOf[made.handle] = _from;
 		this->away.erase(found);
 		_actions.emplace_back(made);
 	}
+	if (!unwanted.handles.empty())
+	{
+		this->send(_from, std::move(unwanted), _actions);
+	}
 	for (const auto& entry : _give.times)
 	{
 		this->told[entry.first] = {entry.second, _now};
@@ -289,6 +302,18 @@
 			Overloaded{
 				[&](const StartBatch& _start) { _actions.emplace_back(_start); },
 				[&](const CancelBatch& _cancel) { _actions.emplace_back(_cancel); },
+				[&](const PieceStarted& _started)
+				{
+					const InHand& hand = this->inHand.at(_started.order);
+					if (hand.wanted && hand.peer.empty())
+					{
+						_actions.emplace_back(PieceStarted{hand.order});
+					}
+					else if (hand.wanted)
+					{
+						gives[hand.peer].started.push_back(PieceStarted{hand.order});
+					}
+				},
 				[&](PieceMade _made)
 				{
 					const InHand hand = settle(_made.order);
@@ -380,7 +405,7 @@
 		if (_now - entry.second >= this->config.newsEvery)
 		{
 			entry.second = _now;
-			this->send(entry.first, PieceGive{{}, {}, this->ownTimes(_now)}, _actions);
+			this->send(entry.first, PieceGive{{}, {}, {}, this->ownTimes(_now)}, _actions);
 		}
 	}
 }
--- a/src/piece_messages.cpp
+++ b/src/piece_messages.cpp
@@ -73,6 +73,11 @@
 
 QCborMap toCbor(const PieceGive& _message)
 {
+	QCborArray started;
+	for (const PieceStarted& piece : _message.started)
+	{
+		started.append(static_cast<qint64>(piece.order));
+	}
 	QCborArray made;
 	for (const PieceMade& piece : _message.made)
 	{
@@ -88,7 +93,7 @@
 	{
 		times.insert(text(entry.first), static_cast<qint64>(entry.second));
 	}
-	return QCborMap{{"type", "piece_give"}, {"made", made}, {"failed", failed}, {"times", times}};
+	return QCborMap{{"type", "piece_give"}, {"started", started}, {"made", made}, {"failed", failed}, {"times", times}};
 }
 
 QCborMap toCbor(const PieceDrop& _message)
@@ -120,6 +125,10 @@
 PieceGive readPieceGive(CborReader& _reader)
 {
 	PieceGive message;
+	for (const std::uint64_t order : _reader.naturals("started"))
+	{
+		message.started.push_back(PieceStarted{order});
+	}
 	for (const QCborArray& fields : _reader.arrays("made", 3))
 	{
 		message.made.push_back(PieceMade{static_cast<std::uint64_t>(fields.at(0).toInteger()),
--- a/src/piece_runner.cpp
+++ b/src/piece_runner.cpp
@@ -142,6 +142,7 @@
 			Overloaded{
 				[&](const StartBatch& _start) { this->start(_start); },
 				[&](const CancelBatch& _cancel) { this->cancelCall(_cancel.batch); },
+				[&](const PieceStarted& _started) { this->handlers.onStarted(_started); },
 				[&](const PieceMade& _made) { this->handlers.onMade(_made); },
 				[&](const PieceFailed& _failed) { this->handlers.onFailed(_failed); },
 				[&](const SendPieceMessage& _send) { this->handlers.send(_send.to, _send.message); },
--- a/src/piece_runner.h
+++ b/src/piece_runner.h
@@ -17,6 +17,7 @@
 /// Called on the runner's thread.
 struct PieceHandlers
 {
+	std::function<void(const PieceStarted&)> onStarted;
 	std::function<void(const PieceMade&)> onMade;
 	std::function<void(const PieceFailed&)> onFailed;
 	std::function<void(const std::string& _to, const PieceMessage&)> send;
--- a/src/stage_graph.cpp
+++ b/src/stage_graph.cpp
@@ -36,6 +36,12 @@
 					   { return std::find(_other.after.begin(), _other.after.end(), _stage) != _other.after.end(); });
 }
 
+bool StageGraph::stageStarted(std::size_t _stage) const
+{
+	return std::all_of(this->pieces[_stage].begin(), this->pieces[_stage].end(),
+					   [](const Piece& _piece) { return _piece.started || !_piece.handle.empty(); });
+}
+
 std::vector<PieceName> StageGraph::takeReady()
 {
 	std::vector<PieceName> ready;
@@ -64,11 +70,14 @@
 	this->pieces.at(_piece.stage).at(_piece.piece).handle = _handle;
 }
 
+void StageGraph::started(const PieceName& _piece)
+{
+	this->pieces.at(_piece.stage).at(_piece.piece).started = true;
+}
+
 void StageGraph::failed(const PieceName& _piece)
 {
-	Piece& state = this->pieces.at(_piece.stage).at(_piece.piece);
-	state.handedOut = false;
-	state.handle.clear();
+	this->pieces.at(_piece.stage).at(_piece.piece) = Piece{};
 }
 
 void StageGraph::lost(const std::string& _handle)
@@ -149,7 +158,7 @@
 		{
 			const std::vector<std::size_t>& after = this->plan[other].after;
 			const bool follows = std::find(after.begin(), after.end(), stage) != after.end();
-			needed = needed || (follows && !this->stageMade(other));
+			needed = needed || (follows && !this->stageStarted(other));
 		}
 		for (const Piece& piece : this->pieces[stage])
 		{
--- a/tests/test_messages.cpp
+++ b/tests/test_messages.cpp
@@ -41,7 +41,10 @@
 		RoutesGive{std::string("\0{", 2), {Endpoint{"e-1", "10.0.0.3:80", "pool", "north", 6, true}}, {"e-1", "e-2"}},
 		PieceAsk{"pool",
 				 {PieceOrder{5, "abc", {1, 2}, "key", {"10.0.0.3:80/1"}, 900'000, 400'000, 1, 60'000, "north"}}},
-		PieceGive{{PieceMade{5, "10.0.0.3:80/2", "north"}}, {PieceFailed{6, PieceFault::NoRoom}}, {{"pool", 400'000}}},
+		PieceGive{{PieceStarted{4}},
+				  {PieceMade{5, "10.0.0.3:80/2", "north"}},
+				  {PieceFailed{6, PieceFault::NoRoom}},
+				  {{"pool", 400'000}}},
 		PieceDrop{{5, 6}}};
 }
 
