--- /dev/null
+++ b/tests/test_pieces.cpp
@@ -0,0 +1,462 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Stages made in batches: the graph of one request, batches at endpoints, and batches over nodes that fall silent.
+
+#include "property.h"
+
+#include <roadferry/roadferry.h>
+
+#include <algorithm>
+
+namespace
+{
+
+using namespace roadferry;
+
+constexpr std::int64_t kRoom = 10'000;
+constexpr std::int64_t kBatch = 5;
+
+PoolSpec pool()
+{
+	PoolSpec spec;
+	spec.name = "pool";
+	spec.batches = BatchLimits{1, kBatch, 240 * kMillisecond, 20 * kMillisecond, 4 * kSecond, kRoom};
+	return spec;
+}
+
+Endpoint endpoint(int _index, bool _leaving = false)
+{
+	const std::string id = "e-" + std::to_string(_index);
+	return Endpoint{id,      "10.0.0." + std::to_string(_index) + ":80", "pool", _index % 2 == 0 ? "north" : "south", 1,
+					_leaving};
+}
+
+PieceOrder order(std::uint64_t _number, Micros _now, std::int64_t _bytes = 100)
+{
+	PieceOrder result;
+	result.order = _number;
+	result.request = "r-" + std::to_string(_number);
+	result.deadline = _now + 15 * kSecond;
+	result.due = _now + 2 * kSecond;
+	result.resultBytes = _bytes;
+	return result;
+}
+
+/// Endpoints that make what they are sent, and check what they are sent.
+class EndpointWorld
+{
+public:
+	void take(const BatchActions& _actions, Micros _now)
+	{
+		for (const BatchAction& action : _actions)
+		{
+			std::visit(
+				Overloaded{
+					[&](const StartBatch& _start)
+					{
+						this->busy[_start.endpoint.id] += 1;
+						RC_ASSERT(this->busy[_start.endpoint.id] <= 1);
+						RC_ASSERT(_start.orders.size() <= static_cast<std::size_t>(kBatch));
+						RC_ASSERT(this->left.count(_start.endpoint.id) == 0);
+						this->running.emplace(_start.batch, _start);
+						this->endsAt.emplace(_start.batch, _now + 300 * kMillisecond);
+					},
+					[&](const CancelBatch& _cancel) { this->stop(_cancel.batch); },
+					[](const PieceStarted&) {},
+					[&](const PieceMade& _made) { this->settle(_made.order); },
+					[&](const PieceFailed& _failed) { this->settle(_failed.order); },
+				},
+				action);
+		}
+	}
+
+	void settle(std::uint64_t _order)
+	{
+		RC_ASSERT(this->open.erase(_order) == 1); // Each order ends once.
+	}
+
+	StartBatch stop(std::uint64_t _batch)
+	{
+		const StartBatch start = this->running.at(_batch);
+		this->running.erase(_batch);
+		this->endsAt.erase(_batch);
+		this->busy[start.endpoint.id] -= 1;
+		return start;
+	}
+
+	BatchEnd answer(const StartBatch& _start)
+	{
+		BatchAnswered answered;
+		for (const PieceOrder& piece : _start.orders)
+		{
+			answered.results.emplace_back(_start.endpoint.address + "/" + std::to_string(piece.order));
+		}
+		return answered;
+	}
+
+	std::map<std::string, int> busy;
+	std::map<std::uint64_t, StartBatch> running;
+	std::map<std::uint64_t, Micros> endsAt;
+	std::set<std::string> left;
+	std::set<std::uint64_t> open;
+};
+
+} // namespace
+
+Test(stages, pieces_wait_for_all_pieces_before_them)
+{
+	const std::vector<RouteStage> stages = {{"a", {}, 10}, {"b", {}, 10}, {"c", {0, 1}, 10}, {"d", {2}, 10}};
+	checkHistories("stages",
+				   [&]
+				   {
+					   std::vector<std::int64_t> counts;
+					   for (std::size_t stage = 0; stage < stages.size(); ++stage)
+					   {
+						   counts.push_back(*rc::gen::inRange<std::int64_t>(1, 4));
+					   }
+					   StageGraph graph(stages, counts);
+					   std::vector<PieceName> ready = graph.takeReady();
+					   std::vector<std::size_t> made(stages.size(), 0);
+					   std::set<std::string> handles;
+					   std::set<std::string> spent;
+					   while (!ready.empty())
+					   {
+						   const std::size_t at = *rc::gen::inRange<std::size_t>(0, ready.size());
+						   const PieceName piece = ready[at];
+						   ready.erase(ready.begin() + static_cast<std::ptrdiff_t>(at));
+						   std::size_t inputs = 0;
+						   for (const std::size_t before : stages[piece.stage].after)
+						   {
+							   RC_ASSERT(made[before] == static_cast<std::size_t>(counts[before]));
+							   inputs += static_cast<std::size_t>(counts[before]);
+						   }
+						   RC_ASSERT(graph.inputsOf(piece.stage).size() == inputs);
+						   for (const std::string& input : graph.inputsOf(piece.stage))
+						   {
+							   RC_ASSERT(spent.count(input) == 0); // Not given back before it was used.
+						   }
+						   graph.started(piece);
+						   const std::string handle = std::to_string(piece.stage) + "/" + std::to_string(piece.piece);
+						   graph.made(piece, handle);
+						   made[piece.stage] += 1;
+						   handles.insert(handle);
+						   for (const std::string& free : graph.takeSpent())
+						   {
+							   RC_ASSERT(spent.insert(free).second);
+						   }
+						   const auto more = graph.takeReady();
+						   ready.insert(ready.end(), more.begin(), more.end());
+					   }
+					   RC_ASSERT(graph.complete());
+					   RC_ASSERT(graph.results().size() == static_cast<std::size_t>(counts[3]));
+					   for (const std::string& free : graph.takeAll())
+					   {
+						   RC_ASSERT(spent.insert(free).second);
+					   }
+					   RC_ASSERT(spent == handles);
+				   });
+}
+
+Test(stages, stage_that_is_left_out_holds_nothing_up)
+{
+	StageGraph graph({{"a", {}, 10}, {"b", {}, 10}}, {0, 1});
+	cr_assert_eq(graph.takeReady().size(), 1);
+	cr_assert_not(graph.complete());
+	graph.made(PieceName{1, 0}, "h");
+	cr_assert(graph.complete());
+	cr_assert(StageGraph({{"a", {}, 10}}, {}).complete());
+}
+
+Test(batches, orders_end_once_and_endpoints_get_one_call_at_a_time)
+{
+	checkHistories("batches",
+				   []
+				   {
+					   BatchMaker maker(BatchConfig{});
+					   EndpointWorld world;
+					   maker.setPools({pool()});
+					   std::vector<Endpoint> endpoints = {endpoint(1), endpoint(2), endpoint(3)};
+					   maker.setEndpoints(endpoints);
+					   Micros now = kSecond;
+					   std::uint64_t next = 0;
+					   const int steps = *rc::gen::inRange(1, 80);
+					   for (int step = 0; step < steps; ++step)
+					   {
+						   now += *rc::gen::inRange<Micros>(0, 200 * kMillisecond);
+						   const int what = *rc::gen::inRange(0, 10);
+						   if (what < 5)
+						   {
+							   const std::uint64_t number = ++next;
+							   world.open.insert(number);
+							   maker.add("pool", order(number, now, *rc::gen::inRange<std::int64_t>(0, 4'000)), now);
+						   }
+						   else if (what < 8 && !world.running.empty())
+						   {
+							   const std::uint64_t batch = world.running.begin()->first;
+							   const StartBatch start = world.stop(batch);
+							   const BatchEnd end = what == 5   ? BatchEnd(BatchCut{})
+													: what == 6 ? BatchEnd(BatchRefused{})
+																: world.answer(start);
+							   world.take(maker.batchEnded(batch, end, now), now);
+						   }
+						   else if (what == 8 && !world.open.empty() && maker.cancel(*world.open.rbegin()))
+						   {
+							   world.open.erase(*world.open.rbegin());
+						   }
+						   else if (what == 9 && endpoints.size() > 1)
+						   {
+							   endpoints.back().leaving = true;
+							   world.left.insert(endpoints.back().id);
+							   maker.setEndpoints(endpoints);
+							   endpoints.pop_back();
+						   }
+						   world.take(maker.tick(now), now);
+					   }
+					   // Endpoints that answer from now on: every order ends.
+					   for (int step = 0; step < 2'000 && !world.open.empty(); ++step)
+					   {
+						   now += 20 * kMillisecond;
+						   const auto done = std::find_if(world.endsAt.begin(), world.endsAt.end(),
+														  [now](const auto& _entry) { return _entry.second <= now; });
+						   if (done != world.endsAt.end())
+						   {
+							   const std::uint64_t batch = done->first;
+							   const StartBatch start = world.stop(batch);
+							   world.take(maker.batchEnded(batch, world.answer(start), now), now);
+						   }
+						   world.take(maker.tick(now), now);
+					   }
+					   RC_ASSERT(world.open.empty());
+				   });
+}
+
+Test(batches, results_do_not_take_more_room_than_there_is)
+{
+	BatchMaker maker(BatchConfig{});
+	maker.setPools({pool()});
+	maker.setEndpoints({endpoint(1)});
+	for (std::uint64_t number = 1; number <= 5; ++number)
+	{
+		maker.add("pool", order(number, 0, 4'000), 0);
+	}
+	const BatchActions first = maker.tick(0);
+	cr_assert_eq(first.size(), 1);
+	cr_assert_eq(std::get<StartBatch>(first[0]).orders.size(), 2);
+	const BatchActions made = maker.batchEnded(1, BatchAnswered{{std::string("h1"), std::string("h2")}}, kSecond);
+	cr_assert_eq(std::count_if(made.begin(), made.end(),
+							   [](const BatchAction& _action) { return std::holds_alternative<StartBatch>(_action); }),
+				 0);
+	maker.freed("h1");
+	const BatchActions next = maker.tick(kSecond);
+	cr_assert_eq(std::get<StartBatch>(next.at(0)).orders.size(), 1);
+}
+
+Test(batches, what_is_late_leaves_most_of_a_call_to_what_is_not)
+{
+	BatchMaker maker(BatchConfig{});
+	maker.setPools({pool()});
+	maker.setEndpoints({endpoint(1)});
+	for (std::uint64_t number = 1; number <= 10; ++number)
+	{
+		PieceOrder piece = order(number, 0);
+		piece.due = number <= 5 ? 0 : 2 * kSecond;
+		maker.add("pool", piece, 0);
+	}
+	const BatchActions actions = maker.tick(0);
+	const auto& orders = std::get<StartBatch>(actions.at(0)).orders;
+	cr_assert_eq(orders.size(), static_cast<std::size_t>(kBatch));
+	cr_assert_eq(std::count_if(orders.begin(), orders.end(), [](const PieceOrder& _order) { return _order.due > 0; }),
+				 3);
+}
+
+Test(batches, silent_endpoint_is_given_up_and_its_pieces_go_elsewhere)
+{
+	BatchMaker maker(BatchConfig{});
+	maker.setPools({pool()});
+	maker.setEndpoints({endpoint(1)});
+	maker.add("pool", order(1, 0), 0);
+	cr_assert_eq(maker.tick(0).size(), 1);
+	maker.setEndpoints({endpoint(1), endpoint(2)});
+	const BatchActions actions = maker.tick(2 * kSecond);
+	cr_assert(std::holds_alternative<CancelBatch>(actions.at(0)));
+	cr_assert(std::get<StartBatch>(actions.at(1)).endpoint.id == "e-2");
+}
+
+namespace
+{
+
+/// Nodes that have pieces made together, over links that lose messages, and endpoints that answer after a while.
+class DeskWorld
+{
+public:
+	explicit DeskWorld(std::size_t _nodes)
+	{
+		for (std::size_t node = 0; node < _nodes; ++node)
+		{
+			this->names.push_back("10.0.1." + std::to_string(node) + ":1");
+		}
+		for (const std::string& name : this->names)
+		{
+			this->start(name);
+		}
+	}
+
+	void start(const std::string& _name)
+	{
+		PieceDesk desk(_name, PieceDeskConfig{});
+		desk.setPools({pool()});
+		desk.setEndpoints({endpoint(1), endpoint(2), endpoint(3)});
+		desk.setMembers(this->names);
+		this->desks.insert_or_assign(_name, std::move(desk));
+		this->open[_name].clear();
+	}
+
+	void take(const std::string& _node, const PieceActions& _actions)
+	{
+		for (const PieceAction& action : _actions)
+		{
+			std::visit(
+				Overloaded{
+					[&](const StartBatch& _start) {
+						this->calls.push_back({_node, _start, this->now + 300 * kMillisecond});
+					},
+					[](const CancelBatch&) {},
+					[](const PieceStarted&) {},
+					[&](const PieceMade& _made) { RC_ASSERT(this->open[_node].erase(_made.order) == 1); },
+					[&](const PieceFailed& _failed) { RC_ASSERT(this->open[_node].erase(_failed.order) == 1); },
+					[&](const SendPieceMessage& _send) {
+						this->messages.push_back({_node, _send.to, _send.message});
+					},
+					[](const FreeResult&) {},
+				},
+				action);
+		}
+	}
+
+	void deliver(double _loss)
+	{
+		const auto batch = std::exchange(this->messages, {});
+		for (const auto& message : batch)
+		{
+			const bool lost = *rc::gen::inRange(0, 100) < static_cast<int>(_loss * 100);
+			if (!lost && this->desks.count(message.to) > 0)
+			{
+				this->take(message.to, this->desks.at(message.to).receive(message.from, message.content, this->now));
+			}
+		}
+	}
+
+	void step(double _loss)
+	{
+		this->now += 50 * kMillisecond;
+		this->deliver(_loss);
+		const auto running = std::exchange(this->calls, {});
+		for (const Call& call : running)
+		{
+			if (call.endsAt > this->now)
+			{
+				this->calls.push_back(call);
+				continue;
+			}
+			if (this->desks.count(call.node) == 0)
+			{
+				continue;
+			}
+			BatchAnswered answer;
+			for (const PieceOrder& piece : call.start.orders)
+			{
+				answer.results.emplace_back(call.start.endpoint.address + "/" + std::to_string(++this->lastHandle) +
+											piece.request);
+			}
+			this->take(call.node, this->desks.at(call.node).batchEnded(call.start.batch, answer, this->now));
+		}
+		for (auto& entry : this->desks)
+		{
+			this->take(entry.first, entry.second.tick(this->now));
+		}
+	}
+
+	struct Message
+	{
+		std::string from;
+		std::string to;
+		PieceMessage content;
+	};
+
+	struct Call
+	{
+		std::string node;
+		StartBatch start;
+		Micros endsAt = 0;
+	};
+
+	std::vector<std::string> names;
+	std::map<std::string, PieceDesk> desks;
+	std::map<std::string, std::set<std::uint64_t>> open;
+	std::vector<Message> messages;
+	std::vector<Call> calls;
+	Micros now = kSecond;
+	std::uint64_t lastOrder = 0;
+	std::uint64_t lastHandle = 0;
+};
+
+} // namespace
+
+Test(desks, every_order_ends_once_though_nodes_die_and_messages_are_lost)
+{
+	checkHistories("desks",
+				   []
+				   {
+					   DeskWorld world(4);
+					   const double loss = *rc::gen::elementOf(std::vector<double>{0.0, 0.2});
+					   const int steps = *rc::gen::inRange(1, 40);
+					   for (int step = 0; step < steps; ++step)
+					   {
+						   const std::string node = *rc::gen::elementOf(world.names);
+						   const int what = *rc::gen::inRange(0, 12);
+						   if (what == 0 && world.desks.size() > 1)
+						   {
+							   world.desks.erase(node); // Killed: says nothing any more.
+							   world.open[node].clear();
+						   }
+						   else if (what == 1 && world.desks.count(node) == 0)
+						   {
+							   world.start(node);
+						   }
+						   else if (what < 8 && world.desks.count(node) > 0)
+						   {
+							   const std::uint64_t number = ++world.lastOrder;
+							   world.open[node].insert(number);
+							   world.take(node,
+										  world.desks.at(node).order("pool", {order(number, world.now)}, world.now));
+						   }
+						   world.step(loss);
+					   }
+					   for (int step = 0; step < 600; ++step)
+					   {
+						   world.step(0.0);
+					   }
+					   for (const auto& entry : world.open)
+					   {
+						   RC_ASSERT(entry.second.empty());
+					   }
+				   });
+}
+
+Test(desks, nodes_that_see_the_same_members_choose_the_same_node)
+{
+	const std::vector<std::string> members = {"10.0.1.1:1", "10.0.1.2:1", "10.0.1.3:1"};
+	std::vector<std::string> reversed(members.rbegin(), members.rend());
+	std::set<std::string> chosen;
+	for (int index = 0; index < 40; ++index)
+	{
+		const std::string name = "pool-" + std::to_string(index);
+		cr_assert(batchNodeOf(name, members) == batchNodeOf(name, reversed));
+		chosen.insert(batchNodeOf(name, members));
+	}
+	cr_assert_eq(chosen.size(), members.size());
+}
--- /dev/null
+++ b/tests/test_routes.cpp
@@ -0,0 +1,192 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Routes against a plain search; endpoints whose listing is away.
+
+#include "property.h"
+
+#include <roadferry/roadferry.h>
+
+#include <algorithm>
+
+namespace
+{
+
+using namespace roadferry;
+
+const std::vector<std::string> kHosts = {"one.example", "two.example"};
+const std::vector<std::string> kPrefixes = {"/", "/a/", "/a/b/", "/a/b/c/", "/b/", "/ab/"};
+const std::vector<std::string> kPaths = {"/", "/a", "/a/", "/a/b/x", "/a/b/c/", "/b/a/", "/ab/x?q=/a/b/", "x", ""};
+
+/// Longest prefix by trying all routes.
+const Route* searchAll(const RoutePlan& _plan, const std::string& _host, const std::string& _target)
+{
+	const std::string path = _target.substr(0, _target.find('?'));
+	const Route* best = nullptr;
+	for (const Route& route : _plan.data().routes)
+	{
+		const bool fits = route.host == _host && path.compare(0, route.pathPrefix.size(), route.pathPrefix) == 0;
+		if (fits && (best == nullptr || route.pathPrefix.size() > best->pathPrefix.size()))
+		{
+			best = &route;
+		}
+	}
+	return best;
+}
+
+Endpoint endpoint(const std::string& _id, bool _leaving = false)
+{
+	return Endpoint{_id, "10.0.0.1:80", "pool", "north", 4, _leaving};
+}
+
+std::vector<std::string> usableIds(const EndpointDirectory& _directory)
+{
+	std::vector<std::string> ids;
+	for (const Endpoint& entry : _directory.endpoints())
+	{
+		if (!entry.leaving)
+		{
+			ids.push_back(entry.id);
+		}
+	}
+	return ids;
+}
+
+} // namespace
+
+Test(routes, match_is_the_longest_prefix_of_the_host)
+{
+	checkHistories("routes",
+				   []
+				   {
+					   RoutePlanData data;
+					   for (const std::string& host : kHosts)
+					   {
+						   for (const std::string& prefix : kPrefixes)
+						   {
+							   if (*rc::gen::arbitrary<bool>())
+							   {
+								   Route route;
+								   route.name = host + prefix;
+								   route.host = host;
+								   route.pathPrefix = prefix;
+								   data.routes.push_back(route);
+							   }
+						   }
+					   }
+					   const RoutePlan plan(data);
+					   const std::string host = *rc::gen::elementOf(kHosts);
+					   const std::string path = *rc::gen::elementOf(kPaths);
+					   RC_ASSERT(plan.match(host, path) == searchAll(plan, host, path));
+					   RC_ASSERT(plan.match(host + ":8080", path) == searchAll(plan, host, path));
+				   });
+}
+
+Test(routes, host_is_compared_without_case)
+{
+	Route route;
+	route.host = "One.Example";
+	route.pathPrefix = "/";
+	const RoutePlan plan(RoutePlanData{1, {route}, {}, {}, {}});
+	cr_assert_not_null(plan.match("oNE.exAMPLE:80", "/x"));
+	cr_assert_null(plan.match("two.example", "/x"));
+}
+
+Test(routes, credential_names_its_workspace)
+{
+	RoutePlanData data;
+	data.workspaces = {WorkspaceAccess{"hall", {"k1", "k2"}, 1}, WorkspaceAccess{"results", {"k3"}, {}}};
+	const RoutePlan plan(data);
+	cr_assert(plan.workspaceOf("k2")->name == "hall");
+	cr_assert(plan.workspaceOf("k3")->name == "results");
+	cr_assert_null(plan.workspaceOf("k"));
+	cr_assert_null(plan.workspaceOf(""));
+}
+
+Test(routes, pools_are_drawn_by_weight)
+{
+	Route route;
+	route.pools = {PoolShare{"a", 90}, PoolShare{"b", 10}, PoolShare{"never", 0}};
+	std::map<std::string, int> counts;
+	for (std::uint64_t draw = 0; draw < 1'000; ++draw)
+	{
+		counts[drawPool(route, draw * (~std::uint64_t{0} / 1'000))] += 1;
+	}
+	cr_assert_eq(counts["a"], 900);
+	cr_assert_eq(counts["b"], 100);
+	cr_assert_eq(counts.count("never"), 0);
+	cr_assert(drawPool(Route{}, 7).empty());
+}
+
+Test(directory, missing_entry_is_gone_at_once_while_the_listing_is_well)
+{
+	EndpointDirectory directory(DirectoryConfig{});
+	directory.readWell(kSecond);
+	directory.relisted({endpoint("e-1"), endpoint("e-2")}, kSecond);
+	directory.readWell(kSecond + 500 * kMillisecond);
+	directory.unlisted("e-1", kSecond + 500 * kMillisecond);
+	cr_assert(usableIds(directory) == std::vector<std::string>{"e-2"});
+}
+
+Test(directory, entry_that_lapsed_while_the_listing_was_away_has_time_to_come_back)
+{
+	EndpointDirectory directory(DirectoryConfig{});
+	directory.readWell(kSecond);
+	directory.relisted({endpoint("e-1"), endpoint("e-2")}, kSecond);
+	const Micros back = 10 * kSecond;
+	directory.readWell(back);
+	directory.relisted({}, back);
+	cr_assert_eq(usableIds(directory).size(), 2);
+	directory.listed(endpoint("e-1"), back + kSecond);
+	cr_assert_not(directory.expire(back + 1'900 * kMillisecond));
+	cr_assert(directory.expire(back + 2 * kSecond));
+	cr_assert(usableIds(directory) == std::vector<std::string>{"e-1"});
+}
+
+Test(directory, leaving_is_never_taken_back)
+{
+	checkHistories("directory",
+				   []
+				   {
+					   EndpointDirectory directory(DirectoryConfig{});
+					   const std::vector<std::string> ids = {"e-1", "e-2", "e-3"};
+					   std::set<std::string> left;
+					   Micros now = kSecond;
+					   const int steps = *rc::gen::inRange(1, 60);
+					   for (int step = 0; step < steps; ++step)
+					   {
+						   now += *rc::gen::inRange<Micros>(0, 3 * kSecond);
+						   const std::string id = *rc::gen::elementOf(ids);
+						   switch (*rc::gen::inRange(0, 6))
+						   {
+						   case 0:
+							   directory.listed(endpoint(id), now);
+							   break;
+						   case 1:
+							   directory.listed(endpoint(id, true), now);
+							   left.insert(id);
+							   break;
+						   case 2:
+							   directory.markLeaving(id);
+							   left.insert(id);
+							   break;
+						   case 3:
+							   directory.unlisted(id, now);
+							   break;
+						   case 4:
+							   directory.readWell(now);
+							   break;
+						   default:
+							   directory.expire(now);
+							   break;
+						   }
+						   for (const std::string& usable : usableIds(directory))
+						   {
+							   RC_ASSERT(left.count(usable) == 0);
+						   }
+					   }
+				   });
+}
