--- a/src/batch_maker.cpp
+++ b/src/batch_maker.cpp
@@ -17,6 +17,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <ranges>
 #include <utility>
 
 namespace roadferry
@@ -225,9 +226,9 @@
 		call.pieces.back().tries += 1;
 		_maker.roomUsed += action.orders.back().resultBytes;
 	}
-	for (auto index = _chosen.rbegin(); index != _chosen.rend(); ++index)
+	for (const std::size_t index : std::ranges::reverse_view(_chosen))
 	{
-		_pool.queue.erase(_pool.queue.begin() + static_cast<std::ptrdiff_t>(*index));
+		_pool.queue.erase(_pool.queue.begin() + static_cast<std::ptrdiff_t>(index));
 	}
 	_maker.calls += 1;
 	_maker.freeAt = _now + this->expectedTime(_pool.limits, _maker, _chosen.size());
--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -63,7 +63,7 @@
 	forward.dispatcher.seed = randomNumber();
 	forward.pieces.shared = this->settings.sharedBatches;
 	this->traffic = std::make_unique<ForwardTraffic>(
-		this->pool, this->client, *this->wire, this->metrics, std::move(forward),
+		this->pool, this->client, *this->wire, this->metrics, forward,
 		[this](const std::string& _to, const PieceMessage& _message)
 		{
 			const PeerMessage message = std::visit([](const auto& _typed) { return PeerMessage(_typed); }, _message);
@@ -124,17 +124,18 @@
 	{
 		return status;
 	}
+	logEvent("node", "started",
+			 {{"clients", this->callerAddress()},
+			  {"peers", this->peerAddress()},
+			  {"readiness", absl::StrCat(this->settings.ip, ":", this->readinessServer->port())},
+			  {"failure_domain", this->settings.failureDomain},
+			  {"feed", this->settings.feedAddress}});
 	this->traffic->start();
 	this->control->start();
 	QObject::connect(&this->readyTimer, &QTimer::timeout, [this] { this->isReady = this->control->ready(); });
 	this->readyTimer.start(kReadyPeriodMs);
 	QObject::connect(&this->settingsTimer, &QTimer::timeout, [this] { this->watchSettings(); });
 	this->settingsTimer.start(kSettingsPeriodMs);
-	logEvent("node", "started",
-			 {{"clients", this->callerAddress()},
-			  {"peers", this->peerAddress()},
-			  {"failure_domain", this->settings.failureDomain},
-			  {"feed", this->settings.feedAddress}});
 	return absl::OkStatus();
 }
 
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -95,7 +95,7 @@
 };
 
 ForwardTraffic::ForwardTraffic(IoPool& _pool, HttpClient& _client, const Wire& _wire, Metrics& _metrics,
-							   ForwardSettings _settings,
+							   const ForwardSettings& _settings,
 							   std::function<void(const std::string&, const PieceMessage&)> _send)
 	: pool(_pool), client(_client), wire(_wire), metrics(_metrics), dispatcher(_settings.dispatcher),
 	  pieces(_client, _wire, PieceDesk(_settings.self, _settings.pieces),
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -31,7 +31,8 @@
 class ForwardTraffic
 {
 public:
-	ForwardTraffic(IoPool& _pool, HttpClient& _client, const Wire& _wire, Metrics& _metrics, ForwardSettings _settings,
+	ForwardTraffic(IoPool& _pool, HttpClient& _client, const Wire& _wire, Metrics& _metrics,
+				   const ForwardSettings& _settings,
 				   std::function<void(const std::string&, const PieceMessage&)> _send);
 	~ForwardTraffic();
 
--- a/src/piece_desk.cpp
+++ b/src/piece_desk.cpp
@@ -291,7 +291,7 @@
 	const auto settle = [this](std::uint64_t _number)
 	{
 		const auto found = this->inHand.find(_number);
-		const InHand hand = found->second;
+		InHand hand = found->second;
 		this->numberOf.erase({hand.peer, hand.order});
 		this->inHand.erase(found);
 		return hand;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -153,12 +153,12 @@
 		return _value;
 	}
 
-	std::string address(const std::string& _flag, const std::string& _value)
+	std::string address(const std::string& _flag, const std::string& _value, int _leastPort = 1)
 	{
 		const std::vector<std::string> parts = absl::StrSplit(_value, ':');
 		const bool shaped = parts.size() == 2 && !QHostAddress(QString::fromStdString(parts[0])).isNull();
-		const int port = shaped ? std::atoi(parts[1].c_str()) : 0; // NOLINT(cert-err34-c): range is checked here
-		if (port <= 0 || port > kMostPort)
+		const int port = shaped ? std::atoi(parts[1].c_str()) : -1; // NOLINT(cert-err34-c): range is checked here
+		if (port < _leastPort || port > kMostPort)
 		{
 			this->fault(_flag, "an IP number and a port, as in 10.0.0.7:8500");
 		}
@@ -265,7 +265,7 @@
 	{
 		return;
 	}
-	_checker.address(_flag, _value);
+	_checker.address(_flag, _value, 0);
 	const std::pair<std::string, std::string> parts = absl::StrSplit(_value, absl::MaxSplits(':', 1));
 	int port = 0;
 	if (absl::SimpleAtoi(parts.second, &port))
--- a/tests/deployment.cpp
+++ b/tests/deployment.cpp
@@ -98,6 +98,13 @@
 	{
 		line += character;
 	}
+	if (const auto started = parseObject(line); started.ok())
+	{
+		this->address = started->value("clients").toString().toStdString();
+		this->peer = started->value("peers").toString().toStdString();
+		this->readiness = started->value("readiness").toString().toStdString();
+		return;
+	}
 	const std::vector<std::string> words = absl::StrSplit(line, ' ');
 	cr_assert_geq(words.size(), 2, "no address from a process: %s", line.c_str());
 	this->address = words[1];
--- a/tests/deployment.h
+++ b/tests/deployment.h
@@ -38,8 +38,9 @@
 	/// @returns Exit code after the process has ended by itself; negative after a signal.
 	int wait();
 
-	std::string address; ///< From its first line of output.
-	std::string peer;    ///< Of a daemon: where other nodes reach it.
+	std::string address;   ///< From its first line of output.
+	std::string peer;      ///< Of a daemon: where other nodes reach it.
+	std::string readiness; ///< Of a daemon that forwards: where readiness is asked.
 
 private:
 	void readAddresses(int _output);
