--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -25,7 +25,7 @@
 /// Balancers ask once a second and need two answers that say no; what they still send until then is served.
 constexpr Micros kBalancerNotice = 2'600 * kMillisecond;
 constexpr Micros kFarewellTime = 100 * kMillisecond; ///< For the last messages to leave.
-constexpr Micros kStopMargin = 400 * kMillisecond;   ///< Kept of the time for a planned stop, for its own end.
+constexpr Micros kStopMargin = 800 * kMillisecond;   ///< Kept of the time for a planned stop, for its own end.
 constexpr Micros kBodyTime = 30 * kSecond;           ///< For a client to send a body.
 
 } // namespace
