--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -251,6 +251,11 @@
 	if (this->comesTooLate(*_active, predicted))
 	{
 		// Later, when the queue has gone down, it can still be in time; now it would be late, and hold others up.
+		logEvent("request", "predicted_late",
+				 {{"request", _active->request.id},
+				  {"stages_ms", predicted / kMillisecond},
+				  {"first_event_ms", this->firstEventTime(_active->pool) / kMillisecond},
+				  {"target_ms", _active->route.target / kMillisecond}});
 		this->giveUp(_active, Reason::WouldBeLate, std::clamp(predicted, kComeBackSoonest, kComeBackLatest));
 		return;
 	}
--- /dev/null
+++ b/src/log_story.cpp
@@ -0,0 +1,116 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Implementation of the story of one request.
+
+#include "log_story.h"
+
+#include "json.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <set>
+
+namespace roadferry
+{
+
+namespace
+{
+
+/// A line of a log, taken apart.
+struct LogLine
+{
+	std::string time;
+	std::string source; ///< Words before the JSON object, such as the node's name.
+	QJsonObject object;
+};
+
+std::string fieldOf(const QJsonObject& _object, const char* _name)
+{
+	return _object.value(QLatin1String(_name)).toVariant().toString().toStdString();
+}
+
+bool readLine(const std::string& _text, LogLine& _line)
+{
+	const std::size_t brace = _text.find('{');
+	const auto object = brace == std::string::npos ? absl::StatusOr<QJsonObject>(absl::NotFoundError(""))
+												   : parseObject(_text.substr(brace));
+	if (!object.ok())
+	{
+		return false;
+	}
+	_line.object = *object;
+	_line.time = fieldOf(*object, "time");
+	const std::vector<std::string> words = absl::StrSplit(_text.substr(0, brace), ' ', absl::SkipEmpty());
+	_line.source = words.empty() ? std::string() : words.back();
+	return true;
+}
+
+/// Names a batch of one node.
+std::string batchKey(const LogLine& _line)
+{
+	return absl::StrCat(_line.source, "#", fieldOf(_line.object, "batch"));
+}
+
+std::string textOf(const LogLine& _line)
+{
+	static const std::set<std::string> s_shownBefore = {"time", "part", "event", "level", "steady_ms"};
+	std::string text = absl::StrCat(_line.time, " ", _line.source, " ", fieldOf(_line.object, "part"), "/",
+									fieldOf(_line.object, "event"));
+	for (auto entry = _line.object.begin(); entry != _line.object.end(); ++entry)
+	{
+		if (s_shownBefore.count(entry.key().toStdString()) == 0)
+		{
+			absl::StrAppend(&text, " ", entry.key().toStdString(), "=", fieldOf(_line.object, entry.key().toUtf8()));
+		}
+	}
+	return text;
+}
+
+} // namespace
+
+std::vector<std::string> storyOf(const std::string& _request, std::istream& _logs)
+{
+	std::vector<LogLine> lines;
+	std::set<std::string> batches;
+	std::string text;
+	while (std::getline(_logs, text))
+	{
+		LogLine line;
+		const bool named = absl::StrContains(text, _request);
+		if ((!named && !absl::StrContains(text, "\"batch\"")) || !readLine(text, line))
+		{
+			continue;
+		}
+		if (line.object.contains("batch") && fieldOf(line.object, "event") == "batch_started")
+		{
+			// Numbers begin anew with each start of a node.
+			batches.erase(batchKey(line));
+		}
+		if (named && line.object.contains("batch"))
+		{
+			batches.insert(batchKey(line));
+		}
+		if (named || batches.count(batchKey(line)) > 0)
+		{
+			lines.push_back(std::move(line));
+		}
+	}
+	std::stable_sort(lines.begin(), lines.end(),
+					 [](const LogLine& _left, const LogLine& _right) { return _left.time < _right.time; });
+	std::vector<std::string> story;
+	story.reserve(lines.size());
+	for (const LogLine& line : lines)
+	{
+		story.push_back(textOf(line));
+	}
+	return story;
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/tests/test_logs.cpp
@@ -0,0 +1,91 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Logs: bounded, never blocking, without credentials; and the story of one request out of several nodes' lines.
+
+#include "deployment.h"
+#include "log_story.h"
+#include "logging.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <chrono>
+#include <criterion/criterion.h>
+#include <fcntl.h>
+#include <sstream>
+#include <unistd.h>
+
+namespace
+{
+
+using namespace roadferry;
+
+constexpr int kManyLines = 20'000;
+
+/// Reads what is in a pipe without waiting for more.
+std::string drainPipe(int _descriptor)
+{
+	std::string text;
+	char bytes[4096];
+	ssize_t size = read(_descriptor, bytes, sizeof(bytes));
+	while (size > 0)
+	{
+		text.append(bytes, static_cast<std::size_t>(size));
+		size = read(_descriptor, bytes, sizeof(bytes));
+	}
+	return text;
+}
+
+} // namespace
+
+Test(logs, full_pipe_holds_nobody_up_and_what_is_left_out_is_counted)
+{
+	int pipes[2] = {-1, -1};
+	cr_assert_eq(pipe(pipes), 0);
+	const int output = dup(STDOUT_FILENO);
+	fflush(stdout);
+	dup2(pipes[1], STDOUT_FILENO); // Nobody reads: the pipe is full after 64 KB.
+	startLogging(LogStream::Output);
+	const auto begin = std::chrono::steady_clock::now();
+	for (int index = 0; index < kManyLines; ++index)
+	{
+		logEvent("test", "line", {{"index", index}, {"text", std::string(100, 'x')}});
+	}
+	const auto took = std::chrono::steady_clock::now() - begin;
+	cr_expect_lt(std::chrono::duration_cast<std::chrono::seconds>(took).count(), 10);
+	cr_expect_gt(logLinesLeftOut(), 10'000);
+	fcntl(pipes[0], F_SETFL, O_NONBLOCK);
+	std::string text;
+	Deployment::await("lines come once somebody reads",
+					  [&]
+					  {
+						  text += drainPipe(pipes[0]);
+						  return absl::StrContains(text, "\"event\":\"line\"");
+					  });
+	dup2(output, STDOUT_FILENO);
+	// The process ends without waiting for the thread that may still write to the pipe.
+	close(pipes[0]);
+}
+
+Test(logs, story_joins_a_request_with_the_batches_of_its_pieces)
+{
+	std::istringstream logs(
+		R"(n1 {"event":"batch_started","part":"pieces","batch":4,"pieces":"r-1/0/0/300","time":"2026-01-01T00:00:02.000Z"}
+n2 {"event":"admitted","part":"request","request":"r-1","time":"2026-01-01T00:00:01.000Z"}
+n1 {"event":"batch_ended","part":"pieces","batch":4,"end":"answered","time":"2026-01-01T00:00:03.000Z"}
+n2 {"event":"batch_ended","part":"pieces","batch":4,"end":"cut","time":"2026-01-01T00:00:03.000Z"}
+not JSON with r-1
+n1 {"event":"batch_started","part":"pieces","batch":4,"pieces":"r-2/0/0/300","time":"2026-01-01T00:00:05.000Z"}
+n1 {"event":"batch_ended","part":"pieces","batch":4,"end":"answered","time":"2026-01-01T00:00:06.000Z"}
+n2 {"event":"answered","part":"request","request":"r-1","took_ms":9,"time":"2026-01-01T00:00:04.000Z"}
+)");
+	const std::vector<std::string> story = storyOf("r-1", logs);
+	cr_assert_eq(story.size(), 4);
+	cr_assert(absl::StrContains(story[0], "n2 request/admitted"), "%s", story[0].c_str());
+	cr_assert(absl::StrContains(story[2], "n1 pieces/batch_ended batch=4 end=answered"), "%s", story[2].c_str());
+	cr_assert(absl::StrContains(story[3], "took_ms=9"), "%s", story[3].c_str());
+}
--- a/tools/roadferry.cpp
+++ b/tools/roadferry.cpp
@@ -6,6 +6,7 @@
 /// @file
 /// roadferry: the operator's command line.
 
+#include "log_story.h"
 #include "row_csv.h"
 #include "settings.h"
 
@@ -57,6 +58,7 @@
   status                 the node: table, membership, shares, requests
   drain                  planned stop of that node
   explain REQUEST        what happened to a request, by its ticket
+  explain logs ID        the story of a forwarded request, from the nodes' log lines on standard input
   settings check         check the daemon's settings given by flags and environment
 
 exit codes: 0 done, 1 refused, 2 usage, 3 daemon not reached, 4 outcome of an edit unknown, 5 table diff found changes
@@ -379,6 +381,22 @@
 	return kOk;
 }
 
+/// Joins the log lines on standard input into the story of one request.
+int explainLogs(const std::string& _request)
+{
+	const std::vector<std::string> story = storyOf(_request, std::cin);
+	for (const std::string& line : story)
+	{
+		std::cout << line << "\n";
+	}
+	if (story.empty())
+	{
+		std::cerr << "roadferry: no line of the logs names " << _request << "\n";
+		return kRefused;
+	}
+	return kOk;
+}
+
 int usage()
 {
 	std::cerr << kHelp;
@@ -415,6 +433,10 @@
 	{
 		return exitOf(call("POST", "drain"));
 	}
+	if (is(0, "explain") && is(1, "logs") && _words.size() == 3)
+	{
+		return explainLogs(_words[2]);
+	}
 	if (is(0, "explain") && _words.size() == 2)
 	{
 		return show("requests/" + QUrl::toPercentEncoding(QString::fromStdString(_words[1])).toStdString(), nullptr,
