A missing entry is kept for two seconds from the listing's return, no longer

A gap of over 0.7 s between two readings counted as the listing being away, which a reading every 0.6 s passes easily, and the 2 s ran from when the entry went. Change: the listing was away only if a reading failed, and what is missing is dropped 2 s after its return.

--- a/include/roadferry/parts/endpoints.h
+++ b/include/roadferry/parts/endpoints.h
@@ -36,8 +36,6 @@
 {
 	/// How long after the listing's return a missing endpoint is kept: live ones list themselves again in this time.
 	Micros relistGrace = 2 * kSecond;
-	/// The listing counts as lost when it could not be read for so long.
-	Micros lostAfter = 700 * kMillisecond;
 	bool operator==(const DirectoryConfig&) const = default;
 };
 
@@ -61,7 +59,8 @@
 	void markLeaving(const std::string& _id);
 
 	/// The listing was read up to its end, whether or not anything had changed.
-	void readWell(Micros _now);
+	/// @param[in] _wasAway Whether the reading before had failed: entries may have lapsed meanwhile.
+	void readWell(Micros _now, bool _wasAway);
 
 	/// Drops what did not come back in time.
 	/// @returns Whether anything was dropped.
@@ -81,7 +80,7 @@
 
 	DirectoryConfig config;
 	std::map<std::string, Endpoint> entries;
-	std::map<std::string, Micros> missing; ///< Entries that have gone while in doubt, with when they are dropped.
+	std::set<std::string> missing; ///< Entries that have gone while in doubt, and are dropped with its end.
 	std::set<std::string> left;
 	Micros lastRead = 0;
 	Micros doubtUntil = 0; ///< Until then a missing entry may be one that lapsed while the listing was away.
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -19,8 +19,7 @@
 
 bool EndpointDirectory::inDoubt(Micros _now) const
 {
-	const bool wasLost = this->lastRead > 0 && _now - this->lastRead > this->config.lostAfter;
-	return wasLost || _now < this->doubtUntil;
+	return _now < this->doubtUntil;
 }
 
 void EndpointDirectory::listed(const Endpoint& _endpoint, Micros)
@@ -43,7 +42,7 @@
 	}
 	if (this->inDoubt(_now) && this->left.count(_id) == 0)
 	{
-		this->missing.emplace(_id, _now + this->config.relistGrace);
+		this->missing.insert(_id);
 		return;
 	}
 	this->entries.erase(_id);
@@ -81,9 +80,9 @@
 	}
 }
 
-void EndpointDirectory::readWell(Micros _now)
+void EndpointDirectory::readWell(Micros _now, bool _wasAway)
 {
-	if (this->lastRead > 0 && _now - this->lastRead > this->config.lostAfter)
+	if (_wasAway)
 	{
 		this->doubtUntil = _now + this->config.relistGrace;
 	}
@@ -92,19 +91,16 @@
 
 bool EndpointDirectory::expire(Micros _now)
 {
-	bool dropped = false;
-	for (auto entry = this->missing.begin(); entry != this->missing.end();)
+	if (this->inDoubt(_now) || this->missing.empty())
 	{
-		if (_now < entry->second)
-		{
-			++entry;
-			continue;
-		}
-		this->entries.erase(entry->first);
-		entry = this->missing.erase(entry);
-		dropped = true;
+		return false;
+	}
+	for (const std::string& id : this->missing)
+	{
+		this->entries.erase(id);
 	}
-	return dropped;
+	this->missing.clear();
+	return true;
 }
 
 std::vector<Endpoint> EndpointDirectory::endpoints() const
--- a/src/feed_loop.cpp
+++ b/src/feed_loop.cpp
@@ -74,14 +74,15 @@
 		this->failed(_page.status());
 		return;
 	}
-	if (this->lost())
+	const bool wasLost = this->lost();
+	if (wasLost)
 	{
 		logEvent("feed", "regained", {{"topic", nameOf(this->topic)}});
 	}
 	this->backoff = 0;
 	this->everRead = true;
 	this->position = _page->next;
-	this->handlers.onRead(_page->changes, _whole);
+	this->handlers.onRead(_page->changes, _whole, wasLost);
 	this->timer.start(toMs(this->pace.pause));
 }
 
--- a/src/feed_loop.h
+++ b/src/feed_loop.h
@@ -28,7 +28,8 @@
 struct FeedHandlers
 {
 	/// @param[in] _whole Whether the changes are all entries there are.
-	std::function<void(const std::vector<FeedChange>& _changes, bool _whole)> onRead;
+	/// @param[in] _wasLost Whether the reading before had failed.
+	std::function<void(const std::vector<FeedChange>& _changes, bool _whole, bool _wasLost)> onRead;
 };
 
 /// Keeps a topic up to date: the whole of it first, then what came after; the whole again when the platform does not
--- a/src/forward_control.cpp
+++ b/src/forward_control.cpp
@@ -31,12 +31,12 @@
 							   std::function<void(const std::string&, const PeerMessage&)> _send,
 							   std::function<void(const RoutePlan&)> _onPlan)
 	: feed(_feed), traffic(_traffic), settings(std::move(_settings)), send(std::move(_send)),
-	  onPlan(std::move(_onPlan)),
-	  routeLoop(_feed, FeedTopic::Routes, settings.routes,
-				FeedHandlers{[this](const std::vector<FeedChange>& _changes, bool) { this->onRoutes(_changes); }}),
+	  onPlan(std::move(_onPlan)), routeLoop(_feed, FeedTopic::Routes, settings.routes,
+											FeedHandlers{[this](const std::vector<FeedChange>& _changes, bool, bool)
+														 { this->onRoutes(_changes); }}),
 	  endpointLoop(_feed, FeedTopic::Endpoints, settings.endpoints,
-				   FeedHandlers{[this](const std::vector<FeedChange>& _changes, bool _whole)
-								{ this->onEndpoints(_changes, _whole); }}),
+				   FeedHandlers{[this](const std::vector<FeedChange>& _changes, bool _whole, bool _wasLost)
+								{ this->onEndpoints(_changes, _whole, _wasLost); }}),
 	  directory(settings.directory),
 	  membership(settings.self, static_cast<std::uint64_t>(wallNanoseconds() / kNanosPerMicro), MembershipConfig{},
 				 randomNumber())
@@ -93,11 +93,11 @@
 			  {"workspaces", this->plan->data().workspaces.size()}});
 }
 
-void ForwardControl::onEndpoints(const std::vector<FeedChange>& _changes, bool _whole)
+void ForwardControl::onEndpoints(const std::vector<FeedChange>& _changes, bool _whole, bool _wasLost)
 {
 	const Micros now = monotonicNow();
 	std::vector<Endpoint> all;
-	this->directory.readWell(now);
+	this->directory.readWell(now, _wasLost);
 	for (const FeedChange& change : _changes)
 	{
 		std::visit(
--- a/src/forward_control.h
+++ b/src/forward_control.h
@@ -52,7 +52,7 @@
 
 private:
 	void onRoutes(const std::vector<FeedChange>& _changes);
-	void onEndpoints(const std::vector<FeedChange>& _changes, bool _whole);
+	void onEndpoints(const std::vector<FeedChange>& _changes, bool _whole, bool _wasLost);
 	void takePlan(const RoutesRead& _read, const std::string& _source);
 	void publishEndpoints();
 	void publishMembers();
