--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -257,6 +257,9 @@
 	const CallEnd end = caller.call(server.address, {}, std::string(32 * 1024 * 1024, 'x'));
 	cr_assert(end.result == CallResult::Complete, "%s", end.error.c_str());
 	cr_assert(end.body == "early");
+	// The connection is in the middle of the first request: the next one needs another.
+	cr_assert(caller.call(server.address).body == "early");
+	cr_assert_eq(server.connections, 2);
 }
 
 Test(client, answer_without_length_is_whole_when_closed_and_cut_when_reset)
