--- a/src/batch_maker.cpp
+++ b/src/batch_maker.cpp
@@ -187,8 +187,11 @@
 	std::vector<bool> taken(_pool.queue.size(), false);
 	const auto take = [&](bool _late, std::size_t _upTo)
 	{
-		for (std::size_t index = 0; index < _pool.queue.size() && chosen.size() < _upTo; ++index)
+		const std::size_t size = _pool.queue.size();
+		for (std::size_t step = 0; step < size && chosen.size() < _upTo; ++step)
 		{
+			// Of the late ones the latest come last: their inputs may be gone, and their clients too.
+			const std::size_t index = _late ? size - 1 - step : step;
 			const Waiting& piece = _pool.queue[index];
 			const bool isLate = piece.order.due < _now + _pool.limits.callTime;
 			if (!taken[index] && isLate == _late && fits(_pool, used, piece) && this->suits(piece, _maker, _now))
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -465,7 +465,8 @@
 			  {"stage", piece.stage},
 			  {"piece", piece.piece},
 			  {"fault", std::string(nameOf(_failed.fault))}});
-	if (_failed.fault == PieceFault::InputGone && active->remakes < kRemakesMost)
+	const bool inTime = monotonicNow() < active->arrived + active->route.target;
+	if (_failed.fault == PieceFault::InputGone && active->remakes < kRemakesMost && inTime)
 	{
 		this->remake(active);
 		return;
