Pieces with time to spare go to an endpoint nearby first

Change: of the pieces in time, those due within three calls go first, then those that are near to the endpoint.

--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -289,6 +289,7 @@
 	[[nodiscard]] static std::tuple<bool, bool, double> rank(const Waiting& _piece, const Maker& _maker);
 	Maker* chooseMaker(const std::string& _pool, const Pool& _spec, Micros _now);
 	[[nodiscard]] static bool fits(const Pool& _pool, std::int64_t _used, const Waiting& _piece);
+	[[nodiscard]] static bool isNear(const Waiting& _piece, const Maker& _maker);
 	[[nodiscard]] bool suits(const Waiting& _piece, const Maker& _maker, Micros _now) const;
 	[[nodiscard]] std::vector<std::size_t> choosePieces(const Pool& _pool, const Maker& _maker, Micros _now) const;
 	void startOne(const std::string& _name, Pool& _pool, Maker& _maker, const std::vector<std::size_t>& _chosen,
--- a/src/batch_maker.cpp
+++ b/src/batch_maker.cpp
@@ -28,6 +28,16 @@
 
 constexpr std::array<std::string_view, 5> kFaultNames = {"late", "input_gone", "no_room", "no_endpoint", "error"};
 constexpr double kSlownessSmoothing = 0.3;
+/// Which pieces of a queue one pass over it takes.
+enum class Picking
+{
+	Late,   ///< Past their due time,
+	Urgent, ///< due within a few calls,
+	Near,   ///< in time, and near to this endpoint,
+	Any     ///< in time.
+};
+
+constexpr Micros kUrgentCalls = 3; ///< Calls before its due time from which on a piece is not passed over.
 constexpr double kSlownessMost = 8.0;
 constexpr Micros kRateTime = 1'500 * kMillisecond; ///< Over which the rate of made pieces is smoothed: a few calls.
 constexpr double kLeastOfNominal = 0.4;
@@ -130,9 +140,7 @@
 /// where the result is needed comes first.
 std::tuple<bool, bool, double> BatchMaker::rank(const Waiting& _piece, const Maker& _maker)
 {
-	const std::string& near = _piece.order.nearDomain;
-	const bool far = !near.empty() && near != _maker.endpoint.failureDomain;
-	return {_maker.slowness > kSlow, far, _maker.slowness};
+	return {_maker.slowness > kSlow, !isNear(_piece, _maker), _maker.slowness};
 }
 
 BatchMaker::Maker* BatchMaker::chooseMaker(const std::string& _pool, const Pool& _spec, Micros _now)
@@ -173,9 +181,14 @@
 
 /// Whether a piece may go to an endpoint, or should wait for one that is nearer to where its result is needed.
 bool BatchMaker::suits(const Waiting& _piece, const Maker& _maker, Micros _now) const
+{
+	return isNear(_piece, _maker) || _now - _piece.addedAt >= this->config.nearWait;
+}
+
+bool BatchMaker::isNear(const Waiting& _piece, const Maker& _maker)
 {
 	const std::string& near = _piece.order.nearDomain;
-	return near.empty() || near == _maker.endpoint.failureDomain || _now - _piece.addedAt >= this->config.nearWait;
+	return near.empty() || near == _maker.endpoint.failureDomain;
 }
 
 /// @returns Places in the queue of the pieces for one call: the most urgent ones whose results the endpoint can keep.
@@ -185,16 +198,22 @@
 	std::vector<std::size_t> chosen;
 	std::int64_t used = _maker.roomUsed;
 	std::vector<bool> taken(_pool.queue.size(), false);
-	const auto take = [&](bool _late, std::size_t _upTo)
+	const Micros soon = _now + kUrgentCalls * _pool.limits.callTime;
+	const auto take = [&](Picking _picking, std::size_t _upTo)
 	{
+		const bool late = _picking == Picking::Late;
 		const std::size_t size = _pool.queue.size();
 		for (std::size_t step = 0; step < size && chosen.size() < _upTo; ++step)
 		{
 			// Of the late ones the latest come last: their inputs may be gone, and their clients too.
-			const std::size_t index = _late ? size - 1 - step : step;
+			const std::size_t index = late ? size - 1 - step : step;
 			const Waiting& piece = _pool.queue[index];
 			const bool isLate = piece.order.due < _now + _pool.limits.callTime;
-			if (!taken[index] && isLate == _late && fits(_pool, used, piece) && this->suits(piece, _maker, _now))
+			const bool wanted = _picking == Picking::Urgent ? piece.order.due < soon
+								: _picking == Picking::Near ? isNear(piece, _maker)
+															: true;
+			if (!taken[index] && isLate == late && wanted && fits(_pool, used, piece) &&
+				this->suits(piece, _maker, _now))
 			{
 				taken[index] = true;
 				chosen.push_back(index);
@@ -203,9 +222,11 @@
 		}
 	};
 	// What can no longer be in time goes behind what can, apart from a share that keeps it from waiting for ever.
-	take(true, static_cast<std::size_t>(std::ceil(this->config.lateShare * static_cast<double>(most))));
-	take(false, most);
-	take(true, most);
+	take(Picking::Late, static_cast<std::size_t>(std::ceil(this->config.lateShare * static_cast<double>(most))));
+	take(Picking::Urgent, most);
+	take(Picking::Near, most); // What has time goes where its inputs or its use are near, if it can.
+	take(Picking::Any, most);
+	take(Picking::Late, most);
 	std::sort(chosen.begin(), chosen.end());
 	return chosen;
 }
