A stopping node refuses what it may not finish, and what it did not send

Ruled out: connections kept too long (they close behind their answers from 2.6 s on). Change: from 2.6 s after the signal a request whose longest time goes beyond the stop's end is refused with 503 and when to come back; 1.2 s before that end what has not been sent to an endpoint of its own is refused too. Also: inputs are not freed early for 2 s after a change of members, when two nodes may have calls at one endpoint.

--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -213,6 +213,10 @@
 	void setPools(const std::vector<PoolSpec>& _pools);
 	void setEndpoints(const std::vector<Endpoint>& _endpoints);
 
+	/// Other nodes may form batches for the same endpoints until then: calls may wait there, and have not fetched their
+	/// inputs so soon after their begin.
+	void expectOthersUntil(Micros _until);
+
 	/// Adds a piece to make. Call tick() afterwards to start calls.
 	void add(const std::string& _pool, const PieceOrder& _order, Micros _now);
 
@@ -313,6 +317,7 @@
 	std::unordered_map<std::string, Kept> kept; ///< By handle.
 	Micros nextExpiry = 0;
 	std::uint64_t lastUnknown = 0;
+	Micros othersUntil = 0;
 	std::set<std::string> left; ///< Endpoints that were seen leaving; the mark is never taken back.
 	std::uint64_t lastBatch = 0;
 };
@@ -383,6 +388,7 @@
 	BatchConfig batches;
 	Micros newsEvery = 250 * kMillisecond;   ///< A node that holds pieces of others tells them so.
 	Micros silentAfter = 800 * kMillisecond; ///< A node that does not is passed over: three times that, and some.
+	Micros handover = 2 * kSecond;           ///< After a change of members, two nodes may form batches for one pool.
 	Micros silentFor = 3 * kSecond;          ///< How long it is passed over.
 	Micros toldLife = 1'500 * kMillisecond;  ///< How long a time that another node predicted is used.
 	bool shared = true;                      ///< Whether nodes form batches together, or each for itself.
@@ -401,7 +407,7 @@
 	void setEndpoints(const std::vector<Endpoint>& _endpoints);
 
 	/// @param[in] _members Live nodes, this one among them.
-	void setMembers(const std::vector<std::string>& _members);
+	void setMembers(const std::vector<std::string>& _members, Micros _now);
 
 	/// Has pieces of one pool made.
 	PieceActions order(const std::string& _pool, const std::vector<PieceOrder>& _orders, Micros _now);
--- a/src/batch_maker.cpp
+++ b/src/batch_maker.cpp
@@ -440,8 +440,17 @@
 	return actions;
 }
 
+void BatchMaker::expectOthersUntil(Micros _until)
+{
+	this->othersUntil = std::max(this->othersUntil, _until);
+}
+
 void BatchMaker::tellStarted(Micros _now, BatchActions& _actions)
 {
+	if (_now < this->othersUntil)
+	{
+		return;
+	}
 	for (auto& entry : this->calls)
 	{
 		Call& call = entry.second;
--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -24,9 +24,10 @@
 constexpr int kSettingsPeriodMs = 1'000;
 /// Balancers ask once a second and need two answers that say no; what they still send until then is served.
 constexpr Micros kBalancerNotice = 2'600 * kMillisecond;
-constexpr Micros kFarewellTime = 100 * kMillisecond; ///< For the last messages to leave.
-constexpr Micros kStopMargin = 800 * kMillisecond;   ///< Kept of the time for a planned stop, for its own end.
-constexpr Micros kBodyTime = 30 * kSecond;           ///< For a client to send a body.
+constexpr Micros kFarewellTime = 100 * kMillisecond;   ///< For the last messages to leave.
+constexpr Micros kStopMargin = 800 * kMillisecond;     ///< Kept of the time for a planned stop, for its own end.
+constexpr Micros kRefuseMargin = 1'200 * kMillisecond; ///< Before the end of that time, for refusals to arrive.
+constexpr Micros kBodyTime = 30 * kSecond;             ///< For a client to send a body.
 
 } // namespace
 
@@ -230,6 +231,8 @@
 	}
 	logEvent("node", "stop_begins", {{"in_flight", this->traffic->inFlight()}});
 	this->drainBegan = monotonicNow();
+	this->traffic->stopAt(this->drainBegan + kBalancerNotice,
+						  this->drainBegan + this->settings.drainSeconds * kSecond - kStopMargin);
 	this->control->leave();
 	QObject::connect(&this->drainTimer, &QTimer::timeout, [this] { this->awaitIdle(); });
 	this->drainTimer.start(kDrainPeriodMs);
@@ -244,6 +247,10 @@
 	}
 	// Requests that still come over open connections are served; each connection closes after its answer.
 	this->server->closeAfterAnswers();
+	if (waited >= this->settings.drainSeconds * kSecond - kRefuseMargin && !std::exchange(this->refusedUnsent, true))
+	{
+		this->traffic->refuseUnsent();
+	}
 	const bool idle = this->traffic->inFlight() == 0 && this->server->connections() == 0;
 	if (!idle && waited < this->settings.drainSeconds * kSecond - kStopMargin)
 	{
--- a/src/forward_node.h
+++ b/src/forward_node.h
@@ -60,6 +60,7 @@
 	std::string settingsText; ///< As read last.
 	std::atomic<bool> isReady{false};
 	std::atomic<bool> leaving{false};
+	bool refusedUnsent = false;
 	Micros drainBegan = 0;
 	Micros farewellAt = 0;
 };
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -26,7 +26,7 @@
 constexpr Micros kConnectTimeout = 400 * kMillisecond; ///< Across failure domains a connection opens in 2 ms.
 constexpr Micros kCallSlack = 200 * kMillisecond;      ///< The dispatcher gives up first; this is for when it does not.
 constexpr Micros kRetrySoon = 300 * kMillisecond;      ///< Advice when trouble is over in a moment.
-constexpr Micros kRetryUnready = kSecond;              ///< Advice of a node that does not know the routes yet.
+constexpr Micros kRetryElsewhere = 300 * kMillisecond; ///< Advice of a node that does not serve: another one will.
 constexpr Micros kDefaultPatience = 60 * kSecond;      ///< Of clients that do not say how long they wait.
 /// Until an endpoint that takes a request at once has fetched its inputs: 1 ms for each 800 kB, and the way there.
 constexpr Micros kFetchTime = 150 * kMillisecond;
@@ -157,6 +157,40 @@
 	this->pool.post(0, [this, _peer] { this->pieces.peerClosed(_peer); });
 }
 
+void ForwardTraffic::stopAt(Micros _refuseFrom, Micros _end)
+{
+	this->pool.post(0,
+					[this, _refuseFrom, _end]
+					{
+						this->refuseFrom = _refuseFrom;
+						this->stopEnd = _end;
+					});
+}
+
+void ForwardTraffic::refuseUnsent()
+{
+	this->pool.post(0,
+					[this]
+					{
+						std::vector<ActivePointer> unsent;
+						for (const auto& entry : this->actives)
+						{
+							if (entry.second->attempts == 0)
+							{
+								unsent.push_back(entry.second);
+							}
+						}
+						for (const ActivePointer& active : unsent)
+						{
+							if (std::exchange(active->submitted, false))
+							{
+								this->perform(this->dispatcher.cancel(active->id, monotonicNow()));
+							}
+							this->giveUp(active, Reason::Draining, kRetrySoon);
+						}
+					});
+}
+
 std::size_t ForwardTraffic::inFlight() const
 {
 	return this->activeCount;
@@ -170,43 +204,53 @@
 	return this->metrics.text(counters, this->activeCount);
 }
 
-void ForwardTraffic::refuse(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply, unsigned _status,
-							const std::string& _code, const std::string& _message)
+void ForwardTraffic::refuse(const std::string& _id, const std::string& _target,
+							const std::shared_ptr<HttpReply>& _reply, unsigned _status, const std::string& _code,
+							const std::string& _message)
 {
 	logEvent("request", "refused",
-			 {{"status", _status},
-			  {"code", _code},
-			  {"target", _request.target},
+			 {{"request", _id},
+			  {"status", _status},
+			  {"reason", _code},
+			  {"target", _target},
 			  {"routes_version", this->plan == nullptr ? 0 : this->plan->data().version}});
 	ForwardAnswer(this->wire, _reply, {}, false, false)
-		.refuse(_status, _status == kUnavailable ? kRetryUnready : 0, _code, _message);
+		.refuse(_status, _status == kUnavailable ? kRetryElsewhere : 0, _code, _message);
 }
 
 void ForwardTraffic::handle(HttpRequest _request, const std::shared_ptr<HttpReply>& _reply)
 {
 	if (this->plan == nullptr)
 	{
-		this->refuse(_request, _reply, kUnavailable, "not_ready", "the routes are not known yet");
+		this->refuse({}, _request.target, _reply, kUnavailable, "not_ready", "the routes are not known yet");
 		return;
 	}
-	const HttpRequest original{_request.method, _request.target, {}, {}};
+	const std::string target = _request.target;
 	absl::StatusOr<ForwardRequest> decoded = this->wire.readRequest(std::move(_request));
 	if (!decoded.ok())
 	{
-		this->refuse(original, _reply, kBadRequest, "bad_request", std::string(decoded.status().message()));
+		this->refuse({}, target, _reply, kBadRequest, "bad_request", std::string(decoded.status().message()));
 		return;
 	}
 	const Route* route = this->plan->match(decoded->host, decoded->target);
 	if (route == nullptr)
 	{
-		this->refuse(original, _reply, kNotFound, "not_found", "there is no such route");
+		this->refuse(decoded->id, target, _reply, kNotFound, "not_found", "there is no such route");
 		return;
 	}
 	const bool needsCredential = !route->anonymous && !this->plan->data().workspaces.empty();
 	const WorkspaceAccess* workspace = needsCredential ? this->plan->workspaceOf(decoded->credential) : nullptr;
 	if (needsCredential && workspace == nullptr)
 	{
-		this->refuse(original, _reply, kUnauthorized, "unauthorized", "the credential is not known");
+		this->refuse(decoded->id, target, _reply, kUnauthorized, "unauthorized", "the credential is not known");
+		return;
+	}
+	const Micros now = monotonicNow();
+	const Micros limit = std::min(decoded->patience.value_or(kDefaultPatience), route->timeLimit);
+	if (this->refuseFrom > 0 && now >= this->refuseFrom && now + limit > this->stopEnd)
+	{
+		this->refuse(decoded->id, target, _reply, kUnavailable, std::string(nameOf(Reason::Draining)),
+					 "this node is about to end");
 		return;
 	}
 	auto active = std::make_shared<Active>(std::move(*decoded), this->wire, _reply, *route);
@@ -214,9 +258,8 @@
 	active->plan = this->plan;
 	active->workspace = workspace == nullptr ? std::string() : workspace->name;
 	active->priority = workspace != nullptr ? workspace->priority.value_or(route->priority) : route->priority;
-	active->arrived = monotonicNow();
-	const Micros patience = active->request.patience.value_or(kDefaultPatience);
-	active->giveUpAt = active->arrived + std::min(patience, route->timeLimit);
+	active->arrived = now;
+	active->giveUpAt = now + limit;
 	this->begin(active);
 }
 
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -49,6 +49,13 @@
 	void setRetryBounds(double _share, double _burst);
 	void receive(const std::string& _from, const PieceMessage& _message);
 	void peerClosed(const std::string& _peer);
+	/// A planned stop has begun.
+	/// @param[in] _refuseFrom Time point from which on requests are refused that may not be finished by its end.
+	/// @param[in] _end Time point at which the process ends.
+	void stopAt(Micros _refuseFrom, Micros _end);
+
+	/// Refuses what was not sent to an endpoint of its own yet, at the end of a planned stop.
+	void refuseUnsent();
 	[[nodiscard]] std::size_t inFlight() const;
 	[[nodiscard]] std::string metricsText() const;
 
@@ -82,8 +89,8 @@
 	void giveUp(const ActivePointer& _active, Reason _reason, Micros _retryAfter);
 	void release(const ActivePointer& _active, const Outcome& _outcome, const std::string& _how);
 	void gone(std::uint64_t _id);
-	void refuse(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply, unsigned _status,
-				const std::string& _code, const std::string& _message);
+	void refuse(const std::string& _id, const std::string& _target, const std::shared_ptr<HttpReply>& _reply,
+				unsigned _status, const std::string& _code, const std::string& _message);
 	void tick();
 
 	IoPool& pool;
@@ -98,6 +105,8 @@
 		pieceOrders;                                      ///< Request and piece, by order.
 	std::set<std::pair<Micros, std::uint64_t>> deadlines; ///< Of requests whose pieces are being made.
 	std::map<std::string, double> firstEventTimes; ///< Microseconds from sending to a stream's first event, by pool.
+	Micros refuseFrom = 0;                         ///< Of a planned stop, 0 for none.
+	Micros stopEnd = 0;
 	std::uint64_t lastRequest = 0;
 	std::uint64_t lastOrder = 0;
 	std::atomic<std::size_t> activeCount{0};
--- a/src/piece_desk.cpp
+++ b/src/piece_desk.cpp
@@ -29,8 +29,9 @@
 	this->maker.setEndpoints(_endpoints);
 }
 
-void PieceDesk::setMembers(const std::vector<std::string>& _members)
+void PieceDesk::setMembers(const std::vector<std::string>& _members, Micros _now)
 {
+	this->maker.expectOthersUntil(_now + this->config.handover);
 	this->members = _members;
 }
 
--- a/src/piece_runner.cpp
+++ b/src/piece_runner.cpp
@@ -81,7 +81,7 @@
 
 void PieceRunner::setMembers(const std::vector<std::string>& _members)
 {
-	this->desk.setMembers(_members);
+	this->desk.setMembers(_members, monotonicNow());
 }
 
 void PieceRunner::order(const std::string& _pool, const std::vector<PieceOrder>& _orders)
--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -273,6 +273,22 @@
 				 3);
 }
 
+Test(batches, inputs_count_as_fetched_only_when_no_other_node_can_be_in_the_way)
+{
+	BatchMaker maker(BatchConfig{});
+	maker.setPools({pool()});
+	maker.setEndpoints({endpoint(1)});
+	PieceOrder piece = order(1, 0);
+	piece.inputs = {"10.0.0.9:80/1"};
+	maker.add("pool", piece, 0);
+	maker.expectOthersUntil(150 * kMillisecond);
+	cr_assert_eq(maker.tick(0).size(), 1);
+	cr_assert(maker.tick(120 * kMillisecond).empty(), "the call may wait behind another node's");
+	const BatchActions told = maker.tick(160 * kMillisecond);
+	cr_assert(std::get<PieceStarted>(told.at(0)) == PieceStarted{1});
+	cr_assert(maker.tick(180 * kMillisecond).empty(), "told once");
+}
+
 Test(batches, silent_endpoint_is_given_up_and_its_pieces_go_elsewhere)
 {
 	BatchMaker maker(BatchConfig{});
@@ -310,7 +326,7 @@
 		PieceDesk desk(_name, PieceDeskConfig{});
 		desk.setPools({pool()});
 		desk.setEndpoints({endpoint(1), endpoint(2), endpoint(3)});
-		desk.setMembers(this->names);
+		desk.setMembers(this->names, this->now);
 		this->desks.insert_or_assign(_name, std::move(desk));
 		this->open[_name].clear();
 	}
