--- /dev/null
+++ b/src/forward_stages.cpp
@@ -0,0 +1,286 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Forwarded requests while their stages run: what is predicted, which pieces are made where, and what becomes of them.
+
+#include "clock.h"
+#include "forward_active.h"
+#include "logging.h"
+
+#include <algorithm>
+
+namespace roadferry
+{
+
+namespace
+{
+
+/// Part of the target within which the first event has to be predicted for a request to be admitted.
+constexpr double kAdmitShare = 1.0;
+constexpr double kFirstEventSmoothing = 0.05;
+constexpr Micros kFirstEventGuess = 300 * kMillisecond; ///< Until one was measured.
+constexpr std::int64_t kLargeResult = 100'000;          ///< Bytes from which on it matters where a result lies.
+
+} // namespace
+
+/// Predicted time until all pieces are made, the longest way through the stages.
+Micros ForwardTraffic::predictedStages(const Active& _active) const
+{
+	const std::vector<RouteStage>& stages = _active.route.stages;
+	std::vector<Micros> done(stages.size(), 0);
+	Micros longest = 0;
+	for (std::size_t stage = 0; stage < stages.size(); ++stage)
+	{
+		Micros begin = 0;
+		for (const std::size_t before : stages[stage].after)
+		{
+			begin = std::max(begin, done[before]);
+		}
+		const bool leftOut = _active.graph.handlesOf(stage).empty();
+		done[stage] = begin + (leftOut ? 0 : this->pieces.predictedTime(stages[stage].pool));
+		longest = std::max(longest, done[stage]);
+	}
+	return longest;
+}
+
+void ForwardTraffic::measureFirstEvent(const Active& _active)
+{
+	const Micros first = _active.answer.times().firstAt;
+	if (first <= _active.attemptAt || _active.attempts != 1)
+	{
+		return;
+	}
+	const auto sample = static_cast<double>(first - _active.attemptAt);
+	double& time = this->firstEventTimes.try_emplace(_active.pool, kFirstEventGuess).first->second;
+	time += kFirstEventSmoothing * (sample - time);
+}
+
+Micros ForwardTraffic::firstEventTime(const std::string& _pool) const
+{
+	const auto found = this->firstEventTimes.find(_pool);
+	return found == this->firstEventTimes.end() ? kFirstEventGuess : static_cast<Micros>(found->second);
+}
+
+/// Whether a request should be told to come back, since it would miss its target now.
+bool ForwardTraffic::comesTooLate(const Active& _active, Micros _predicted) const
+{
+	// One that comes with less time than its route gives has most likely been turned away before.
+	const bool first = _active.giveUpAt - _active.arrived > _active.route.timeLimit * 9 / 10;
+	const auto limit = static_cast<Micros>(kAdmitShare * static_cast<double>(_active.route.target));
+	return first && _predicted + this->firstEventTime(_active.pool) > limit;
+}
+
+/// Predicted time from the end of a stage until the request itself can be sent.
+Micros ForwardTraffic::timeAfter(const Active& _active, std::size_t _stage) const
+{
+	Micros longest = 0;
+	const std::vector<RouteStage>& stages = _active.route.stages;
+	for (std::size_t next = 0; next < stages.size(); ++next)
+	{
+		if (std::find(stages[next].after.begin(), stages[next].after.end(), _stage) == stages[next].after.end())
+		{
+			continue;
+		}
+		const PoolSpec* pool = _active.plan->pool(stages[next].pool);
+		const Micros call = pool != nullptr && pool->batches ? pool->batches->callTime : 0;
+		longest = std::max(longest, call + this->timeAfter(_active, next));
+	}
+	return longest;
+}
+
+/// Bytes that cross between a stage's results and those who work on them: each of their pieces fetches all results.
+std::int64_t ForwardTraffic::bytesOnward(const Active& _active, std::size_t _stage) const
+{
+	const std::vector<RouteStage>& stages = _active.route.stages;
+	const std::vector<std::int64_t>& counts = _active.request.pieceCounts;
+	const auto countOf = [&](std::size_t _index) { return _index < counts.size() ? counts[_index] : 0; };
+	std::int64_t fetches = 0;
+	for (std::size_t next = 0; next < stages.size(); ++next)
+	{
+		const std::vector<std::size_t>& after = stages[next].after;
+		fetches += std::find(after.begin(), after.end(), _stage) != after.end() ? countOf(next) : 0;
+	}
+	return stages[_stage].resultBytes * countOf(_stage) * std::max<std::int64_t>(1, fetches);
+}
+
+/// @returns Failure domain in which a stage's pieces should be made: where their inputs lie, if those are large, or
+/// where the request itself will go, if their results are; empty when it does not matter.
+std::string ForwardTraffic::domainFor(const Active& _active, std::size_t _stage) const
+{
+	std::map<std::string, std::int64_t> bytesIn;
+	for (const std::size_t before : _active.route.stages[_stage].after)
+	{
+		for (const std::string& handle : _active.graph.handlesOf(before))
+		{
+			const auto domain = _active.domainOf.find(handle);
+			if (domain != _active.domainOf.end())
+			{
+				bytesIn[domain->second] += this->bytesOnward(_active, before);
+			}
+		}
+	}
+	const auto most =
+		std::max_element(bytesIn.begin(), bytesIn.end(),
+						 [](const auto& _left, const auto& _right) { return _left.second < _right.second; });
+	if (most != bytesIn.end() && most->second >= kLargeResult)
+	{
+		return most->first;
+	}
+	return this->bytesOnward(_active, _stage) >= kLargeResult ? _active.homeDomain : std::string();
+}
+
+PieceOrder ForwardTraffic::orderOf(const Active& _active, const PieceName& _piece) const
+{
+	const RouteStage& stage = _active.route.stages[_piece.stage];
+	const Micros after = this->timeAfter(_active, _piece.stage) + this->firstEventTime(_active.pool);
+	PieceOrder order;
+	order.request = _active.request.id;
+	order.name = _piece;
+	order.key = stage.after.empty() ? _active.request.pieceKey : std::string();
+	order.inputs = _active.graph.inputsOf(_piece.stage);
+	order.deadline = _active.giveUpAt - after;
+	order.due = _active.arrived + _active.route.target - after;
+	order.priority = _active.priority;
+	order.resultBytes = stage.resultBytes;
+	order.nearDomain = this->domainFor(_active, _piece.stage);
+	return order;
+}
+
+void ForwardTraffic::orderPieces(const ActivePointer& _active)
+{
+	std::map<std::string, std::vector<PieceOrder>> byPool;
+	for (const PieceName& piece : _active->graph.takeReady())
+	{
+		PieceOrder order = this->orderOf(*_active, piece);
+		order.order = ++this->lastOrder;
+		_active->orders.insert(order.order);
+		this->pieceOrders.emplace(order.order, std::make_pair(_active->id, piece));
+		byPool[_active->route.stages[piece.stage].pool].push_back(std::move(order));
+	}
+	for (const auto& entry : byPool)
+	{
+		logEvent("request", "pieces_ordered",
+				 {{"request", _active->request.id},
+				  {"pool", entry.first},
+				  {"pieces", entry.second.size()},
+				  {"first_stage", entry.second.front().name.stage},
+				  {"waited_ms", (monotonicNow() - _active->arrived) / kMillisecond}});
+		this->pieces.order(entry.first, entry.second);
+	}
+}
+
+void ForwardTraffic::pieceStarted(const PieceStarted& _started)
+{
+	const auto found = this->pieceOrders.find(_started.order);
+	if (found == this->pieceOrders.end())
+	{
+		return;
+	}
+	const ActivePointer active = this->find(found->second.first);
+	active->graph.started(found->second.second);
+	this->pieces.free(active->graph.takeSpent());
+}
+
+void ForwardTraffic::pieceMade(const PieceMade& _made)
+{
+	const auto found = this->pieceOrders.find(_made.order);
+	if (found == this->pieceOrders.end())
+	{
+		this->pieces.free({_made.handle});
+		return;
+	}
+	const auto [request, piece] = found->second;
+	this->pieceOrders.erase(found);
+	const ActivePointer active = this->find(request);
+	active->orders.erase(_made.order);
+	active->graph.made(piece, _made.handle);
+	active->domainOf[_made.handle] = _made.failureDomain;
+	this->pieces.free(active->graph.takeSpent());
+	if (active->graph.complete())
+	{
+		this->submit(active);
+		return;
+	}
+	this->orderPieces(active);
+}
+
+void ForwardTraffic::pieceFailed(const PieceFailed& _failed)
+{
+	const auto found = this->pieceOrders.find(_failed.order);
+	if (found == this->pieceOrders.end())
+	{
+		return;
+	}
+	const auto [request, piece] = found->second;
+	this->pieceOrders.erase(found);
+	const ActivePointer active = this->find(request);
+	active->orders.erase(_failed.order);
+	logEvent("request", "piece_failed",
+			 {{"request", active->request.id},
+			  {"stage", piece.stage},
+			  {"piece", piece.piece},
+			  {"fault", std::string(nameOf(_failed.fault))}});
+	const bool inTime = monotonicNow() < active->arrived + active->route.target;
+	if (_failed.fault == PieceFault::InputGone && active->remakes < kRemakesMost && inTime)
+	{
+		this->remake(active);
+		return;
+	}
+	const bool late = _failed.fault == PieceFault::Late;
+	this->giveUp(active, late ? Reason::WouldBeLate : Reason::NoEndpoint, kRetrySoon);
+}
+
+/// Makes all pieces again, after a result was lost.
+void ForwardTraffic::remake(const ActivePointer& _active)
+{
+	_active->remakes += 1;
+	_active->inputsFreed = false;
+	_active->submitted = false;
+	const std::vector<std::uint64_t> orders(_active->orders.begin(), _active->orders.end());
+	_active->orders.clear();
+	for (const std::uint64_t order : orders)
+	{
+		this->pieceOrders.erase(order);
+	}
+	this->pieces.cancel(orders);
+	this->pieces.free(_active->graph.takeAll());
+	_active->graph = StageGraph(_active->route.stages, _active->request.pieceCounts);
+	this->deadlines.emplace(_active->giveUpAt, _active->id);
+	this->orderPieces(_active);
+}
+
+/// @returns The failure domain that holds most of the results, where they are large.
+std::string ForwardTraffic::domainOfResults(const Active& _active) const
+{
+	const bool large = std::any_of(_active.route.stages.begin(), _active.route.stages.end(),
+								   [](const RouteStage& _stage) { return _stage.resultBytes >= kLargeResult; });
+	if (!large)
+	{
+		return {};
+	}
+	std::map<std::string, std::size_t> counts;
+	for (const std::string& handle : _active.graph.results())
+	{
+		const auto domain = _active.domainOf.find(handle);
+		if (domain != _active.domainOf.end())
+		{
+			counts[domain->second] += 1;
+		}
+	}
+	const auto most =
+		std::max_element(counts.begin(), counts.end(),
+						 [](const auto& _left, const auto& _right) { return _left.second < _right.second; });
+	return most == counts.end() ? std::string() : most->first;
+}
+
+/// The endpoint has fetched its inputs: they need not take up room any longer.
+void ForwardTraffic::freeInputs(const ActivePointer& _active)
+{
+	_active->inputsFreed = true;
+	this->pieces.free(_active->graph.takeAll());
+}
+
+} // namespace roadferry
