--- a/src/batch_maker.cpp
+++ b/src/batch_maker.cpp
@@ -17,7 +17,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <ranges>
 #include <utility>
 
 namespace roadferry
@@ -250,10 +249,19 @@
 		call.pieces.back().tries += 1;
 		_maker.roomUsed += action.orders.back().resultBytes;
 	}
-	for (const std::size_t index : std::ranges::reverse_view(_chosen))
+	std::vector<Waiting> rest;
+	rest.reserve(_pool.queue.size() - _chosen.size());
+	auto next = _chosen.begin(); // The places are in order.
+	for (std::size_t index = 0; index < _pool.queue.size(); ++index)
 	{
-		_pool.queue.erase(_pool.queue.begin() + static_cast<std::ptrdiff_t>(index));
+		if (next != _chosen.end() && *next == index)
+		{
+			++next;
+			continue;
+		}
+		rest.push_back(std::move(_pool.queue[index]));
 	}
+	_pool.queue = std::move(rest);
 	_maker.calls += 1;
 	_maker.freeAt = _now + this->expectedTime(_pool.limits, _maker, _chosen.size());
 	this->calls.emplace(action.batch, std::move(call));
