--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -382,26 +382,26 @@
 	std::variant<StartBatch, CancelBatch, PieceStarted, PieceMade, PieceFailed, SendPieceMessage, FreeResult>;
 using PieceActions = std::vector<PieceAction>;
 
-/// Times of a PieceDesk.
-struct PieceDeskConfig
+/// Times of a PieceScheduler.
+struct PieceSchedulerConfig
 {
 	BatchConfig batches;
-	Micros newsEvery = 250 * kMillisecond;   ///< A node that holds pieces of others tells them so.
-	Micros silentAfter = 800 * kMillisecond; ///< A node that does not is passed over: three times that, and some.
-	Micros handover = 2 * kSecond;           ///< After a change of members, two nodes may form batches for one pool.
-	Micros silentFor = 3 * kSecond;          ///< How long it is passed over.
-	Micros toldLife = 1'500 * kMillisecond;  ///< How long a time that another node predicted is used.
-	bool shared = true;                      ///< Whether nodes form batches together, or each for itself.
-	bool operator==(const PieceDeskConfig&) const = default;
+	Micros keepaliveEvery = 250 * kMillisecond; ///< A node that holds pieces of others tells them so.
+	Micros silentAfter = 800 * kMillisecond;    ///< A node that does not is passed over: three times that, and some.
+	Micros handover = 2 * kSecond;              ///< After a change of members, two nodes may form batches for one pool.
+	Micros silentFor = 3 * kSecond;             ///< How long it is passed over.
+	Micros toldLife = 1'500 * kMillisecond;     ///< How long a time that another node predicted is used.
+	bool shared = true;                         ///< Whether nodes form batches together, or each for itself.
+	bool operator==(const PieceSchedulerConfig&) const = default;
 };
 
 /// Has pieces made: by this node where it forms the pool's batches, by the node that does otherwise. Two nodes that
 /// both believe to be it cost fuller batches, nothing else; pieces in the hands of a node that falls silent are asked
 /// for again, here or elsewhere.
-class PieceDesk
+class PieceScheduler
 {
 public:
-	PieceDesk(std::string _self, PieceDeskConfig _config);
+	PieceScheduler(std::string _self, PieceSchedulerConfig _config);
 
 	void setPools(const std::vector<PoolSpec>& _pools);
 	void setEndpoints(const std::vector<Endpoint>& _endpoints);
@@ -460,10 +460,10 @@
 	void freeHere(const std::vector<std::string>& _handles, PieceActions& _actions);
 	void takeBack(const std::string& _peer, Micros _now, PieceActions& _actions);
 	void checkSilence(Micros _now, PieceActions& _actions);
-	void tellNews(Micros _now, PieceActions& _actions);
+	void sendKeepalives(Micros _now, PieceActions& _actions);
 
 	std::string self;
-	PieceDeskConfig config;
+	PieceSchedulerConfig config;
 	BatchMaker maker;
 	std::vector<std::string> members;
 	std::map<std::string, Micros> silentUntil;                               ///< Nodes that are passed over.
--- a/src/event_stream.cpp
+++ b/src/event_stream.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-std::vector<std::string> EventCutter::take(std::string_view _bytes)
+std::vector<std::string> EventSplitter::take(std::string_view _bytes)
 {
 	this->held.append(_bytes);
 	std::vector<std::string> events;
@@ -48,12 +48,12 @@
 	return events;
 }
 
-bool EventCutter::hasPart() const
+bool EventSplitter::hasPart() const
 {
 	return !this->held.empty();
 }
 
-bool EventCutter::overflown() const
+bool EventSplitter::overflown() const
 {
 	return this->held.size() > kEventLimit;
 }
--- a/src/event_stream.h
+++ b/src/event_stream.h
@@ -18,7 +18,7 @@
 {
 
 /// Collects the bytes of a stream and gives them back in whole events.
-class EventCutter
+class EventSplitter
 {
 public:
 	/// Takes bytes as they came.
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -42,7 +42,7 @@
 void ForwardAnswer::beginAttempt()
 {
 	this->current.reset();
-	this->cutter = EventCutter();
+	this->cutter = EventSplitter();
 	this->body.clear();
 	this->spoiled = false;
 }
--- a/src/forward_answer.h
+++ b/src/forward_answer.h
@@ -82,7 +82,7 @@
 	bool repeatable;
 
 	std::optional<ForwardHead> current; ///< Of the attempt under way, or the last one.
-	EventCutter cutter;
+	EventSplitter cutter;
 	std::string body;
 	bool spoiled = false; ///< The attempt's stream cannot be used any further.
 
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -55,7 +55,7 @@
 							   const ForwardSettings& _settings,
 							   std::function<void(const std::string&, const PieceMessage&)> _send)
 	: pool(_pool), client(_client), wire(_wire), metrics(_metrics), dispatcher(_settings.dispatcher),
-	  pieces(_client, _wire, PieceDesk(_settings.self, _settings.pieces),
+	  pieces(_client, _wire, PieceScheduler(_settings.self, _settings.pieces),
 			 PieceHandlers{[this](const PieceStarted& _started) { this->pieceStarted(_started); },
 						   [this](const PieceMade& _made) { this->pieceMade(_made); },
 						   [this](const PieceFailed& _failed) { this->pieceFailed(_failed); }, std::move(_send)})
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -23,7 +23,7 @@
 {
 	std::string self; ///< Address of this node, as other nodes know it.
 	DispatcherConfig dispatcher;
-	PieceDeskConfig pieces;
+	PieceSchedulerConfig pieces;
 };
 
 /// All forwarded requests of this node. Everything runs on thread 0 of the pool; functions that say so may be called
--- a/src/log_story.cpp
+++ b/src/log_timeline.cpp
@@ -4,9 +4,9 @@
  */
 
 /// @file
-/// Implementation of the story of one request.
+/// Implementation of the timeline of one request.
 
-#include "log_story.h"
+#include "log_timeline.h"
 
 #include "json.h"
 
@@ -75,7 +75,7 @@
 
 } // namespace
 
-std::vector<std::string> storyOf(const std::string& _request, std::istream& _logs)
+std::vector<std::string> timelineOf(const std::string& _request, std::istream& _logs)
 {
 	std::vector<LogLine> lines;
 	std::set<std::string> batches;
@@ -104,13 +104,13 @@
 	}
 	std::stable_sort(lines.begin(), lines.end(),
 					 [](const LogLine& _left, const LogLine& _right) { return _left.time < _right.time; });
-	std::vector<std::string> story;
-	story.reserve(lines.size());
+	std::vector<std::string> timeline;
+	timeline.reserve(lines.size());
 	for (const LogLine& line : lines)
 	{
-		story.push_back(textOf(line));
+		timeline.push_back(textOf(line));
 	}
-	return story;
+	return timeline;
 }
 
 } // namespace roadferry
--- a/src/log_story.h
+++ b/src/log_timeline.h
@@ -4,10 +4,10 @@
  */
 
 /// @file
-/// Joins the log lines of several nodes into the story of one request.
+/// Joins the log lines of several nodes into the timeline of one request.
 
-#ifndef ROADFERRY_LOG_STORY_H_HEADER_GUARD
-#define ROADFERRY_LOG_STORY_H_HEADER_GUARD
+#ifndef ROADFERRY_LOG_TIMELINE_H_HEADER_GUARD
+#define ROADFERRY_LOG_TIMELINE_H_HEADER_GUARD
 
 #include <istream>
 #include <string>
@@ -19,8 +19,8 @@
 /// Reads log lines, with or without words of a log collector before the JSON object.
 /// @param[in] _request Id of the request.
 /// @returns One line for each event that concerns it, in order of time: its own, and those of batches with its pieces.
-std::vector<std::string> storyOf(const std::string& _request, std::istream& _logs);
+std::vector<std::string> timelineOf(const std::string& _request, std::istream& _logs);
 
 } // namespace roadferry
 
-#endif // ROADFERRY_LOG_STORY_H_HEADER_GUARD
+#endif // ROADFERRY_LOG_TIMELINE_H_HEADER_GUARD
--- a/src/piece_runner.cpp
+++ b/src/piece_runner.cpp
@@ -63,35 +63,35 @@
 
 } // namespace
 
-PieceRunner::PieceRunner(HttpClient& _client, const Wire& _wire, PieceDesk _desk, PieceHandlers _handlers)
-	: client(_client), wire(_wire), desk(std::move(_desk)), handlers(std::move(_handlers))
+PieceRunner::PieceRunner(HttpClient& _client, const Wire& _wire, PieceScheduler _scheduler, PieceHandlers _handlers)
+	: client(_client), wire(_wire), scheduler(std::move(_scheduler)), handlers(std::move(_handlers))
 {
 }
 
 void PieceRunner::setPlan(const RoutePlan& _plan)
 {
-	this->desk.setPools(_plan.data().pools);
+	this->scheduler.setPools(_plan.data().pools);
 }
 
 void PieceRunner::setEndpoints(const std::vector<Endpoint>& _endpoints)
 {
-	this->desk.setEndpoints(_endpoints);
+	this->scheduler.setEndpoints(_endpoints);
 	this->tick();
 }
 
 void PieceRunner::setMembers(const std::vector<std::string>& _members)
 {
-	this->desk.setMembers(_members, monotonicNow());
+	this->scheduler.setMembers(_members, monotonicNow());
 }
 
 void PieceRunner::order(const std::string& _pool, const std::vector<PieceOrder>& _orders)
 {
-	this->perform(this->desk.order(_pool, _orders, monotonicNow()));
+	this->perform(this->scheduler.order(_pool, _orders, monotonicNow()));
 }
 
 void PieceRunner::cancel(const std::vector<std::uint64_t>& _orders)
 {
-	this->perform(this->desk.cancel(_orders, monotonicNow()));
+	this->perform(this->scheduler.cancel(_orders, monotonicNow()));
 }
 
 void PieceRunner::free(const std::vector<std::string>& _handles)
@@ -111,27 +111,27 @@
 
 void PieceRunner::receive(const std::string& _from, const PieceMessage& _message)
 {
-	this->perform(this->desk.receive(_from, _message, monotonicNow()));
+	this->perform(this->scheduler.receive(_from, _message, monotonicNow()));
 }
 
 void PieceRunner::peerClosed(const std::string& _peer)
 {
-	this->perform(this->desk.peerClosed(_peer, monotonicNow()));
+	this->perform(this->scheduler.peerClosed(_peer, monotonicNow()));
 }
 
 void PieceRunner::tick()
 {
 	if (!this->spent.empty())
 	{
-		this->perform(this->desk.free(std::exchange(this->spent, {}), monotonicNow()));
+		this->perform(this->scheduler.free(std::exchange(this->spent, {}), monotonicNow()));
 	}
-	this->perform(this->desk.tick(monotonicNow()));
+	this->perform(this->scheduler.tick(monotonicNow()));
 	this->sendFrees();
 }
 
 Micros PieceRunner::predictedTime(const std::string& _pool) const
 {
-	return this->desk.predictedTime(_pool, monotonicNow());
+	return this->scheduler.predictedTime(_pool, monotonicNow());
 }
 
 void PieceRunner::perform(const PieceActions& _actions)
@@ -159,7 +159,8 @@
 	CallSpec spec;
 	spec.address = _batch.endpoint.address;
 	spec.request = this->wire.batchRequest(_batch, now);
-	spec.timeout = _batch.giveUpAt - now + kConnectTimeout; // The desk gives up first; this is for when it does not.
+	spec.timeout =
+		_batch.giveUpAt - now + kConnectTimeout; // The scheduler gives up first; this is for when it does not.
 	spec.connectTimeout = kConnectTimeout;
 	CallHandlers calls;
 	calls.onEnd = [this, batch = _batch.batch, size = _batch.orders.size(), endpoint = _batch.endpoint.id,
@@ -177,7 +178,7 @@
 				  {"status", _end.status},
 				  {"error", _end.error},
 				  {"took_ms", (monotonicNow() - now) / kMillisecond}});
-		this->perform(this->desk.batchEnded(batch, end, monotonicNow()));
+		this->perform(this->scheduler.batchEnded(batch, end, monotonicNow()));
 	};
 	this->calls[_batch.batch] = this->client.call(0, std::move(spec), std::move(calls));
 }
--- a/src/piece_runner.h
+++ b/src/piece_runner.h
@@ -4,7 +4,7 @@
  */
 
 /// @file
-/// Carries out what the piece desk decides: calls to endpoints and messages to other nodes.
+/// Carries out what the piece scheduler decides: calls to endpoints and messages to other nodes.
 
 #ifndef ROADFERRY_PIECE_RUNNER_H_HEADER_GUARD
 #define ROADFERRY_PIECE_RUNNER_H_HEADER_GUARD
@@ -27,7 +27,7 @@
 class PieceRunner
 {
 public:
-	PieceRunner(HttpClient& _client, const Wire& _wire, PieceDesk _desk, PieceHandlers _handlers);
+	PieceRunner(HttpClient& _client, const Wire& _wire, PieceScheduler _scheduler, PieceHandlers _handlers);
 
 	void setPlan(const RoutePlan& _plan);
 	void setEndpoints(const std::vector<Endpoint>& _endpoints);
@@ -54,7 +54,7 @@
 
 	HttpClient& client;
 	const Wire& wire;
-	PieceDesk desk;
+	PieceScheduler scheduler;
 	PieceHandlers handlers;
 	std::map<std::uint64_t, std::shared_ptr<HttpCall>> calls; ///< By batch.
 	std::vector<std::string> spent;                           ///< Results that nobody needs, until the next tick.
--- a/src/piece_desk.cpp
+++ b/src/piece_scheduler.cpp
@@ -14,28 +14,28 @@
 namespace roadferry
 {
 
-PieceDesk::PieceDesk(std::string _self, PieceDeskConfig _config)
+PieceScheduler::PieceScheduler(std::string _self, PieceSchedulerConfig _config)
 	: self(std::move(_self)), config(_config), maker(_config.batches), members({self})
 {
 }
 
-void PieceDesk::setPools(const std::vector<PoolSpec>& _pools)
+void PieceScheduler::setPools(const std::vector<PoolSpec>& _pools)
 {
 	this->maker.setPools(_pools);
 }
 
-void PieceDesk::setEndpoints(const std::vector<Endpoint>& _endpoints)
+void PieceScheduler::setEndpoints(const std::vector<Endpoint>& _endpoints)
 {
 	this->maker.setEndpoints(_endpoints);
 }
 
-void PieceDesk::setMembers(const std::vector<std::string>& _members, Micros _now)
+void PieceScheduler::setMembers(const std::vector<std::string>& _members, Micros _now)
 {
 	this->maker.expectOthersUntil(_now + this->config.handover);
 	this->members = _members;
 }
 
-std::string PieceDesk::nodeOf(const std::string& _pool, Micros _now) const
+std::string PieceScheduler::nodeOf(const std::string& _pool, Micros _now) const
 {
 	if (!this->config.shared)
 	{
@@ -53,7 +53,7 @@
 	return candidates.empty() ? this->self : batchNodeOf(_pool, candidates);
 }
 
-void PieceDesk::makeHere(const std::string& _pool, const std::string& _peer, const PieceOrder& _order, Micros _now)
+void PieceScheduler::makeHere(const std::string& _pool, const std::string& _peer, const PieceOrder& _order, Micros _now)
 {
 	PieceOrder numbered = _order;
 	numbered.order = ++this->lastNumber;
@@ -62,13 +62,13 @@
 	this->maker.add(_pool, numbered, _now);
 }
 
-void PieceDesk::send(const std::string& _to, PieceMessage _message, PieceActions& _actions)
+void PieceScheduler::send(const std::string& _to, PieceMessage _message, PieceActions& _actions)
 {
 	_actions.emplace_back(SendPieceMessage{_to, std::move(_message)});
 }
 
-void PieceDesk::place(const std::string& _pool, const std::vector<PieceOrder>& _orders, Micros _now,
-					  PieceActions& _actions)
+void PieceScheduler::place(const std::string& _pool, const std::vector<PieceOrder>& _orders, Micros _now,
+						   PieceActions& _actions)
 {
 	const std::string node = this->nodeOf(_pool, _now);
 	if (node == this->self)
@@ -90,7 +90,7 @@
 	this->send(node, std::move(ask), _actions);
 }
 
-PieceActions PieceDesk::order(const std::string& _pool, const std::vector<PieceOrder>& _orders, Micros _now)
+PieceActions PieceScheduler::order(const std::string& _pool, const std::vector<PieceOrder>& _orders, Micros _now)
 {
 	PieceActions actions;
 	this->place(_pool, _orders, _now, actions);
@@ -98,7 +98,7 @@
 	return actions;
 }
 
-PieceActions PieceDesk::cancel(const std::vector<std::uint64_t>& _orders, Micros _now)
+PieceActions PieceScheduler::cancel(const std::vector<std::uint64_t>& _orders, Micros _now)
 {
 	PieceActions actions;
 	std::map<std::string, PieceDrop> drops;
@@ -121,7 +121,7 @@
 	return actions;
 }
 
-void PieceDesk::onDrop(const std::string& _from, const PieceDrop& _drop)
+void PieceScheduler::onDrop(const std::string& _from, const PieceDrop& _drop)
 {
 	for (const std::uint64_t order : _drop.orders)
 	{
@@ -140,7 +140,7 @@
 	}
 }
 
-void PieceDesk::freeHere(const std::vector<std::string>& _handles, PieceActions& _actions)
+void PieceScheduler::freeHere(const std::vector<std::string>& _handles, PieceActions& _actions)
 {
 	for (const std::string& handle : _handles)
 	{
@@ -149,7 +149,7 @@
 	}
 }
 
-PieceActions PieceDesk::free(const std::vector<std::string>& _handles, Micros _now)
+PieceActions PieceScheduler::free(const std::vector<std::string>& _handles, Micros _now)
 {
 	PieceActions actions;
 	std::vector<std::string> here;
@@ -178,7 +178,7 @@
 	return actions;
 }
 
-void PieceDesk::onAsk(const std::string& _from, const PieceAsk& _ask, Micros _now)
+void PieceScheduler::onAsk(const std::string& _from, const PieceAsk& _ask, Micros _now)
 {
 	this->toldAt.try_emplace(_from, _now);
 	for (const PieceOrder& asked : _ask.orders)
@@ -190,7 +190,7 @@
 	}
 }
 
-void PieceDesk::onGive(const std::string& _from, const PieceGive& _give, Micros _now, PieceActions& _actions)
+void PieceScheduler::onGive(const std::string& _from, const PieceGive& _give, Micros _now, PieceActions& _actions)
 {
 	for (const PieceStarted& started : _give.started)
 	{
@@ -232,7 +232,7 @@
 	}
 }
 
-PieceActions PieceDesk::receive(const std::string& _from, const PieceMessage& _message, Micros _now)
+PieceActions PieceScheduler::receive(const std::string& _from, const PieceMessage& _message, Micros _now)
 {
 	PieceActions actions;
 	const auto heard = this->heardAt.find(_from);
@@ -252,7 +252,7 @@
 	return actions;
 }
 
-void PieceDesk::takeBack(const std::string& _peer, Micros _now, PieceActions& _actions)
+void PieceScheduler::takeBack(const std::string& _peer, Micros _now, PieceActions& _actions)
 {
 	this->silentUntil[_peer] = _now + this->config.silentFor;
 	this->heardAt.erase(_peer);
@@ -273,7 +273,7 @@
 	}
 }
 
-PieceActions PieceDesk::peerClosed(const std::string& _peer, Micros _now)
+PieceActions PieceScheduler::peerClosed(const std::string& _peer, Micros _now)
 {
 	PieceActions actions;
 	const bool busy = std::any_of(this->away.begin(), this->away.end(),
@@ -286,7 +286,7 @@
 	return actions;
 }
 
-void PieceDesk::takeBatchActions(const BatchActions& _batch, Micros _now, PieceActions& _actions)
+void PieceScheduler::takeBatchActions(const BatchActions& _batch, Micros _now, PieceActions& _actions)
 {
 	std::map<std::string, PieceGive> gives;
 	const auto settle = [this](std::uint64_t _number)
@@ -356,14 +356,14 @@
 	}
 }
 
-PieceActions PieceDesk::batchEnded(std::uint64_t _batch, const BatchEnd& _end, Micros _now)
+PieceActions PieceScheduler::batchEnded(std::uint64_t _batch, const BatchEnd& _end, Micros _now)
 {
 	PieceActions actions;
 	this->takeBatchActions(this->maker.batchEnded(_batch, _end, _now), _now, actions);
 	return actions;
 }
 
-void PieceDesk::checkSilence(Micros _now, PieceActions& _actions)
+void PieceScheduler::checkSilence(Micros _now, PieceActions& _actions)
 {
 	std::set<std::string> holders;
 	for (const auto& entry : this->away)
@@ -386,14 +386,14 @@
 }
 
 /// Predicted times of the pools whose batches this node forms.
-std::map<std::string, Micros> PieceDesk::ownTimes(Micros _now) const
+std::map<std::string, Micros> PieceScheduler::ownTimes(Micros _now) const
 {
 	std::map<std::string, Micros> times = this->maker.predictedTimes(_now);
 	std::erase_if(times, [&](const auto& _entry) { return this->nodeOf(_entry.first, _now) != this->self; });
 	return times;
 }
 
-void PieceDesk::tellNews(Micros _now, PieceActions& _actions)
+void PieceScheduler::sendKeepalives(Micros _now, PieceActions& _actions)
 {
 	std::set<std::string> askers;
 	for (const auto& entry : this->numberOf)
@@ -403,7 +403,7 @@
 	std::erase_if(this->toldAt, [&](const auto& _entry) { return askers.count(_entry.first) == 0; });
 	for (auto& entry : this->toldAt)
 	{
-		if (_now - entry.second >= this->config.newsEvery)
+		if (_now - entry.second >= this->config.keepaliveEvery)
 		{
 			entry.second = _now;
 			this->send(entry.first, PieceGive{{}, {}, {}, this->ownTimes(_now)}, _actions);
@@ -411,16 +411,16 @@
 	}
 }
 
-PieceActions PieceDesk::tick(Micros _now)
+PieceActions PieceScheduler::tick(Micros _now)
 {
 	PieceActions actions;
 	this->checkSilence(_now, actions);
 	this->takeBatchActions(this->maker.tick(_now), _now, actions);
-	this->tellNews(_now, actions);
+	this->sendKeepalives(_now, actions);
 	return actions;
 }
 
-Micros PieceDesk::predictedTime(const std::string& _pool, Micros _now) const
+Micros PieceScheduler::predictedTime(const std::string& _pool, Micros _now) const
 {
 	const auto told = this->told.find(_pool);
 	const bool elsewhere = this->nodeOf(_pool, _now) != this->self;
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -365,7 +365,7 @@
 					   }
 					   const std::string part = *rc::gen::arbitrary<bool>() ? "id: 9\nda" : "";
 					   text += part;
-					   EventCutter cutter;
+					   EventSplitter cutter;
 					   std::vector<std::string> got;
 					   while (!text.empty())
 					   {
--- a/tests/test_logs.cpp
+++ b/tests/test_logs.cpp
@@ -4,10 +4,10 @@
  */
 
 /// @file
-/// Logs: bounded, never blocking, without credentials; and the story of one request out of several nodes' lines.
+/// Logs: bounded, never blocking, without credentials; and the timeline of one request out of several nodes' lines.
 
 #include "deployment.h"
-#include "log_story.h"
+#include "log_timeline.h"
 #include "logging.h"
 
 #include <absl/strings/match.h>
@@ -83,9 +83,9 @@
 n1 {"event":"batch_ended","part":"pieces","batch":4,"end":"answered","time":"2026-01-01T00:00:06.000Z"}
 n2 {"event":"answered","part":"request","request":"r-1","took_ms":9,"time":"2026-01-01T00:00:04.000Z"}
 )");
-	const std::vector<std::string> story = storyOf("r-1", logs);
-	cr_assert_eq(story.size(), 4);
-	cr_assert(absl::StrContains(story[0], "n2 request/admitted"), "%s", story[0].c_str());
-	cr_assert(absl::StrContains(story[2], "n1 pieces/batch_ended batch=4 end=answered"), "%s", story[2].c_str());
-	cr_assert(absl::StrContains(story[3], "took_ms=9"), "%s", story[3].c_str());
+	const std::vector<std::string> timeline = timelineOf("r-1", logs);
+	cr_assert_eq(timeline.size(), 4);
+	cr_assert(absl::StrContains(timeline[0], "n2 request/admitted"), "%s", timeline[0].c_str());
+	cr_assert(absl::StrContains(timeline[2], "n1 pieces/batch_ended batch=4 end=answered"), "%s", timeline[2].c_str());
+	cr_assert(absl::StrContains(timeline[3], "took_ms=9"), "%s", timeline[3].c_str());
 }
--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -306,10 +306,10 @@
 {
 
 /// Nodes that have pieces made together, over links that lose messages, and endpoints that answer after a while.
-class DeskWorld
+class SchedulerWorld
 {
 public:
-	explicit DeskWorld(std::size_t _nodes)
+	explicit SchedulerWorld(std::size_t _nodes)
 	{
 		for (std::size_t node = 0; node < _nodes; ++node)
 		{
@@ -323,11 +323,11 @@
 
 	void start(const std::string& _name)
 	{
-		PieceDesk desk(_name, PieceDeskConfig{});
-		desk.setPools({pool()});
-		desk.setEndpoints({endpoint(1), endpoint(2), endpoint(3)});
-		desk.setMembers(this->names, this->now);
-		this->desks.insert_or_assign(_name, std::move(desk));
+		PieceScheduler scheduler(_name, PieceSchedulerConfig{});
+		scheduler.setPools({pool()});
+		scheduler.setEndpoints({endpoint(1), endpoint(2), endpoint(3)});
+		scheduler.setMembers(this->names, this->now);
+		this->schedulers.insert_or_assign(_name, std::move(scheduler));
 		this->open[_name].clear();
 	}
 
@@ -359,9 +359,10 @@
 		for (const auto& message : batch)
 		{
 			const bool lost = *rc::gen::inRange(0, 100) < static_cast<int>(_loss * 100);
-			if (!lost && this->desks.count(message.to) > 0)
+			if (!lost && this->schedulers.count(message.to) > 0)
 			{
-				this->take(message.to, this->desks.at(message.to).receive(message.from, message.content, this->now));
+				this->take(message.to,
+						   this->schedulers.at(message.to).receive(message.from, message.content, this->now));
 			}
 		}
 	}
@@ -378,7 +379,7 @@
 				this->calls.push_back(call);
 				continue;
 			}
-			if (this->desks.count(call.node) == 0)
+			if (this->schedulers.count(call.node) == 0)
 			{
 				continue;
 			}
@@ -388,9 +389,9 @@
 				answer.results.emplace_back(call.start.endpoint.address + "/" + std::to_string(++this->lastHandle) +
 											piece.request);
 			}
-			this->take(call.node, this->desks.at(call.node).batchEnded(call.start.batch, answer, this->now));
+			this->take(call.node, this->schedulers.at(call.node).batchEnded(call.start.batch, answer, this->now));
 		}
-		for (auto& entry : this->desks)
+		for (auto& entry : this->schedulers)
 		{
 			this->take(entry.first, entry.second.tick(this->now));
 		}
@@ -411,7 +412,7 @@
 	};
 
 	std::vector<std::string> names;
-	std::map<std::string, PieceDesk> desks;
+	std::map<std::string, PieceScheduler> schedulers;
 	std::map<std::string, std::set<std::uint64_t>> open;
 	std::vector<Message> messages;
 	std::vector<Call> calls;
@@ -422,48 +423,48 @@
 
 } // namespace
 
-Test(desks, every_order_ends_once_though_nodes_die_and_messages_are_lost)
+Test(schedulers, every_order_ends_once_though_nodes_die_and_messages_are_lost)
 {
-	checkHistories("desks",
-				   []
-				   {
-					   DeskWorld world(4);
-					   const double loss = *rc::gen::elementOf(std::vector<double>{0.0, 0.2});
-					   const int steps = *rc::gen::inRange(1, 40);
-					   for (int step = 0; step < steps; ++step)
-					   {
-						   const std::string node = *rc::gen::elementOf(world.names);
-						   const int what = *rc::gen::inRange(0, 12);
-						   if (what == 0 && world.desks.size() > 1)
-						   {
-							   world.desks.erase(node); // Killed: says nothing any more.
-							   world.open[node].clear();
-						   }
-						   else if (what == 1 && world.desks.count(node) == 0)
-						   {
-							   world.start(node);
-						   }
-						   else if (what < 8 && world.desks.count(node) > 0)
-						   {
-							   const std::uint64_t number = ++world.lastOrder;
-							   world.open[node].insert(number);
-							   world.take(node,
-										  world.desks.at(node).order("pool", {order(number, world.now)}, world.now));
-						   }
-						   world.step(loss);
-					   }
-					   for (int step = 0; step < 600; ++step)
-					   {
-						   world.step(0.0);
-					   }
-					   for (const auto& entry : world.open)
-					   {
-						   RC_ASSERT(entry.second.empty());
-					   }
-				   });
+	checkHistories(
+		"schedulers",
+		[]
+		{
+			SchedulerWorld world(4);
+			const double loss = *rc::gen::elementOf(std::vector<double>{0.0, 0.2});
+			const int steps = *rc::gen::inRange(1, 40);
+			for (int step = 0; step < steps; ++step)
+			{
+				const std::string node = *rc::gen::elementOf(world.names);
+				const int what = *rc::gen::inRange(0, 12);
+				if (what == 0 && world.schedulers.size() > 1)
+				{
+					world.schedulers.erase(node); // Killed: says nothing any more.
+					world.open[node].clear();
+				}
+				else if (what == 1 && world.schedulers.count(node) == 0)
+				{
+					world.start(node);
+				}
+				else if (what < 8 && world.schedulers.count(node) > 0)
+				{
+					const std::uint64_t number = ++world.lastOrder;
+					world.open[node].insert(number);
+					world.take(node, world.schedulers.at(node).order("pool", {order(number, world.now)}, world.now));
+				}
+				world.step(loss);
+			}
+			for (int step = 0; step < 600; ++step)
+			{
+				world.step(0.0);
+			}
+			for (const auto& entry : world.open)
+			{
+				RC_ASSERT(entry.second.empty());
+			}
+		});
 }
 
-Test(desks, nodes_that_see_the_same_members_choose_the_same_node)
+Test(schedulers, nodes_that_see_the_same_members_choose_the_same_node)
 {
 	const std::vector<std::string> members = {"10.0.1.1:1", "10.0.1.2:1", "10.0.1.3:1"};
 	std::vector<std::string> reversed(members.rbegin(), members.rend());
--- a/tools/roadferry.cpp
+++ b/tools/roadferry.cpp
@@ -6,7 +6,7 @@
 /// @file
 /// roadferry: the operator's command line.
 
-#include "log_story.h"
+#include "log_timeline.h"
 #include "row_csv.h"
 #include "settings.h"
 
@@ -58,7 +58,7 @@
   status                 the node: table, membership, shares, requests
   drain                  planned stop of that node
   explain REQUEST        what happened to a request, by its ticket
-  explain logs ID        the story of a forwarded request, from the nodes' log lines on standard input
+  explain logs ID        the timeline of a forwarded request, from the nodes' log lines on standard input
   settings check         check the daemon's settings given by flags and environment
 
 exit codes: 0 done, 1 refused, 2 usage, 3 daemon not reached, 4 outcome of an edit unknown, 5 table diff found changes
@@ -381,15 +381,15 @@
 	return kOk;
 }
 
-/// Joins the log lines on standard input into the story of one request.
+/// Joins the log lines on standard input into the timeline of one request.
 int explainLogs(const std::string& _request)
 {
-	const std::vector<std::string> story = storyOf(_request, std::cin);
-	for (const std::string& line : story)
+	const std::vector<std::string> timeline = timelineOf(_request, std::cin);
+	for (const std::string& line : timeline)
 	{
 		std::cout << line << "\n";
 	}
-	if (story.empty())
+	if (timeline.empty())
 	{
 		std::cerr << "roadferry: no line of the logs names " << _request << "\n";
 		return kRefused;
