Refuse requests whose stages are not done in 0.45 of their client's patience

Ruled out: lost pieces or a scheduler that fell silent; the held requests' pieces were waiting, past their due time. Change: Route::eventPatience from the adapter; a request that was not sent is refused (true: it has not run) when its stages take more than 0.45 of that.

--- a/include/roadferry/parts/routes.h
+++ b/include/roadferry/parts/routes.h
@@ -56,6 +56,7 @@
 	Micros timeLimit = 30 * kSecond; ///< From the request's arrival to its final answer.
 	Micros target = kSecond;         ///< Time to the answer, or to a stream's first event, that users are content with.
 	Micros pause = 0;                ///< Longest pause between two events of a stream that users are content with.
+	Micros eventPatience = 0;        ///< Clients leave a stream that sends nothing for so long; 0 when not told.
 	bool operator==(const Route&) const = default;
 };
 
--- a/src/forward_active.h
+++ b/src/forward_active.h
@@ -35,6 +35,7 @@
 	std::int64_t priority = 0;
 	Micros arrived = 0;
 	Micros giveUpAt = 0;
+	Micros stagesUntil = 0; ///< Given up if its stages are not done by then.
 	ForwardAnswer answer;
 	StageGraph graph;
 	std::map<std::string, std::string> domainOf; ///< Failure domain of each result.
--- a/src/forward_stages.cpp
+++ b/src/forward_stages.cpp
@@ -141,7 +141,7 @@
 	order.name = _piece;
 	order.key = stage.after.empty() ? _active.request.pieceKey : std::string();
 	order.inputs = _active.graph.inputsOf(_piece.stage);
-	order.deadline = _active.giveUpAt - after;
+	order.deadline = std::min(_active.stagesUntil - this->timeAfter(_active, _piece.stage), _active.giveUpAt - after);
 	order.due = _active.arrived + _active.route.target - after;
 	order.priority = _active.priority;
 	order.resultBytes = stage.resultBytes;
@@ -239,6 +239,11 @@
 	_active->remakes += 1;
 	_active->inputsFreed = false;
 	_active->submitted = false;
+	this->deadlines.erase({_active->stagesUntil, _active->id});
+	if (_active->attempts > 0)
+	{
+		_active->stagesUntil = _active->giveUpAt; // Once it was sent, a refusal could no longer say that it was not.
+	}
 	const std::vector<std::uint64_t> orders(_active->orders.begin(), _active->orders.end());
 	_active->orders.clear();
 	for (const std::uint64_t order : orders)
@@ -248,7 +253,7 @@
 	this->pieces.cancel(orders);
 	this->pieces.free(_active->graph.takeAll());
 	_active->graph = StageGraph(_active->route.stages, _active->request.pieceCounts);
-	this->deadlines.emplace(_active->giveUpAt, _active->id);
+	this->deadlines.emplace(_active->stagesUntil, _active->id);
 	this->orderPieces(_active);
 }
 
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -31,6 +31,9 @@
 constexpr Micros kComeBackSoonest = kSecond;
 constexpr Micros kComeBackLatest = 4 * kSecond; ///< Clients wait for up to a third of their time, which is 15 s mostly.
 constexpr double kMicrosPerSecond = 1e6;
+/// Part of a client's patience after which a request whose stages are not done is refused: what is left must be enough
+/// for another try, and a client that is kept for longer could have gone elsewhere.
+constexpr double kStagesShare = 0.45;
 constexpr unsigned kUnauthorized = 401;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kBadRequest = 400;
@@ -217,6 +220,8 @@
 	active->priority = workspace != nullptr ? workspace->priority.value_or(route->priority) : route->priority;
 	active->arrived = now;
 	active->giveUpAt = now + limit;
+	const Micros patience = route->eventPatience > 0 ? std::min(limit, route->eventPatience) : limit;
+	active->stagesUntil = now + static_cast<Micros>(kStagesShare * static_cast<double>(patience));
 	this->begin(active);
 }
 
@@ -224,7 +229,7 @@
 {
 	this->actives.emplace(_active->id, _active);
 	this->activeCount = this->actives.size();
-	this->deadlines.emplace(_active->giveUpAt, _active->id);
+	this->deadlines.emplace(_active->stagesUntil, _active->id);
 	logEvent("request", "admitted",
 			 {{"request", _active->request.id},
 			  {"route", _active->route.name},
@@ -271,7 +276,7 @@
 void ForwardTraffic::submit(const ActivePointer& _active)
 {
 	_active->submitted = true;
-	this->deadlines.erase({_active->giveUpAt, _active->id});
+	this->deadlines.erase({_active->stagesUntil, _active->id});
 	const Route& route = _active->route;
 	RequestSpec spec{_active->id,
 					 _active->workspace,
@@ -473,7 +478,7 @@
 		this->pieceOrders.erase(order);
 	}
 	_active->orders.clear();
-	this->deadlines.erase({_active->giveUpAt, _active->id});
+	this->deadlines.erase({_active->stagesUntil, _active->id});
 	this->actives.erase(_active->id);
 	this->activeCount = this->actives.size();
 	if (!orders.empty())
