Let requests in at the node that forms the first stage's batches

Nodes with few requests often knew no queue at all. Change: the first pieces of a request carry what it will ask of each pool and how long it may wait in all; the node that forms the first stage's batches keeps a backlog for each pool and refuses what cannot be in time. Clients are told to come back over the second half of the wait they accept.

--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -9,6 +9,7 @@
 #ifndef ROADFERRY_PARTS_BATCHES_H_HEADER_GUARD
 #define ROADFERRY_PARTS_BATCHES_H_HEADER_GUARD
 
+#include <roadferry/parts/admission.h>
 #include <roadferry/parts/endpoints.h>
 #include <roadferry/parts/routes.h>
 
@@ -118,7 +119,8 @@
 	InputGone,  ///< A result that it works on is gone.
 	NoRoom,     ///< The endpoint has no room for its result.
 	NoEndpoint, ///< No endpoint could be reached.
-	Error       ///< The endpoint failed.
+	Error,      ///< The endpoint failed.
+	Crowded     ///< Its request was not let in: it could not be in time.
 };
 
 std::string_view nameOf(PieceFault _fault);
@@ -230,11 +232,11 @@
 	/// A result is not needed any more: its endpoint has room again.
 	void freed(const std::string& _handle);
 
-	/// @returns Predicted time until a piece that was added now would be made; nothing for a pool without pieces.
-	[[nodiscard]] std::optional<Micros> predictedTime(const std::string& _pool, Micros _now) const;
+	/// @returns Predicted time until a piece that was added now would be in a call; nothing for a pool without pieces.
+	[[nodiscard]] std::optional<Micros> waitTime(const std::string& _pool, Micros _now) const;
 
-	/// @returns Predicted time for each pool that makes pieces.
-	[[nodiscard]] std::map<std::string, Micros> predictedTimes(Micros _now) const;
+	/// @returns That time for each pool that makes pieces.
+	[[nodiscard]] std::map<std::string, Micros> waitTimes(Micros _now) const;
 
 	/// @returns Pieces that wait for a call.
 	[[nodiscard]] std::size_t waiting(const std::string& _pool) const;
@@ -333,7 +335,8 @@
 struct PieceAsk
 {
 	std::string pool;
-	std::vector<PieceOrder> orders; ///< With deadline and due counted from the sending.
+	std::vector<PieceOrder> orders;          ///< With deadline and due counted from the sending.
+	std::optional<AdmissionTerms> admission; ///< Set for the first pieces of a request.
 	bool operator==(const PieceAsk&) const = default;
 };
 
@@ -343,7 +346,7 @@
 	std::vector<PieceStarted> started;
 	std::vector<PieceMade> made;
 	std::vector<PieceFailed> failed;
-	std::map<std::string, Micros> times; ///< Predicted time of a piece, for each pool whose batches the sender forms.
+	std::map<std::string, Micros> waits; ///< Predicted wait of a piece, for each pool whose batches the sender forms.
 	bool operator==(const PieceGive&) const = default;
 };
 
@@ -386,6 +389,7 @@
 struct PieceSchedulerConfig
 {
 	BatchConfig batches;
+	AdmissionConfig admission;
 	Micros keepaliveEvery = 250 * kMillisecond; ///< A node that holds pieces of others tells them so.
 	Micros silentAfter = 800 * kMillisecond;    ///< A node that does not is passed over: three times that, and some.
 	Micros handover = 2 * kSecond;              ///< After a change of members, two nodes may form batches for one pool.
@@ -410,7 +414,9 @@
 	void setMembers(const std::vector<std::string>& _members, Micros _now);
 
 	/// Has pieces of one pool made.
-	PieceActions order(const std::string& _pool, const std::vector<PieceOrder>& _orders, Micros _now);
+	/// @param[in] _admission Given with the first pieces of a request, which may then be refused as Crowded.
+	PieceActions order(const std::string& _pool, const std::vector<PieceOrder>& _orders,
+					   const std::optional<AdmissionTerms>& _admission, Micros _now);
 
 	/// Nobody wants these pieces any more.
 	PieceActions cancel(const std::vector<std::uint64_t>& _orders, Micros _now);
@@ -426,9 +432,6 @@
 	PieceActions batchEnded(std::uint64_t _batch, const BatchEnd& _end, Micros _now);
 	PieceActions tick(Micros _now);
 
-	/// @returns Predicted time until a piece that was ordered now would be made, as far as this node knows.
-	[[nodiscard]] Micros predictedTime(const std::string& _pool, Micros _now) const;
-
 	/// @returns The node that forms the pool's batches, as far as this one knows.
 	[[nodiscard]] std::string nodeOf(const std::string& _pool, Micros _now) const;
 
@@ -451,11 +454,13 @@
 
 	void makeHere(const std::string& _pool, const std::string& _peer, const PieceOrder& _order, Micros _now);
 	void send(const std::string& _to, PieceMessage _message, PieceActions& _actions);
-	void place(const std::string& _pool, const std::vector<PieceOrder>& _orders, Micros _now, PieceActions& _actions);
+	void place(const PieceAsk& _ask, Micros _now, PieceActions& _actions);
+	[[nodiscard]] bool admits(const PieceAsk& _ask, Micros _now);
 	void takeBatchActions(const BatchActions& _batch, Micros _now, PieceActions& _actions);
-	void onAsk(const std::string& _from, const PieceAsk& _ask, Micros _now);
+	void onAsk(const std::string& _from, const PieceAsk& _ask, Micros _now, PieceActions& _actions);
 	void onGive(const std::string& _from, const PieceGive& _give, Micros _now, PieceActions& _actions);
-	[[nodiscard]] std::map<std::string, Micros> ownTimes(Micros _now) const;
+	[[nodiscard]] std::map<std::string, Micros> ownWaits(Micros _now) const;
+	[[nodiscard]] Micros waitTime(const std::string& _pool, Micros _now) const;
 	void onDrop(const std::string& _from, const PieceDrop& _drop);
 	void freeHere(const std::vector<std::string>& _handles, PieceActions& _actions);
 	void takeBack(const std::string& _peer, Micros _now, PieceActions& _actions);
@@ -465,13 +470,14 @@
 	std::string self;
 	PieceSchedulerConfig config;
 	BatchMaker maker;
+	StageAdmission admission;
 	std::vector<std::string> members;
 	std::map<std::string, Micros> silentUntil;                               ///< Nodes that are passed over.
 	std::unordered_map<std::uint64_t, InHand> inHand;                        ///< By the number that the maker knows.
 	std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> numberOf; ///< The other way round.
 	std::map<std::uint64_t, Away> away;                                      ///< By order.
 	std::map<std::string, Micros> heardAt;                 ///< Nodes that have pieces of ours in hand.
-	std::map<std::string, std::pair<Micros, Micros>> told; ///< Times that others predicted, with when, by pool.
+	std::map<std::string, std::pair<Micros, Micros>> told; ///< Waits that others predicted, with when, by pool.
 	std::unordered_map<std::string, std::string> makerOf;  ///< Nodes that had results made for this one, by handle.
 	std::map<std::string, Micros> toldAt;                  ///< Nodes whose pieces are in hand here.
 	std::uint64_t lastNumber = 0;
--- a/src/batch_maker.cpp
+++ b/src/batch_maker.cpp
@@ -25,7 +25,7 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 5> kFaultNames = {"late", "input_gone", "no_room", "no_endpoint", "error"};
+constexpr std::array<std::string_view, 6> kFaultNames = {"late", "input_gone", "no_room", "no_endpoint", "error", "crowded"};
 constexpr double kSlownessSmoothing = 0.3;
 /// Which pieces of a queue one pass over it takes.
 enum class Picking
@@ -524,7 +524,7 @@
 	return actions;
 }
 
-std::optional<Micros> BatchMaker::predictedTime(const std::string& _pool, Micros _now) const
+std::optional<Micros> BatchMaker::waitTime(const std::string& _pool, Micros _now) const
 {
 	const auto found = this->pools.find(_pool);
 	if (found == this->pools.end() || found->second.limits.callTime <= 0)
@@ -555,20 +555,20 @@
 	const auto inTime = std::count_if(found->second.queue.begin(), found->second.queue.end(),
 									  [&](const Waiting& _waiting) { return _waiting.order.due > _now; });
 	const auto wait = static_cast<Micros>(static_cast<double>(inTime) / rate * static_cast<double>(kSecond));
-	return std::max(free.front() - _now, wait) + limits.callTime + limits.pieceTime;
+	return std::max(free.front() - _now, wait);
 }
 
-std::map<std::string, Micros> BatchMaker::predictedTimes(Micros _now) const
+std::map<std::string, Micros> BatchMaker::waitTimes(Micros _now) const
 {
-	std::map<std::string, Micros> times;
+	std::map<std::string, Micros> waits;
 	for (const auto& entry : this->pools)
 	{
-		if (const auto time = this->predictedTime(entry.first, _now))
+		if (const auto wait = this->waitTime(entry.first, _now))
 		{
-			times[entry.first] = *time;
+			waits[entry.first] = *wait;
 		}
 	}
-	return times;
+	return waits;
 }
 
 std::size_t BatchMaker::waiting(const std::string& _pool) const
--- a/src/forward_active.h
+++ b/src/forward_active.h
@@ -45,7 +45,8 @@
 	std::string homeDomain;                      ///< Failure domain of the endpoint that it will most likely go to.
 	bool inputsFreed = false;                    ///< Results that it needs were given back.
 	std::int64_t remakes = 0;
-	bool submitted = false; ///< The dispatcher has it.
+	bool admissionAsked = false; ///< Its first pieces were ordered.
+	bool submitted = false;      ///< The dispatcher has it.
 	std::int64_t attempts = 0;
 	std::uint64_t attempt = 0; ///< The one under way, 0 for none.
 	Micros attemptAt = 0;
--- a/src/forward_stages.cpp
+++ b/src/forward_stages.cpp
@@ -10,6 +10,8 @@
 #include "forward_active.h"
 #include "logging.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace roadferry
@@ -18,34 +20,18 @@
 namespace
 {
 
-/// Part of the target within which the first event has to be predicted for a request to be admitted.
-constexpr double kAdmitShare = 1.0;
+/// Part of a call that is filled in a pool that is busy but not crowded.
+constexpr double kUsualFill = 0.5;
+constexpr double kComeBackAccepted = 1.0 / 3; ///< Part of their time that clients wait when told to come back.
+constexpr double kComeBackEarliest = 0.5;     ///< Parts of that wait.
+constexpr double kComeBackLatest = 0.95;
+constexpr std::uint64_t kComeBackSteps = 1'000;
 constexpr double kFirstEventSmoothing = 0.05;
 constexpr Micros kFirstEventGuess = 300 * kMillisecond; ///< Until one was measured.
 constexpr std::int64_t kLargeResult = 100'000;          ///< Bytes from which on it matters where a result lies.
 
 } // namespace
 
-/// Predicted time until all pieces are made, the longest way through the stages.
-Micros ForwardTraffic::predictedStages(const Active& _active) const
-{
-	const std::vector<RouteStage>& stages = _active.route.stages;
-	std::vector<Micros> done(stages.size(), 0);
-	Micros longest = 0;
-	for (std::size_t stage = 0; stage < stages.size(); ++stage)
-	{
-		Micros begin = 0;
-		for (const std::size_t before : stages[stage].after)
-		{
-			begin = std::max(begin, done[before]);
-		}
-		const bool leftOut = _active.graph.handlesOf(stage).empty();
-		done[stage] = begin + (leftOut ? 0 : this->pieces.predictedTime(stages[stage].pool));
-		longest = std::max(longest, done[stage]);
-	}
-	return longest;
-}
-
 void ForwardTraffic::measureFirstEvent(const Active& _active)
 {
 	const Micros first = _active.answer.times().firstAt;
@@ -64,13 +50,16 @@
 	return found == this->firstEventTimes.end() ? kFirstEventGuess : static_cast<Micros>(found->second);
 }
 
-/// Whether a request should be told to come back, since it would miss its target now.
-bool ForwardTraffic::comesTooLate(const Active& _active, Micros _predicted) const
+/// Predicted time of a stage's own call, in a pool that is busy but not crowded; nothing for a stage that is left out.
+Micros ForwardTraffic::callTime(const Active& _active, std::size_t _stage) const
 {
-	// One that comes with less time than its route gives has most likely been turned away before.
-	const bool first = _active.giveUpAt - _active.arrived > _active.route.timeLimit * 9 / 10;
-	const auto limit = static_cast<Micros>(kAdmitShare * static_cast<double>(_active.route.target));
-	return first && _predicted + this->firstEventTime(_active.pool) > limit;
+	const PoolSpec* pool = _active.plan->pool(_active.route.stages[_stage].pool);
+	if (pool == nullptr || !pool->batches || _active.graph.handlesOf(_stage).empty())
+	{
+		return 0;
+	}
+	const double pieces = kUsualFill * static_cast<double>(pool->batches->batch);
+	return pool->batches->callTime + static_cast<Micros>(pieces * static_cast<double>(pool->batches->pieceTime));
 }
 
 /// Predicted time from the end of a stage until the request itself can be sent.
@@ -80,17 +69,55 @@
 	const std::vector<RouteStage>& stages = _active.route.stages;
 	for (std::size_t next = 0; next < stages.size(); ++next)
 	{
-		if (std::find(stages[next].after.begin(), stages[next].after.end(), _stage) == stages[next].after.end())
+		if (std::find(stages[next].after.begin(), stages[next].after.end(), _stage) != stages[next].after.end())
 		{
-			continue;
+			longest = std::max(longest, this->callTime(_active, next) + this->timeAfter(_active, next));
 		}
-		const PoolSpec* pool = _active.plan->pool(stages[next].pool);
-		const Micros call = pool != nullptr && pool->batches ? pool->batches->callTime : 0;
-		longest = std::max(longest, call + this->timeAfter(_active, next));
 	}
 	return longest;
 }
 
+/// What a request needs of its pools to be in time. Its first pieces go out with it.
+AdmissionTerms ForwardTraffic::termsOf(const Active& _active) const
+{
+	AdmissionTerms terms;
+	Micros longest = 0;
+	const std::vector<RouteStage>& stages = _active.route.stages;
+	for (std::size_t stage = 0; stage < stages.size(); ++stage)
+	{
+		const auto pieces = static_cast<std::int64_t>(_active.graph.handlesOf(stage).size());
+		if (pieces == 0)
+		{
+			continue;
+		}
+		longest = std::max(longest, this->callTime(_active, stage) + this->timeAfter(_active, stage));
+		const auto known = std::find_if(terms.demand.begin(), terms.demand.end(),
+										[&](const PoolDemand& _demand) { return _demand.pool == stages[stage].pool; });
+		if (known == terms.demand.end())
+		{
+			terms.demand.push_back(PoolDemand{stages[stage].pool, pieces});
+		}
+		else
+		{
+			known->pieces += pieces;
+		}
+	}
+	terms.waitMost = _active.route.target - longest - this->firstEventTime(_active.pool);
+	// One that comes with less time than its route gives has most likely been turned away before: it is served.
+	terms.refusable = _active.giveUpAt - _active.arrived > _active.route.timeLimit * 9 / 10;
+	return terms;
+}
+
+/// When a request that was not let in should come back: spread over what its client accepts, so that those of one burst
+/// do not come back together, and most of them after it.
+Micros ForwardTraffic::comeBackAfter(const Active& _active)
+{
+	const double latest = static_cast<double>(_active.giveUpAt - _active.arrived) * kComeBackAccepted;
+	const std::uint64_t draw = XXH3_64bits(_active.request.id.data(), _active.request.id.size()) % kComeBackSteps;
+	const double part = static_cast<double>(draw) / static_cast<double>(kComeBackSteps);
+	return static_cast<Micros>(latest * (kComeBackEarliest + (kComeBackLatest - kComeBackEarliest) * part));
+}
+
 /// Bytes that cross between a stage's results and those who work on them: each of their pieces fetches all results.
 std::int64_t ForwardTraffic::bytesOnward(const Active& _active, std::size_t _stage) const
 {
@@ -151,6 +178,8 @@
 
 void ForwardTraffic::orderPieces(const ActivePointer& _active)
 {
+	const bool first = !std::exchange(_active->admissionAsked, true);
+	std::optional<AdmissionTerms> terms = first ? std::optional(this->termsOf(*_active)) : std::nullopt;
 	std::map<std::string, std::vector<PieceOrder>> byPool;
 	for (const PieceName& piece : _active->graph.takeReady())
 	{
@@ -168,7 +197,7 @@
 				  {"pieces", entry.second.size()},
 				  {"first_stage", entry.second.front().name.stage},
 				  {"waited_ms", (monotonicNow() - _active->arrived) / kMillisecond}});
-		this->pieces.order(entry.first, entry.second);
+		this->pieces.order(entry.first, entry.second, std::exchange(terms, std::nullopt));
 	}
 }
 
@@ -229,6 +258,12 @@
 		this->remake(active);
 		return;
 	}
+	if (_failed.fault == PieceFault::Crowded)
+	{
+		// Later, when the backlog has gone down, it can still be in time; now it would be late, and hold others up.
+		this->giveUp(active, Reason::WouldBeLate, comeBackAfter(*active));
+		return;
+	}
 	const bool late = _failed.fault == PieceFault::Late;
 	this->giveUp(active, late ? Reason::WouldBeLate : Reason::NoEndpoint, kRetrySoon);
 }
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -28,8 +28,6 @@
 constexpr Micros kDefaultPatience = 60 * kSecond;      ///< Of clients that do not say how long they wait.
 /// Until an endpoint that takes a request at once has fetched its inputs: 1 ms for each 800 kB, and the way there.
 constexpr Micros kFetchTime = 150 * kMillisecond;
-constexpr Micros kComeBackSoonest = kSecond;
-constexpr Micros kComeBackLatest = 4 * kSecond; ///< Clients wait for up to a third of their time, which is 15 s mostly.
 constexpr double kMicrosPerSecond = 1e6;
 /// Part of a client's patience after which a request whose stages are not done is refused: what is left must be enough
 /// for another try, and a client that is kept for longer could have gone elsewhere.
@@ -252,18 +250,6 @@
 		this->submit(_active);
 		return;
 	}
-	const Micros predicted = this->predictedStages(*_active);
-	if (this->comesTooLate(*_active, predicted))
-	{
-		// Later, when the queue has gone down, it can still be in time; now it would be late, and hold others up.
-		logEvent("request", "predicted_late",
-				 {{"request", _active->request.id},
-				  {"stages_ms", predicted / kMillisecond},
-				  {"first_event_ms", this->firstEventTime(_active->pool) / kMillisecond},
-				  {"target_ms", _active->route.target / kMillisecond}});
-		this->giveUp(_active, Reason::WouldBeLate, std::clamp(predicted, kComeBackSoonest, kComeBackLatest));
-		return;
-	}
 	this->orderPieces(_active);
 }
 
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -69,6 +69,7 @@
 	[[nodiscard]] PieceOrder orderOf(const Active& _active, const PieceName& _piece) const;
 	[[nodiscard]] std::int64_t bytesOnward(const Active& _active, std::size_t _stage) const;
 	[[nodiscard]] std::string domainFor(const Active& _active, std::size_t _stage) const;
+	[[nodiscard]] Micros callTime(const Active& _active, std::size_t _stage) const;
 	[[nodiscard]] Micros timeAfter(const Active& _active, std::size_t _stage) const;
 	void pieceStarted(const PieceStarted& _started);
 	void pieceMade(const PieceMade& _made);
@@ -76,8 +77,8 @@
 	void remake(const ActivePointer& _active);
 	void measureFirstEvent(const Active& _active);
 	[[nodiscard]] Micros firstEventTime(const std::string& _pool) const;
-	[[nodiscard]] Micros predictedStages(const Active& _active) const;
-	[[nodiscard]] bool comesTooLate(const Active& _active, Micros _predicted) const;
+	[[nodiscard]] AdmissionTerms termsOf(const Active& _active) const;
+	[[nodiscard]] static Micros comeBackAfter(const Active& _active);
 	void freeInputs(const ActivePointer& _active);
 	void submit(const ActivePointer& _active);
 	[[nodiscard]] std::string domainOfResults(const Active& _active) const;
--- a/src/piece_messages.cpp
+++ b/src/piece_messages.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr std::int64_t kFaults = 5;
+constexpr std::int64_t kFaults = 6;
 constexpr qsizetype kOrderFields = 11;
 
 std::vector<std::string> textsOf(const QCborArray& _array)
@@ -68,7 +68,19 @@
 	{
 		orders.append(orderToCbor(order));
 	}
-	return QCborMap{{"type", "piece_ask"}, {"pool", text(_message.pool)}, {"orders", orders}};
+	QCborMap map{{"type", "piece_ask"}, {"pool", text(_message.pool)}, {"orders", orders}};
+	if (_message.admission)
+	{
+		QCborArray demand;
+		for (const PoolDemand& pool : _message.admission->demand)
+		{
+			demand.append(QCborArray{text(pool.pool), static_cast<qint64>(pool.pieces)});
+		}
+		map.insert(QStringLiteral("wait_most"), static_cast<qint64>(_message.admission->waitMost));
+		map.insert(QStringLiteral("refusable"), _message.admission->refusable);
+		map.insert(QStringLiteral("demand"), demand);
+	}
+	return map;
 }
 
 QCborMap toCbor(const PieceGive& _message)
@@ -88,12 +100,12 @@
 	{
 		failed.append(QCborArray{static_cast<qint64>(piece.order), static_cast<qint64>(piece.fault)});
 	}
-	QCborMap times;
-	for (const auto& entry : _message.times)
+	QCborMap waits;
+	for (const auto& entry : _message.waits)
 	{
-		times.insert(text(entry.first), static_cast<qint64>(entry.second));
+		waits.insert(text(entry.first), static_cast<qint64>(entry.second));
 	}
-	return QCborMap{{"type", "piece_give"}, {"started", started}, {"made", made}, {"failed", failed}, {"times", times}};
+	return QCborMap{{"type", "piece_give"}, {"started", started}, {"made", made}, {"failed", failed}, {"waits", waits}};
 }
 
 QCborMap toCbor(const PieceDrop& _message)
@@ -111,6 +123,23 @@
 	return QCborMap{{"type", "piece_free"}, {"handles", textArray(_message.handles)}};
 }
 
+/// Set only in the first ask for a request.
+static std::optional<AdmissionTerms> readTerms(CborReader& _reader)
+{
+	if (_reader.value("demand").isUndefined())
+	{
+		return std::nullopt;
+	}
+	AdmissionTerms terms;
+	terms.waitMost = _reader.integer("wait_most");
+	terms.refusable = _reader.boolean("refusable");
+	for (const QCborArray& fields : _reader.arrays("demand", 2))
+	{
+		terms.demand.push_back(PoolDemand{fields.at(0).toString().toStdString(), fields.at(1).toInteger()});
+	}
+	return terms;
+}
+
 PieceAsk readPieceAsk(CborReader& _reader)
 {
 	PieceAsk message;
@@ -119,6 +148,7 @@
 	{
 		message.orders.push_back(orderFromCbor(fields));
 	}
+	message.admission = readTerms(_reader);
 	return message;
 }
 
@@ -139,7 +169,7 @@
 		message.failed.push_back(PieceFailed{static_cast<std::uint64_t>(fields.at(0).toInteger()),
 											 static_cast<PieceFault>(_reader.below(fields.at(1), kFaults, "failed"))});
 	}
-	message.times = _reader.numbers("times");
+	message.waits = _reader.numbers("waits");
 	return message;
 }
 
--- a/src/piece_runner.cpp
+++ b/src/piece_runner.cpp
@@ -84,9 +84,10 @@
 	this->scheduler.setMembers(_members, monotonicNow());
 }
 
-void PieceRunner::order(const std::string& _pool, const std::vector<PieceOrder>& _orders)
+void PieceRunner::order(const std::string& _pool, const std::vector<PieceOrder>& _orders,
+						const std::optional<AdmissionTerms>& _admission)
 {
-	this->perform(this->scheduler.order(_pool, _orders, monotonicNow()));
+	this->perform(this->scheduler.order(_pool, _orders, _admission, monotonicNow()));
 }
 
 void PieceRunner::cancel(const std::vector<std::uint64_t>& _orders)
@@ -129,11 +130,6 @@
 	this->sendFrees();
 }
 
-Micros PieceRunner::predictedTime(const std::string& _pool) const
-{
-	return this->scheduler.predictedTime(_pool, monotonicNow());
-}
-
 void PieceRunner::perform(const PieceActions& _actions)
 {
 	for (const PieceAction& action : _actions)
--- a/src/piece_runner.h
+++ b/src/piece_runner.h
@@ -33,7 +33,8 @@
 	void setEndpoints(const std::vector<Endpoint>& _endpoints);
 	void setMembers(const std::vector<std::string>& _members);
 
-	void order(const std::string& _pool, const std::vector<PieceOrder>& _orders);
+	void order(const std::string& _pool, const std::vector<PieceOrder>& _orders,
+			   const std::optional<AdmissionTerms>& _admission);
 	void cancel(const std::vector<std::uint64_t>& _orders);
 
 	/// Results are not needed any more. They are collected until the next tick.
@@ -43,8 +44,6 @@
 	void peerClosed(const std::string& _peer);
 	void tick();
 
-	[[nodiscard]] Micros predictedTime(const std::string& _pool) const;
-
 private:
 	void perform(const PieceActions& _actions);
 	void start(const StartBatch& _batch);
--- a/src/piece_scheduler.cpp
+++ b/src/piece_scheduler.cpp
@@ -15,18 +15,20 @@
 {
 
 PieceScheduler::PieceScheduler(std::string _self, PieceSchedulerConfig _config)
-	: self(std::move(_self)), config(_config), maker(_config.batches), members({self})
+	: self(std::move(_self)), config(_config), maker(_config.batches), admission(_config.admission), members({self})
 {
 }
 
 void PieceScheduler::setPools(const std::vector<PoolSpec>& _pools)
 {
 	this->maker.setPools(_pools);
+	this->admission.setPools(_pools);
 }
 
 void PieceScheduler::setEndpoints(const std::vector<Endpoint>& _endpoints)
 {
 	this->maker.setEndpoints(_endpoints);
+	this->admission.setEndpoints(_endpoints);
 }
 
 void PieceScheduler::setMembers(const std::vector<std::string>& _members, Micros _now)
@@ -67,22 +69,44 @@
 	_actions.emplace_back(SendPieceMessage{_to, std::move(_message)});
 }
 
-void PieceScheduler::place(const std::string& _pool, const std::vector<PieceOrder>& _orders, Micros _now,
-						   PieceActions& _actions)
+/// Whether the request of these pieces is let in; only its first pieces are asked for with terms.
+bool PieceScheduler::admits(const PieceAsk& _ask, Micros _now)
 {
-	const std::string node = this->nodeOf(_pool, _now);
+	if (!_ask.admission)
+	{
+		return true;
+	}
+	std::map<std::string, Micros> waits;
+	for (const PoolDemand& demand : _ask.admission->demand)
+	{
+		waits[demand.pool] = this->waitTime(demand.pool, _now);
+	}
+	return this->admission.admit(*_ask.admission, waits, _now);
+}
+
+void PieceScheduler::place(const PieceAsk& _ask, Micros _now, PieceActions& _actions)
+{
+	const std::string node = this->nodeOf(_ask.pool, _now);
 	if (node == this->self)
 	{
-		for (const PieceOrder& order : _orders)
+		const bool admitted = this->admits(_ask, _now);
+		for (const PieceOrder& order : _ask.orders)
 		{
-			this->makeHere(_pool, {}, order, _now);
+			if (admitted)
+			{
+				this->makeHere(_ask.pool, {}, order, _now);
+			}
+			else
+			{
+				_actions.emplace_back(PieceFailed{order.order, PieceFault::Crowded});
+			}
 		}
 		return;
 	}
-	PieceAsk ask{_pool, _orders};
+	PieceAsk ask = _ask;
 	for (PieceOrder& order : ask.orders)
 	{
-		this->away[order.order] = Away{node, _pool, order};
+		this->away[order.order] = Away{node, ask.pool, order};
 		order.deadline -= _now;
 		order.due -= _now;
 	}
@@ -90,10 +114,11 @@
 	this->send(node, std::move(ask), _actions);
 }
 
-PieceActions PieceScheduler::order(const std::string& _pool, const std::vector<PieceOrder>& _orders, Micros _now)
+PieceActions PieceScheduler::order(const std::string& _pool, const std::vector<PieceOrder>& _orders,
+								   const std::optional<AdmissionTerms>& _admission, Micros _now)
 {
 	PieceActions actions;
-	this->place(_pool, _orders, _now, actions);
+	this->place(PieceAsk{_pool, _orders, _admission}, _now, actions);
 	this->takeBatchActions(this->maker.tick(_now), _now, actions);
 	return actions;
 }
@@ -178,8 +203,18 @@
 	return actions;
 }
 
-void PieceScheduler::onAsk(const std::string& _from, const PieceAsk& _ask, Micros _now)
+void PieceScheduler::onAsk(const std::string& _from, const PieceAsk& _ask, Micros _now, PieceActions& _actions)
 {
+	if (!this->admits(_ask, _now))
+	{
+		PieceGive refusal;
+		for (const PieceOrder& order : _ask.orders)
+		{
+			refusal.failed.push_back(PieceFailed{order.order, PieceFault::Crowded});
+		}
+		this->send(_from, std::move(refusal), _actions);
+		return;
+	}
 	this->toldAt.try_emplace(_from, _now);
 	for (const PieceOrder& asked : _ask.orders)
 	{
@@ -217,7 +252,7 @@
 	{
 		this->send(_from, std::move(unwanted), _actions);
 	}
-	for (const auto& entry : _give.times)
+	for (const auto& entry : _give.waits)
 	{
 		this->told[entry.first] = {entry.second, _now};
 	}
@@ -242,7 +277,7 @@
 	}
 	std::visit(
 		Overloaded{
-			[&](const PieceAsk& _ask) { this->onAsk(_from, _ask, _now); },
+			[&](const PieceAsk& _ask) { this->onAsk(_from, _ask, _now, actions); },
 			[&](const PieceGive& _give) { this->onGive(_from, _give, _now, actions); },
 			[&](const PieceDrop& _drop) { this->onDrop(_from, _drop); },
 			[&](const PieceFree& _free) { this->freeHere(_free.handles, actions); },
@@ -269,7 +304,7 @@
 	}
 	for (const auto& entry : again)
 	{
-		this->place(entry.first, entry.second, _now, _actions);
+		this->place(PieceAsk{entry.first, entry.second, std::nullopt}, _now, _actions);
 	}
 }
 
@@ -351,7 +386,7 @@
 	for (auto& entry : gives)
 	{
 		this->toldAt[entry.first] = _now;
-		entry.second.times = this->ownTimes(_now);
+		entry.second.waits = this->ownWaits(_now);
 		this->send(entry.first, std::move(entry.second), _actions);
 	}
 }
@@ -385,12 +420,12 @@
 	}
 }
 
-/// Predicted times of the pools whose batches this node forms.
-std::map<std::string, Micros> PieceScheduler::ownTimes(Micros _now) const
+/// Predicted waits at the pools whose batches this node forms.
+std::map<std::string, Micros> PieceScheduler::ownWaits(Micros _now) const
 {
-	std::map<std::string, Micros> times = this->maker.predictedTimes(_now);
-	std::erase_if(times, [&](const auto& _entry) { return this->nodeOf(_entry.first, _now) != this->self; });
-	return times;
+	std::map<std::string, Micros> waits = this->maker.waitTimes(_now);
+	std::erase_if(waits, [&](const auto& _entry) { return this->nodeOf(_entry.first, _now) != this->self; });
+	return waits;
 }
 
 void PieceScheduler::sendKeepalives(Micros _now, PieceActions& _actions)
@@ -406,7 +441,7 @@
 		if (_now - entry.second >= this->config.keepaliveEvery)
 		{
 			entry.second = _now;
-			this->send(entry.first, PieceGive{{}, {}, {}, this->ownTimes(_now)}, _actions);
+			this->send(entry.first, PieceGive{{}, {}, {}, this->ownWaits(_now)}, _actions);
 		}
 	}
 }
@@ -420,16 +455,18 @@
 	return actions;
 }
 
-Micros PieceScheduler::predictedTime(const std::string& _pool, Micros _now) const
+/// Time until a piece would be in a call, as far as this node knows.
+Micros PieceScheduler::waitTime(const std::string& _pool, Micros _now) const
 {
 	const auto told = this->told.find(_pool);
 	const bool elsewhere = this->nodeOf(_pool, _now) != this->self;
-	if (elsewhere && told != this->told.end() && _now - told->second.second < this->config.toldLife)
+	if (!elsewhere)
 	{
-		return told->second.first;
+		return this->maker.waitTime(_pool, _now).value_or(0);
 	}
-	// Without news from the node that forms the batches, nobody is turned away for want of capacity.
-	return this->maker.predictedTime(_pool, elsewhere ? 0 : _now).value_or(0);
+	// Without news from the node that forms the batches nobody is turned away.
+	const bool fresh = told != this->told.end() && _now - told->second.second < this->config.toldLife;
+	return fresh ? told->second.first : 0;
 }
 
 } // namespace roadferry
