--- a/include/roadferry/parts/admission.h
+++ b/include/roadferry/parts/admission.h
@@ -42,7 +42,7 @@
 {
 	/// Part of a pool's nominal rate that it reaches: calls are not always full, and results wait for room.
 	/// From plays of busy days of both users (docs/design/platform.md).
-	double efficiency = 0.8;
+	double efficiency = 0.75;
 	bool operator==(const AdmissionConfig&) const = default;
 };
 
--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -452,6 +452,7 @@
 		PieceOrder order;
 	};
 
+	[[nodiscard]] bool isMember(const std::string& _node) const;
 	void makeHere(const std::string& _pool, const std::string& _peer, const PieceOrder& _order, Micros _now);
 	void send(const std::string& _to, PieceMessage _message, PieceActions& _actions);
 	void place(const PieceAsk& _ask, Micros _now, PieceActions& _actions);
--- a/src/forward_stages.cpp
+++ b/src/forward_stages.cpp
@@ -26,6 +26,8 @@
 constexpr double kComeBackEarliest = 0.5;     ///< Parts of that wait.
 constexpr double kComeBackLatest = 0.95;
 constexpr std::uint64_t kComeBackSteps = 1'000;
+/// How much sooner a request is refused for each step that it is less urgent, so that backlogs keep room for others.
+constexpr double kWaitLessByPriority = 0.5;
 constexpr double kFirstEventSmoothing = 0.05;
 constexpr Micros kFirstEventGuess = 300 * kMillisecond; ///< Until one was measured.
 constexpr std::int64_t kLargeResult = 100'000;          ///< Bytes from which on it matters where a result lies.
@@ -102,7 +104,9 @@
 			known->pieces += pieces;
 		}
 	}
-	terms.waitMost = _active.route.target - longest - this->firstEventTime(_active.pool);
+	const Micros slack = _active.route.target - longest - this->firstEventTime(_active.pool);
+	const double rank = static_cast<double>(std::max<std::int64_t>(0, _active.priority));
+	terms.waitMost = static_cast<Micros>(static_cast<double>(slack) / (1 + kWaitLessByPriority * rank));
 	// One that comes with less time than its route gives has most likely been turned away before: it is served.
 	terms.refusable = _active.giveUpAt - _active.arrived > _active.route.timeLimit * 9 / 10;
 	return terms;
--- a/src/piece_scheduler.cpp
+++ b/src/piece_scheduler.cpp
@@ -55,6 +55,11 @@
 	return candidates.empty() ? this->self : batchNodeOf(_pool, candidates);
 }
 
+bool PieceScheduler::isMember(const std::string& _node) const
+{
+	return std::find(this->members.begin(), this->members.end(), _node) != this->members.end();
+}
+
 void PieceScheduler::makeHere(const std::string& _pool, const std::string& _peer, const PieceOrder& _order, Micros _now)
 {
 	PieceOrder numbered = _order;
@@ -184,7 +189,9 @@
 		const auto found = this->makerOf.find(handle);
 		const auto silent =
 			found == this->makerOf.end() ? this->silentUntil.end() : this->silentUntil.find(found->second);
-		if (found == this->makerOf.end() || (silent != this->silentUntil.end() && silent->second > _now))
+		// A node that has left or fell silent would not pass it on, and the endpoint would keep the result for seconds.
+		const bool away = found != this->makerOf.end() && !this->isMember(found->second);
+		if (found == this->makerOf.end() || away || (silent != this->silentUntil.end() && silent->second > _now))
 		{
 			here.push_back(handle);
 		}
