Few nodes read the platform's store; the others hear from them

Weighed: a group in the store (calls for each node again), gossip of the listing (seconds of delay, no one to tell that it is stale), each reader telling all members (keepalives of 80 times readers). Change: of more than nine nodes half of the root of their number read, by rank; each other node asks one reader every 0.4 s and is told at once of what is new; the answers say how old the reading is. A node whose news are older than 1.5 s reads for itself until another reader's are fresh.

--- a/include/roadferry/parts/endpoints.h
+++ b/include/roadferry/parts/endpoints.h
@@ -39,6 +39,16 @@
 	bool operator==(const DirectoryConfig&) const = default;
 };
 
+/// What has changed in a directory since one of its revisions.
+struct DirectoryChanges
+{
+	std::uint64_t revision = 0;        ///< The directory's revision with these changes.
+	bool whole = false;                ///< Whether the endpoints below are all there are.
+	std::vector<Endpoint> listed;      ///< Endpoints that are new or have changed.
+	std::vector<std::string> unlisted; ///< Endpoints that have gone.
+	bool operator==(const DirectoryChanges&) const = default;
+};
+
 /// The endpoints of a listing that can be away: nothing is forgotten while it is, and what vanished meanwhile gets
 /// some time to come back. An endpoint that was once seen leaving stays so.
 class EndpointDirectory
@@ -69,6 +79,13 @@
 	/// @returns All endpoints that may be known to callers, those that are leaving marked so.
 	[[nodiscard]] std::vector<Endpoint> endpoints() const;
 
+	/// @param[in] _revision Revision that the asker holds, 0 for none.
+	/// @returns What it lacks.
+	[[nodiscard]] DirectoryChanges changesSince(std::uint64_t _revision) const;
+
+	/// Takes the changes of another node's directory, which has waited for entries to come back.
+	void take(const DirectoryChanges& _changes, Micros _now);
+
 	/// @returns Endpoints that were seen leaving or gone, for other nodes.
 	[[nodiscard]] const std::set<std::string>& leaving() const;
 
@@ -77,9 +94,14 @@
 
 private:
 	[[nodiscard]] bool inDoubt(Micros _now) const;
+	void drop(const std::string& _id);
 
 	DirectoryConfig config;
 	std::map<std::string, Endpoint> entries;
+	std::uint64_t revision = 0;                      ///< Counts changes.
+	std::map<std::string, std::uint64_t> changedAt;  ///< Revision of each entry's last change.
+	std::map<std::uint64_t, std::string> unlistedAt; ///< Entries that went, the latest ones.
+	std::uint64_t forgottenUpTo = 0;                 ///< Entries that went up to this revision are not known any more.
 	std::set<std::string> missing; ///< Entries that have gone while in doubt, and are dropped with its end.
 	std::set<std::string> left;
 	Micros lastRead = 0;
--- /dev/null
+++ b/include/roadferry/parts/feed_relay.h
@@ -0,0 +1,104 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Part of the public header: which nodes read the platform's topics, and which hear of them from another node.
+
+#ifndef ROADFERRY_PARTS_FEED_RELAY_H_HEADER_GUARD
+#define ROADFERRY_PARTS_FEED_RELAY_H_HEADER_GUARD
+
+#include <roadferry/parts/endpoints.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace roadferry
+{
+
+/// Asks a node that reads the platform's topics for what is new there, and for more as it comes.
+struct FeedAsk
+{
+	std::uint64_t version = 0;  ///< Version of the routes that the sender holds, 0 for none.
+	std::uint64_t source = 0;   ///< Directory whose revision the sender holds, 0 for none.
+	std::uint64_t revision = 0; ///< Of that directory.
+	bool operator==(const FeedAsk&) const = default;
+};
+
+/// What a node that reads the platform's topics holds beyond what was asked with.
+struct FeedNews
+{
+	std::string record;       ///< The routes as the platform keeps them; empty when the asker holds them.
+	std::uint64_t source = 0; ///< Random number of the sender's directory.
+	DirectoryChanges endpoints;
+	std::optional<Micros> readAge; ///< Since the sender read the listing well; nothing while it cannot read it.
+	bool operator==(const FeedNews&) const = default;
+};
+
+/// Times and counts of a FeedRelay.
+struct FeedRelayConfig
+{
+	std::size_t eachReadsUpTo = 9;             ///< Up to so many nodes each one reads for itself.
+	std::size_t readersLeast = 3;              ///< One can be cut off and one die, and one is left.
+	Micros askEvery = 400 * kMillisecond;        ///< Each question is answered: it is the keepalive as well.
+	Micros staleAfter = 1'500 * kMillisecond;  ///< Changes have to be in force 2 s after the platform has them.
+	Micros avoidFor = 5 * kSecond;             ///< A node whose news were stale is not asked.
+	Micros followerLife = 2'000 * kMillisecond; ///< A node that does not ask any more gets no news.
+	bool operator==(const FeedRelayConfig&) const = default;
+};
+
+/// What a FeedRelay wants done.
+struct FeedRelayStep
+{
+	bool readOwn = true; ///< Whether this node reads the platform's topics itself.
+	std::string ask;     ///< Node to ask for news, empty for none now.
+	bool operator==(const FeedRelayStep&) const = default;
+};
+
+/// Lets few nodes read the platform's topics for all. Each node that does not read asks one that does; as soon as its
+/// news are stale or stop, it reads for itself until another node's are fresh. Nodes that differ on who reads cost some
+/// calls to the platform, nothing else.
+class FeedRelay
+{
+public:
+	FeedRelay(std::string _self, FeedRelayConfig _config);
+
+	/// @param[in] _members Live nodes, this one among them.
+	void setMembers(const std::vector<std::string>& _members);
+
+	/// News have come.
+	/// @param[in] _readAge As the news have it.
+	void heard(const std::string& _from, const std::optional<Micros>& _readAge, Micros _now);
+
+	FeedRelayStep tick(Micros _now);
+
+	/// @returns The node that this one hears from, empty while it reads by its own turn.
+	[[nodiscard]] const std::string& source() const;
+
+	/// @returns Whether the last news said that their sender cannot read the platform's topics.
+	[[nodiscard]] bool sourceLost() const;
+
+private:
+	void chooseSource(Micros _now);
+
+	std::string self;
+	FeedRelayConfig config;
+	std::vector<std::string> readers;         ///< Nodes that read by turn.
+	std::map<std::string, Micros> avoidUntil; ///< Nodes whose news were stale.
+	std::string from;
+	bool lost = false;
+	Micros followedAt = 0;           ///< When the source was chosen.
+	std::optional<Micros> freshAt;   ///< When fresh news came from any source.
+	std::optional<Micros> askedAt;
+};
+
+/// @returns The nodes that read the platform's topics for all: the same on all nodes that see the same members.
+std::vector<std::string> feedReadersOf(const std::vector<std::string>& _members, const FeedRelayConfig& _config);
+
+} // namespace roadferry
+
+#endif // ROADFERRY_PARTS_FEED_RELAY_H_HEADER_GUARD
--- a/src/feed_loop.cpp
+++ b/src/feed_loop.cpp
@@ -39,11 +39,21 @@
 	QObject::connect(&this->timer, &QTimer::timeout, [this] { this->read(); });
 }
 
-void FeedLoop::start()
+void FeedLoop::start(bool _wasLost)
 {
+	this->turn += 1;
+	this->position.reset();
+	this->backoff = _wasLost ? kFirstBackoff : 0;
 	this->read();
 }
 
+void FeedLoop::stop()
+{
+	this->turn += 1;
+	this->backoff = 0;
+	this->timer.stop();
+}
+
 bool FeedLoop::known() const
 {
 	return this->everRead;
@@ -56,15 +66,24 @@
 
 void FeedLoop::read()
 {
+	const auto whenDone = [this, began = this->turn](bool _whole)
+	{
+		return [this, began, _whole](const absl::StatusOr<FeedPage>& _page)
+		{
+			if (began == this->turn)
+			{
+				this->done(_page, _whole);
+			}
+		};
+	};
 	if (!this->position)
 	{
-		this->feed.readWhole(this->topic, [this](const absl::StatusOr<FeedPage>& _page) { this->done(_page, true); });
+		this->feed.readWhole(this->topic, whenDone(true));
 		return;
 	}
 	// After a failure an answer at once says sooner that the platform is back.
 	const Micros wait = this->lost() ? 0 : this->pace.wait;
-	this->feed.readFrom(this->topic, *this->position, wait,
-						[this](const absl::StatusOr<FeedPage>& _page) { this->done(_page, false); });
+	this->feed.readFrom(this->topic, *this->position, wait, whenDone(false));
 }
 
 void FeedLoop::done(const absl::StatusOr<FeedPage>& _page, bool _whole)
--- a/src/feed_loop.h
+++ b/src/feed_loop.h
@@ -39,7 +39,12 @@
 public:
 	FeedLoop(Feed& _feed, FeedTopic _topic, FeedPace _pace, FeedHandlers _handlers);
 
-	void start();
+	/// Begins to read, from the whole of the topic.
+	/// @param[in] _wasLost Whether the platform was away until now, as far as is known.
+	void start(bool _wasLost);
+
+	/// Reads no more until the next start.
+	void stop();
 
 	/// @returns Whether the whole topic was read at least once.
 	[[nodiscard]] bool known() const;
@@ -58,6 +63,7 @@
 	FeedHandlers handlers;
 	QTimer timer;
 	std::optional<std::uint64_t> position; ///< Nothing until the whole was read.
+	std::uint64_t turn = 0;                ///< Counts starts and stops; answers to earlier ones are dropped.
 	Micros backoff = 0;
 	bool everRead = false;
 };
--- a/src/forward_control.cpp
+++ b/src/forward_control.cpp
@@ -39,7 +39,8 @@
 								{ this->onEndpoints(_changes, _whole, _wasLost); }}),
 	  directory(settings.directory),
 	  membership(settings.self, static_cast<std::uint64_t>(wallNanoseconds() / kNanosPerMicro), MembershipConfig{},
-				 randomNumber())
+				 randomNumber()),
+	  relay(settings.self, settings.relay), directoryId(randomNumber() >> 1) // CBOR's numbers have a sign.
 {
 	QObject::connect(&this->timer, &QTimer::timeout, [this] { this->tick(); });
 }
@@ -48,8 +49,7 @@
 {
 	this->membership.setSeeds(this->settings.seeds);
 	this->publishMembers();
-	this->routeLoop.start();
-	this->endpointLoop.start();
+	this->relayFeed(monotonicNow());
 	this->timer.start(kTickMs);
 }
 
@@ -84,6 +84,7 @@
 	this->planRecord = _read.record;
 	this->membership.setTableOffset(version);
 	this->traffic.setPlan(this->plan);
+	this->tellFollowers(monotonicNow());
 	this->onPlan(*this->plan);
 	logEvent("control", "routes_in_force",
 			 {{"version", version},
@@ -140,6 +141,7 @@
 void ForwardControl::publishEndpoints()
 {
 	this->traffic.setEndpoints(this->directory.endpoints());
+	this->tellFollowers(monotonicNow());
 }
 
 void ForwardControl::publishMembers()
@@ -150,6 +152,7 @@
 		return;
 	}
 	this->members = alive;
+	this->relay.setMembers(alive);
 	const auto nodes = static_cast<double>(std::max(kFewestNodes, alive.size()));
 	this->traffic.setMembers(alive);
 	this->traffic.setRetryBounds(this->settings.retryShare * kRetryCaution,
@@ -162,6 +165,7 @@
 	const Micros now = monotonicNow();
 	this->carry(this->membership.tick(now));
 	this->publishMembers();
+	this->relayFeed(now);
 	if (this->directory.expire(now))
 	{
 		this->publishEndpoints();
@@ -169,6 +173,106 @@
 	this->askPeers(now);
 }
 
+/// Reads the platform's topics, or asks a node that does.
+void ForwardControl::relayFeed(Micros _now)
+{
+	const FeedRelayStep step = this->relay.tick(_now);
+	if (step.readOwn != this->reading)
+	{
+		this->reading = step.readOwn;
+		logEvent("feed", step.readOwn ? "reads_itself" : "reads_through_peer",
+				 {{"peer", this->relay.source()},
+				  {"peer_lost_it", this->relay.sourceLost()},
+				  {"members", this->members.size()}});
+		if (step.readOwn)
+		{
+			this->sourceId = 0; // What is read meanwhile is not in the source's revisions.
+			this->routeLoop.start(this->relay.sourceLost());
+			this->endpointLoop.start(this->relay.sourceLost());
+		}
+		else
+		{
+			this->routeLoop.stop();
+			this->endpointLoop.stop();
+		}
+	}
+	if (!step.ask.empty())
+	{
+		const std::uint64_t version = this->plan == nullptr ? 0 : this->plan->data().version;
+		this->send(step.ask, FeedAsk{version, this->sourceId, this->sourceId == 0 ? 0 : this->sourceRevision});
+	}
+}
+
+void ForwardControl::onFeedAsk(const std::string& _peer, const FeedAsk& _ask)
+{
+	const Micros now = monotonicNow();
+	Follower& follower = this->followers[_peer];
+	follower.version = _ask.version;
+	follower.revision = _ask.source == this->directoryId ? _ask.revision : 0;
+	follower.until = now + this->settings.relay.followerLife;
+	this->tell(_peer, follower, now);
+}
+
+void ForwardControl::tell(const std::string& _peer, Follower& _follower, Micros _now)
+{
+	const bool reads = this->reading && !this->routeLoop.lost() && !this->endpointLoop.lost() && this->ready();
+	FeedNews news;
+	news.source = this->directoryId;
+	if (this->plan != nullptr && this->plan->data().version > _follower.version)
+	{
+		news.record = this->planRecord;
+		_follower.version = this->plan->data().version;
+	}
+	if (reads)
+	{
+		news.readAge = _now - this->directory.readAt();
+		news.endpoints = this->directory.changesSince(_follower.revision);
+		_follower.revision = news.endpoints.revision;
+	}
+	this->send(_peer, news);
+}
+
+/// Passes on what is new as soon as it is known here.
+void ForwardControl::tellFollowers(Micros _now)
+{
+	std::erase_if(this->followers, [_now](const auto& _entry) { return _entry.second.until < _now; });
+	for (auto& entry : this->followers)
+	{
+		this->tell(entry.first, entry.second, _now);
+	}
+}
+
+void ForwardControl::onFeedNews(const std::string& _peer, const FeedNews& _news)
+{
+	if (_peer != this->relay.source())
+	{
+		return; // Of a node that was asked before; the one that is asked now tells all of it.
+	}
+	const Micros now = monotonicNow();
+	if (!_news.record.empty())
+	{
+		this->takeRecord(_peer, _news.record);
+	}
+	this->relay.heard(_peer, _news.readAge, now);
+	const bool isNew = _news.endpoints.whole || _news.source != this->sourceId ||
+					   _news.endpoints.revision != this->sourceRevision;
+	if (!_news.readAge || !isNew)
+	{
+		return;
+	}
+	this->sourceId = _news.source;
+	this->sourceRevision = _news.endpoints.revision;
+	this->directory.take(_news.endpoints, now);
+	this->endpointsKnown = true;
+	logEvent("control", "endpoints_from_peer",
+			 {{"peer", _peer},
+			  {"whole", _news.endpoints.whole},
+			  {"listed", _news.endpoints.listed.size()},
+			  {"unlisted", _news.endpoints.unlisted.size()},
+			  {"read_ms_ago", *_news.readAge / kMillisecond}});
+	this->publishEndpoints();
+}
+
 /// While the platform is away, or has not answered yet, other nodes may know more.
 void ForwardControl::askPeers(Micros _now)
 {
@@ -210,20 +314,26 @@
 	}
 }
 
+/// Takes routes that another node has passed on.
+void ForwardControl::takeRecord(const std::string& _peer, const std::string& _record)
+{
+	const absl::StatusOr<RoutesRead> read = this->feed.readRecord(_record);
+	if (read.ok())
+	{
+		this->takePlan(*read, _peer);
+	}
+	else
+	{
+		logEvent("control", "routes_unreadable",
+				 {{"name", _peer}, {"fault", std::string(read.status().message())}});
+	}
+}
+
 void ForwardControl::onRoutesGive(const std::string& _peer, const RoutesGive& _give)
 {
 	if (!_give.record.empty())
 	{
-		const absl::StatusOr<RoutesRead> read = this->feed.readRecord(_give.record);
-		if (read.ok())
-		{
-			this->takePlan(*read, _peer);
-		}
-		else
-		{
-			logEvent("control", "routes_unreadable",
-					 {{"name", _peer}, {"fault", std::string(read.status().message())}});
-		}
+		this->takeRecord(_peer, _give.record);
 	}
 	if (!this->endpointsKnown && !_give.endpoints.empty())
 	{
--- a/src/forward_control.h
+++ b/src/forward_control.h
@@ -24,6 +24,7 @@
 	double retryShare = 0.2;        ///< Retries that all nodes together may make for each request,
 	double retrySlack = 20;         ///< and beyond that, in each window.
 	DirectoryConfig directory;
+	FeedRelayConfig relay;
 	FeedPace routes{2 * kSecond, 0};
 	FeedPace endpoints{0, 600 * kMillisecond};
 };
@@ -43,6 +44,8 @@
 	void onGossip(const std::string& _peer, const Gossip& _message);
 	void onRoutesAsk(const std::string& _peer, const RoutesAsk& _ask);
 	void onRoutesGive(const std::string& _peer, const RoutesGive& _give);
+	void onFeedAsk(const std::string& _peer, const FeedAsk& _ask);
+	void onFeedNews(const std::string& _peer, const FeedNews& _news);
 
 	/// Tells other nodes that this one leaves.
 	void leave();
@@ -51,8 +54,20 @@
 	[[nodiscard]] bool ready() const;
 
 private:
+	/// A node that hears of the platform's topics from this one.
+	struct Follower
+	{
+		std::uint64_t version = 0;  ///< Of the routes that it was told.
+		std::uint64_t revision = 0; ///< Of the directory that it was told.
+		Micros until = 0;
+	};
+
+	void relayFeed(Micros _now);
+	void tellFollowers(Micros _now);
+	void tell(const std::string& _peer, Follower& _follower, Micros _now);
 	void onRoutes(const std::vector<FeedChange>& _changes);
 	void onEndpoints(const std::vector<FeedChange>& _changes, bool _whole, bool _wasLost);
+	void takeRecord(const std::string& _peer, const std::string& _record);
 	void takePlan(const RoutesRead& _read, const std::string& _source);
 	void publishEndpoints();
 	void publishMembers();
@@ -69,6 +84,12 @@
 	FeedLoop endpointLoop;
 	EndpointDirectory directory;
 	Membership membership;
+	FeedRelay relay;
+	bool reading = false;                      ///< Whether this node reads the topics itself.
+	std::map<std::string, Follower> followers; ///< By address.
+	std::uint64_t directoryId;                 ///< Tells this process's revisions from those of others.
+	std::uint64_t sourceId = 0;                ///< Directory that was followed last,
+	std::uint64_t sourceRevision = 0;          ///< and how far.
 	QTimer timer;
 	std::shared_ptr<const RoutePlan> plan;
 	std::string planRecord;
--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -188,6 +188,10 @@
 			{ onControl([this, _peer, _typed] { this->control->onRoutesAsk(_peer, _typed); }); },
 			[&](const RoutesGive& _typed)
 			{ onControl([this, _peer, _typed] { this->control->onRoutesGive(_peer, _typed); }); },
+			[&](const FeedAsk& _typed)
+			{ onControl([this, _peer, _typed] { this->control->onFeedAsk(_peer, _typed); }); },
+			[&](const FeedNews& _typed)
+			{ onControl([this, _peer, _typed] { this->control->onFeedNews(_peer, _typed); }); },
 			[&](const PieceAsk& _typed) { this->traffic->receive(_peer, _typed); },
 			[&](const PieceGive& _typed) { this->traffic->receive(_peer, _typed); },
 			[&](const PieceDrop& _typed) { this->traffic->receive(_peer, _typed); },
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -28,6 +28,7 @@
 constexpr std::int64_t kMemberStates = 4;
 constexpr std::int64_t kVerdicts = 3;
 constexpr std::int64_t kReasons = 18;
+constexpr qsizetype kEndpointFields = 6;
 
 QCborMap toCbor(const RelayRequest& _message)
 {
@@ -130,31 +131,83 @@
 		{"type", "routes_ask"}, {"version", static_cast<qint64>(_message.version)}, {"endpoints", _message.endpoints}};
 }
 
-QCborMap toCbor(const RoutesGive& _message)
+QCborArray toCbor(const std::vector<Endpoint>& _endpoints)
 {
 	QCborArray endpoints;
-	for (const Endpoint& endpoint : _message.endpoints)
+	for (const Endpoint& endpoint : _endpoints)
 	{
 		endpoints.append(QCborArray{text(endpoint.id), text(endpoint.address), text(endpoint.pool),
 									text(endpoint.failureDomain), static_cast<qint64>(endpoint.slots),
 									endpoint.leaving});
 	}
+	return endpoints;
+}
+
+std::vector<Endpoint> readEndpoints(CborReader& _reader, const char* _name)
+{
+	std::vector<Endpoint> endpoints;
+	for (const QCborArray& entry : _reader.arrays(_name, kEndpointFields))
+	{
+		endpoints.push_back(Endpoint{entry.at(0).toString().toStdString(), entry.at(1).toString().toStdString(),
+									 entry.at(2).toString().toStdString(), entry.at(3).toString().toStdString(),
+									 entry.at(4).toInteger(), entry.at(5).toBool()});
+	}
+	return endpoints;
+}
+
+QCborMap toCbor(const RoutesGive& _message)
+{
 	return QCborMap{{"type", "routes_give"},
 					{"record", QByteArray::fromStdString(_message.record)},
-					{"endpoints", endpoints},
+					{"endpoints", toCbor(_message.endpoints)},
 					{"leaving", textArray(_message.leaving)}};
 }
 
-RoutesGive readRoutesGive(CborReader& _reader)
+QCborMap toCbor(const FeedAsk& _message)
 {
-	RoutesGive message;
+	return QCborMap{{"type", "feed_ask"},
+					{"version", static_cast<qint64>(_message.version)},
+					{"source", static_cast<qint64>(_message.source)},
+					{"revision", static_cast<qint64>(_message.revision)}};
+}
+
+QCborMap toCbor(const FeedNews& _message)
+{
+	QCborMap map{{"type", "feed_news"},
+				 {"record", QByteArray::fromStdString(_message.record)},
+				 {"source", static_cast<qint64>(_message.source)},
+				 {"revision", static_cast<qint64>(_message.endpoints.revision)},
+				 {"whole", _message.endpoints.whole},
+				 {"listed", toCbor(_message.endpoints.listed)},
+				 {"unlisted", textArray(_message.endpoints.unlisted)}};
+	if (_message.readAge)
+	{
+		map.insert(QStringLiteral("read_age"), static_cast<qint64>(*_message.readAge));
+	}
+	return map;
+}
+
+FeedNews readFeedNews(CborReader& _reader)
+{
+	FeedNews message;
 	message.record = _reader.bytes("record");
-	for (const QCborArray& entry : _reader.arrays("endpoints", 6))
+	message.source = _reader.natural("source");
+	message.endpoints.revision = _reader.natural("revision");
+	message.endpoints.whole = _reader.boolean("whole");
+	message.endpoints.listed = readEndpoints(_reader, "listed");
+	message.endpoints.unlisted = _reader.texts("unlisted");
+	if (!_reader.value("read_age").isUndefined())
 	{
-		message.endpoints.push_back(Endpoint{entry.at(0).toString().toStdString(), entry.at(1).toString().toStdString(),
-											 entry.at(2).toString().toStdString(), entry.at(3).toString().toStdString(),
-											 entry.at(4).toInteger(), entry.at(5).toBool()});
+		message.readAge = _reader.integer("read_age");
 	}
+	return message;
+}
+
+RoutesGive readRoutesGive(CborReader& _reader)
+{
+	RoutesGive message;
+	message.record = _reader.bytes("record");
+	message.endpoints = readEndpoints(_reader, "endpoints");
 	message.leaving = _reader.texts("leaving");
 	return message;
 }
@@ -252,6 +305,14 @@
 	{
 		return readRoutesGive(_reader);
 	}
+	if (_type == "feed_ask")
+	{
+		return FeedAsk{_reader.natural("version"), _reader.natural("source"), _reader.natural("revision")};
+	}
+	if (_type == "feed_news")
+	{
+		return readFeedNews(_reader);
+	}
 	if (_type == "piece_ask")
 	{
 		return readPieceAsk(_reader);
