--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -29,6 +29,7 @@
 /// Until an endpoint that takes a request at once has fetched its inputs: 1 ms for each 800 kB, and the way there.
 constexpr Micros kFetchTime = 150 * kMillisecond;
 constexpr double kMicrosPerSecond = 1e6;
+constexpr double kIdleShare = 0.5; ///< Part of an endpoint's connections that may rest at all nodes together.
 /// Part of a client's patience after which a request whose stages are not done is refused: what is left must be enough
 /// for another try, and a client that is kept for longer could have gone elsewhere.
 constexpr double kStagesShare = 0.45;
@@ -95,6 +96,7 @@
 	this->pool.post(0,
 					[this, _members]
 					{
+						this->nodes = std::max<std::size_t>(1, _members.size());
 						this->dispatcher.setNodes(_members.size());
 						this->pieces.setMembers(_members);
 					});
@@ -309,6 +311,19 @@
 	}
 }
 
+/// Endpoints reset connections beyond a number that all nodes share: what rests at this node must leave room for
+/// requests of all others, which may not be sent twice after a reset.
+std::size_t ForwardTraffic::connectionsToKeep(const Active& _active) const
+{
+	const PoolSpec* spec = _active.plan->pool(_active.pool);
+	if (spec == nullptr || spec->connections <= 0)
+	{
+		return CallSpec{}.keepAtMost;
+	}
+	const double share = kIdleShare * static_cast<double>(spec->connections) / static_cast<double>(this->nodes);
+	return std::min(CallSpec{}.keepAtMost, static_cast<std::size_t>(share));
+}
+
 void ForwardTraffic::startAttempt(const StartAttempt& _attempt)
 {
 	const ActivePointer active = this->find(_attempt.request);
@@ -328,6 +343,7 @@
 	spec.timeout = active->giveUpAt - now + kCallSlack;
 	spec.connectTimeout = kConnectTimeout;
 	spec.fresh = _attempt.once;
+	spec.keepAtMost = this->connectionsToKeep(*active);
 	CallHandlers handlers;
 	handlers.onHead = [active](unsigned _status, const HttpHeaders& _headers)
 	{ return active->answer.takeHead(_status, _headers); };
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -83,6 +83,7 @@
 	void submit(const ActivePointer& _active);
 	[[nodiscard]] std::string domainOfResults(const Active& _active) const;
 	void perform(const Actions& _actions);
+	[[nodiscard]] std::size_t connectionsToKeep(const Active& _active) const;
 	void startAttempt(const StartAttempt& _attempt);
 	void attemptEnded(const ActivePointer& _active, std::uint64_t _attempt, const CallEnd& _end);
 	void cancelAttempt(const CancelAttempt& _cancel);
@@ -106,6 +107,7 @@
 		pieceOrders;                                      ///< Request and piece, by order.
 	std::set<std::pair<Micros, std::uint64_t>> deadlines; ///< Of requests whose pieces are being made.
 	std::map<std::string, double> firstEventTimes; ///< Microseconds from sending to a stream's first event, by pool.
+	std::size_t nodes = 1;                         ///< Live nodes, this one among them.
 	Micros refuseFrom = 0;                         ///< Of a planned stop, 0 for none.
 	Micros stopEnd = 0;
 	std::uint64_t lastRequest = 0;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -39,7 +39,6 @@
 
 constexpr int kHttpVersion = 11;
 constexpr unsigned kFirstFinalStatus = 200;
-constexpr std::size_t kIdlePerAddress = 64;
 constexpr std::size_t kReadSize = 16 * 1024;
 
 using Clock = std::chrono::steady_clock;
@@ -364,7 +363,7 @@
 		const bool whole = !this->writing && !this->broken;
 		const bool keep = whole && this->parser->get().keep_alive() && this->buffer.size() == 0;
 		auto& sockets = this->idle[this->spec.address];
-		if (keep && sockets.size() < kIdlePerAddress)
+		if (keep && sockets.size() < this->spec.keepAtMost)
 		{
 			const auto life = idleLife(std::string(this->parser->get()[http::field::keep_alive]));
 			sockets.push_back(KeptSocket{std::move(this->socket), Clock::now() + life});
