--- a/include/roadferry/parts/admission.h
+++ b/include/roadferry/parts/admission.h
@@ -37,6 +37,14 @@
 	bool operator==(const AdmissionTerms&) const = default;
 };
 
+/// What decided about a request.
+struct AdmissionVerdict
+{
+	bool admitted = true;
+	std::map<std::string, Micros> waits; ///< Predicted wait at each pool.
+	bool operator==(const AdmissionVerdict&) const = default;
+};
+
 /// Bounds of a StageAdmission.
 struct AdmissionConfig
 {
@@ -59,8 +67,7 @@
 
 	/// Decides on a request and counts it where it is let in.
 	/// @param[in] _waits Time until a piece would be in a call as the pools' queues have it, for pools where it is known.
-	/// @returns Whether it is let in.
-	bool admit(const AdmissionTerms& _terms, const std::map<std::string, Micros>& _waits, Micros _now);
+	AdmissionVerdict admit(const AdmissionTerms& _terms, const std::map<std::string, Micros>& _waits, Micros _now);
 
 	/// @returns Predicted time that a piece waits for a call in a pool, judging by what was let in.
 	[[nodiscard]] Micros backlogTime(const std::string& _pool, Micros _now) const;
--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -381,8 +381,18 @@
 	bool operator==(const FreeResult&) const = default;
 };
 
-using PieceAction =
-	std::variant<StartBatch, CancelBatch, PieceStarted, PieceMade, PieceFailed, SendPieceMessage, FreeResult>;
+/// A request was not let in; its pieces fail as Crowded.
+struct RequestCrowded
+{
+	std::string request;
+	std::string from;    ///< Node that asked, empty for this one.
+	Micros waitMost = 0; ///< What it can wait in all.
+	std::map<std::string, Micros> waits;
+	bool operator==(const RequestCrowded&) const = default;
+};
+
+using PieceAction = std::variant<StartBatch, CancelBatch, PieceStarted, PieceMade, PieceFailed, SendPieceMessage,
+								 FreeResult, RequestCrowded>;
 using PieceActions = std::vector<PieceAction>;
 
 /// Times of a PieceScheduler.
@@ -456,7 +466,7 @@
 	void makeHere(const std::string& _pool, const std::string& _peer, const PieceOrder& _order, Micros _now);
 	void send(const std::string& _to, PieceMessage _message, PieceActions& _actions);
 	void place(const PieceAsk& _ask, Micros _now, PieceActions& _actions);
-	[[nodiscard]] bool admits(const PieceAsk& _ask, Micros _now);
+	[[nodiscard]] bool admits(const std::string& _from, const PieceAsk& _ask, Micros _now, PieceActions& _actions);
 	void takeBatchActions(const BatchActions& _batch, Micros _now, PieceActions& _actions);
 	void onAsk(const std::string& _from, const PieceAsk& _ask, Micros _now, PieceActions& _actions);
 	void onGive(const std::string& _from, const PieceGive& _give, Micros _now, PieceActions& _actions);
--- a/src/piece_runner.cpp
+++ b/src/piece_runner.cpp
@@ -61,6 +61,18 @@
 			 {{"batch", _batch.batch}, {"pool", _batch.pool}, {"endpoint", _batch.endpoint.id}, {"pieces", pieces}});
 }
 
+/// Why a request was not let in. The node that asked logs what it answered.
+void logCrowded(const RequestCrowded& _crowded)
+{
+	const auto inMs = [](std::string* _out, const auto& _entry)
+	{ absl::StrAppend(_out, _entry.first, "=", _entry.second / kMillisecond); };
+	logEvent("pieces", "request_crowded",
+			 {{"request", _crowded.request},
+			  {"from", _crowded.from},
+			  {"wait_most_ms", _crowded.waitMost / kMillisecond},
+			  {"waits_ms", absl::StrJoin(_crowded.waits, " ", inMs)}});
+}
+
 } // namespace
 
 PieceRunner::PieceRunner(HttpClient& _client, const Wire& _wire, PieceScheduler _scheduler, PieceHandlers _handlers)
@@ -143,6 +155,7 @@
 				[&](const PieceFailed& _failed) { this->handlers.onFailed(_failed); },
 				[&](const SendPieceMessage& _send) { this->handlers.send(_send.to, _send.message); },
 				[&](const FreeResult& _free) { this->freeAt(_free.handle); },
+				[&](const RequestCrowded& _crowded) { logCrowded(_crowded); },
 			},
 			action);
 	}
--- a/src/piece_scheduler.cpp
+++ b/src/piece_scheduler.cpp
@@ -75,7 +75,7 @@
 }
 
 /// Whether the request of these pieces is let in; only its first pieces are asked for with terms.
-bool PieceScheduler::admits(const PieceAsk& _ask, Micros _now)
+bool PieceScheduler::admits(const std::string& _from, const PieceAsk& _ask, Micros _now, PieceActions& _actions)
 {
 	if (!_ask.admission)
 	{
@@ -86,7 +86,13 @@
 	{
 		waits[demand.pool] = this->waitTime(demand.pool, _now);
 	}
-	return this->admission.admit(*_ask.admission, waits, _now);
+	const AdmissionVerdict verdict = this->admission.admit(*_ask.admission, waits, _now);
+	if (!verdict.admitted)
+	{
+		const std::string request = _ask.orders.empty() ? std::string() : _ask.orders.front().request;
+		_actions.emplace_back(RequestCrowded{request, _from, _ask.admission->waitMost, verdict.waits});
+	}
+	return verdict.admitted;
 }
 
 void PieceScheduler::place(const PieceAsk& _ask, Micros _now, PieceActions& _actions)
@@ -94,7 +100,7 @@
 	const std::string node = this->nodeOf(_ask.pool, _now);
 	if (node == this->self)
 	{
-		const bool admitted = this->admits(_ask, _now);
+		const bool admitted = this->admits({}, _ask, _now, _actions);
 		for (const PieceOrder& order : _ask.orders)
 		{
 			if (admitted)
@@ -212,7 +218,7 @@
 
 void PieceScheduler::onAsk(const std::string& _from, const PieceAsk& _ask, Micros _now, PieceActions& _actions)
 {
-	if (!this->admits(_ask, _now))
+	if (!this->admits(_from, _ask, _now, _actions))
 	{
 		PieceGive refusal;
 		for (const PieceOrder& order : _ask.orders)
--- a/src/stage_admission.cpp
+++ b/src/stage_admission.cpp
@@ -64,17 +64,23 @@
 	return static_cast<Micros>(this->backlogOf(found->second, _now) / this->rateOf(found->second));
 }
 
-bool StageAdmission::admit(const AdmissionTerms& _terms, const std::map<std::string, Micros>& _waits, Micros _now)
+AdmissionVerdict StageAdmission::admit(const AdmissionTerms& _terms, const std::map<std::string, Micros>& _waits,
+									   Micros _now)
 {
-	Micros wait = 0;
+	AdmissionVerdict verdict;
+	Micros sum = 0;
 	for (const PoolDemand& demand : _terms.demand)
 	{
 		const auto known = _waits.find(demand.pool);
-		wait += std::max(known == _waits.end() ? 0 : known->second, this->backlogTime(demand.pool, _now));
+		const Micros queued = known == _waits.end() ? 0 : known->second;
+		const Micros wait = std::max(queued, this->backlogTime(demand.pool, _now));
+		verdict.waits[demand.pool] = wait;
+		sum += wait;
 	}
-	if (_terms.refusable && wait > _terms.waitMost)
+	verdict.admitted = !_terms.refusable || sum <= _terms.waitMost;
+	if (!verdict.admitted)
 	{
-		return false;
+		return verdict;
 	}
 	for (const PoolDemand& demand : _terms.demand)
 	{
@@ -82,7 +88,7 @@
 		pool.backlog = this->backlogOf(pool, _now) + static_cast<double>(demand.pieces);
 		pool.at = _now;
 	}
-	return true;
+	return verdict;
 }
 
 } // namespace roadferry
