--- a/src/forward_stages.cpp
+++ b/src/forward_stages.cpp
@@ -20,8 +20,6 @@
 namespace
 {
 
-/// Part of a call that is filled in a pool that is busy but not crowded.
-constexpr double kUsualFill = 0.5;
 constexpr double kComeBackAccepted = 1.0 / 3; ///< Part of their time that clients wait when told to come back.
 constexpr double kComeBackEarliest = 0.5;     ///< Parts of that wait.
 constexpr double kComeBackLatest = 0.95;
@@ -52,59 +50,13 @@
 	return found == this->firstEventTimes.end() ? kFirstEventGuess : static_cast<Micros>(found->second);
 }
 
-/// Predicted time of a stage's own call, in a pool that is busy but not crowded; nothing for a stage that is left out.
-Micros ForwardTraffic::callTime(const Active& _active, std::size_t _stage) const
-{
-	const PoolSpec* pool = _active.plan->pool(_active.route.stages[_stage].pool);
-	if (pool == nullptr || !pool->batches || _active.graph.handlesOf(_stage).empty())
-	{
-		return 0;
-	}
-	const double pieces = kUsualFill * static_cast<double>(pool->batches->batch);
-	return pool->batches->callTime + static_cast<Micros>(pieces * static_cast<double>(pool->batches->pieceTime));
-}
-
-/// Predicted time from the end of a stage until the request itself can be sent.
-Micros ForwardTraffic::timeAfter(const Active& _active, std::size_t _stage) const
-{
-	Micros longest = 0;
-	const std::vector<RouteStage>& stages = _active.route.stages;
-	for (std::size_t next = 0; next < stages.size(); ++next)
-	{
-		if (std::find(stages[next].after.begin(), stages[next].after.end(), _stage) != stages[next].after.end())
-		{
-			longest = std::max(longest, this->callTime(_active, next) + this->timeAfter(_active, next));
-		}
-	}
-	return longest;
-}
-
 /// What a request needs of its pools to be in time. Its first pieces go out with it.
 AdmissionTerms ForwardTraffic::termsOf(const Active& _active) const
 {
+	const StagedRoute staged{*_active.plan, _active.route, _active.request.pieceCounts};
 	AdmissionTerms terms;
-	Micros longest = 0;
-	const std::vector<RouteStage>& stages = _active.route.stages;
-	for (std::size_t stage = 0; stage < stages.size(); ++stage)
-	{
-		const auto pieces = static_cast<std::int64_t>(_active.graph.handlesOf(stage).size());
-		if (pieces == 0)
-		{
-			continue;
-		}
-		longest = std::max(longest, this->callTime(_active, stage) + this->timeAfter(_active, stage));
-		const auto known = std::find_if(terms.demand.begin(), terms.demand.end(),
-										[&](const PoolDemand& _demand) { return _demand.pool == stages[stage].pool; });
-		if (known == terms.demand.end())
-		{
-			terms.demand.push_back(PoolDemand{stages[stage].pool, pieces});
-		}
-		else
-		{
-			known->pieces += pieces;
-		}
-	}
-	const Micros slack = _active.route.target - longest - this->firstEventTime(_active.pool);
+	terms.demand = staged.demand();
+	const Micros slack = _active.route.target - staged.timeOfAll() - this->firstEventTime(_active.pool);
 	const double rank = static_cast<double>(std::max<std::int64_t>(0, _active.priority));
 	terms.waitMost = static_cast<Micros>(static_cast<double>(slack) / (1 + kWaitLessByPriority * rank));
 	// One that comes with less time than its route gives has most likely been turned away before: it is served.
@@ -166,13 +118,15 @@
 PieceOrder ForwardTraffic::orderOf(const Active& _active, const PieceName& _piece) const
 {
 	const RouteStage& stage = _active.route.stages[_piece.stage];
-	const Micros after = this->timeAfter(_active, _piece.stage) + this->firstEventTime(_active.pool);
+	const StagedRoute staged{*_active.plan, _active.route, _active.request.pieceCounts};
+	const Micros stages = staged.timeAfter(_piece.stage);
+	const Micros after = stages + this->firstEventTime(_active.pool);
 	PieceOrder order;
 	order.request = _active.request.id;
 	order.name = _piece;
 	order.key = stage.after.empty() ? _active.request.pieceKey : std::string();
 	order.inputs = _active.graph.inputsOf(_piece.stage);
-	order.deadline = std::min(_active.stagesUntil - this->timeAfter(_active, _piece.stage), _active.giveUpAt - after);
+	order.deadline = std::min(_active.stagesUntil - stages, _active.giveUpAt - after);
 	order.due = _active.arrived + _active.route.target - after;
 	order.priority = _active.priority;
 	order.resultBytes = stage.resultBytes;
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -12,6 +12,7 @@
 #include "forward_answer.h"
 #include "metrics.h"
 #include "piece_runner.h"
+#include "stage_times.h"
 
 #include <atomic>
 
@@ -69,8 +70,6 @@
 	[[nodiscard]] PieceOrder orderOf(const Active& _active, const PieceName& _piece) const;
 	[[nodiscard]] std::int64_t bytesOnward(const Active& _active, std::size_t _stage) const;
 	[[nodiscard]] std::string domainFor(const Active& _active, std::size_t _stage) const;
-	[[nodiscard]] Micros callTime(const Active& _active, std::size_t _stage) const;
-	[[nodiscard]] Micros timeAfter(const Active& _active, std::size_t _stage) const;
 	void pieceStarted(const PieceStarted& _started);
 	void pieceMade(const PieceMade& _made);
 	void pieceFailed(const PieceFailed& _failed);
--- /dev/null
+++ b/src/stage_times.cpp
@@ -0,0 +1,84 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Times of a route's stages.
+
+#include "stage_times.h"
+
+#include <algorithm>
+
+namespace roadferry
+{
+
+namespace
+{
+
+/// Part of a call that is filled in a pool that is busy but not crowded.
+constexpr double kUsualFill = 0.5;
+
+} // namespace
+
+std::int64_t StagedRoute::piecesOf(std::size_t _stage) const
+{
+	return _stage < this->pieces.size() ? this->pieces[_stage] : 0;
+}
+
+Micros StagedRoute::callTime(std::size_t _stage) const
+{
+	const PoolSpec* pool = this->plan.pool(this->route.stages[_stage].pool);
+	if (pool == nullptr || !pool->batches || this->piecesOf(_stage) <= 0)
+	{
+		return 0;
+	}
+	const double filled = kUsualFill * static_cast<double>(pool->batches->batch);
+	return pool->batches->callTime + static_cast<Micros>(filled * static_cast<double>(pool->batches->pieceTime));
+}
+
+Micros StagedRoute::timeAfter(std::size_t _stage) const
+{
+	Micros longest = 0;
+	const std::vector<RouteStage>& stages = this->route.stages;
+	for (std::size_t next = 0; next < stages.size(); ++next)
+	{
+		if (std::find(stages[next].after.begin(), stages[next].after.end(), _stage) != stages[next].after.end())
+		{
+			longest = std::max(longest, this->callTime(next) + this->timeAfter(next));
+		}
+	}
+	return longest;
+}
+
+Micros StagedRoute::timeOfAll() const
+{
+	Micros longest = 0;
+	for (std::size_t stage = 0; stage < this->route.stages.size(); ++stage)
+	{
+		longest = std::max(longest, this->callTime(stage) + this->timeAfter(stage));
+	}
+	return longest;
+}
+
+std::vector<PoolDemand> StagedRoute::demand() const
+{
+	std::vector<PoolDemand> demand;
+	for (std::size_t stage = 0; stage < this->route.stages.size(); ++stage)
+	{
+		const std::string& pool = this->route.stages[stage].pool;
+		const auto known = std::find_if(demand.begin(), demand.end(),
+										[&](const PoolDemand& _demand) { return _demand.pool == pool; });
+		if (known != demand.end())
+		{
+			known->pieces += this->piecesOf(stage);
+		}
+		else if (this->piecesOf(stage) > 0)
+		{
+			demand.push_back(PoolDemand{pool, this->piecesOf(stage)});
+		}
+	}
+	return demand;
+}
+
+} // namespace roadferry
