--- a/include/roadferry/parts/admission.h
+++ b/include/roadferry/parts/admission.h
@@ -54,9 +54,10 @@
 	bool operator==(const AdmissionConfig&) const = default;
 };
 
-/// Lets requests in as long as the pools of all their stages can make their pieces in time. Each pool has a backlog: what
-/// was let in and, at the pool's rate, cannot have been made yet. The later stages of a burst are foreseen that way when
-/// its requests arrive, not when their pieces do. Kept by the node that forms the batches of a request's first stage.
+/// Lets requests in as long as the pools of all their stages can make their pieces in time. Each pool has a backlog:
+/// what was let in and, at the pool's rate, cannot have been made yet. The later stages of a burst are foreseen that
+/// way when its requests arrive, not when their pieces do. Kept by the node that forms the batches of a request's first
+/// stage.
 class StageAdmission
 {
 public:
@@ -66,7 +67,8 @@
 	void setEndpoints(const std::vector<Endpoint>& _endpoints);
 
 	/// Decides on a request and counts it where it is let in.
-	/// @param[in] _waits Time until a piece would be in a call as the pools' queues have it, for pools where it is known.
+	/// @param[in] _waits Time until a piece would be in a call as the pools' queues have it, for pools where it is
+	/// known.
 	AdmissionVerdict admit(const AdmissionTerms& _terms, const std::map<std::string, Micros>& _waits, Micros _now);
 
 	/// @returns Predicted time that a piece waits for a call in a pool, judging by what was let in.
--- a/include/roadferry/parts/feed_relay.h
+++ b/include/roadferry/parts/feed_relay.h
@@ -42,11 +42,11 @@
 /// Times and counts of a FeedRelay.
 struct FeedRelayConfig
 {
-	std::size_t eachReadsUpTo = 9;             ///< Up to so many nodes each one reads for itself.
-	std::size_t readersLeast = 3;              ///< One can be cut off and one die, and one is left.
-	Micros askEvery = 400 * kMillisecond;        ///< Each question is answered: it is the keepalive as well.
-	Micros staleAfter = 1'500 * kMillisecond;  ///< Changes have to be in force 2 s after the platform has them.
-	Micros avoidFor = 5 * kSecond;             ///< A node whose news were stale is not asked.
+	std::size_t eachReadsUpTo = 9;              ///< Up to so many nodes each one reads for itself.
+	std::size_t readersLeast = 3;               ///< One can be cut off and one die, and one is left.
+	Micros askEvery = 400 * kMillisecond;       ///< Each question is answered: it is the keepalive as well.
+	Micros staleAfter = 1'500 * kMillisecond;   ///< Changes have to be in force 2 s after the platform has them.
+	Micros avoidFor = 5 * kSecond;              ///< A node whose news were stale is not asked.
 	Micros followerLife = 2'000 * kMillisecond; ///< A node that does not ask any more gets no news.
 	bool operator==(const FeedRelayConfig&) const = default;
 };
@@ -91,8 +91,8 @@
 	std::map<std::string, Micros> avoidUntil; ///< Nodes whose news were stale.
 	std::string from;
 	bool lost = false;
-	Micros followedAt = 0;           ///< When the source was chosen.
-	std::optional<Micros> freshAt;   ///< When fresh news came from any source.
+	Micros followedAt = 0;         ///< When the source was chosen.
+	std::optional<Micros> freshAt; ///< When fresh news came from any source.
 	std::optional<Micros> askedAt;
 };
 
--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -14,8 +14,8 @@
 #define ROADFERRY_H_HEADER_GUARD
 
 #include <roadferry/parts/batches.h>
-#include <roadferry/parts/feed_relay.h>
 #include <roadferry/parts/endpoints.h>
+#include <roadferry/parts/feed_relay.h>
 #include <roadferry/parts/routes.h>
 #include <roadferry/parts/time.h>
 
--- a/src/batch_maker.cpp
+++ b/src/batch_maker.cpp
@@ -25,7 +25,8 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 6> kFaultNames = {"late", "input_gone", "no_room", "no_endpoint", "error", "crowded"};
+constexpr std::array<std::string_view, 6> kFaultNames = {"late",        "input_gone", "no_room",
+														 "no_endpoint", "error",      "crowded"};
 constexpr double kSlownessSmoothing = 0.3;
 /// Which pieces of a queue one pass over it takes.
 enum class Picking
--- a/src/feed_relay.cpp
+++ b/src/feed_relay.cpp
@@ -28,7 +28,8 @@
 
 void sortByRank(std::vector<std::string>& _nodes, std::uint64_t _seed)
 {
-	std::sort(_nodes.begin(), _nodes.end(), [_seed](const std::string& _left, const std::string& _right)
+	std::sort(_nodes.begin(), _nodes.end(),
+			  [_seed](const std::string& _left, const std::string& _right)
 			  { return rankOf(_left, _seed) > rankOf(_right, _seed); });
 }
 
--- a/src/forward_control.cpp
+++ b/src/forward_control.cpp
@@ -254,8 +254,8 @@
 		this->takeRecord(_peer, _news.record);
 	}
 	this->relay.heard(_peer, _news.readAge, now);
-	const bool isNew = _news.endpoints.whole || _news.source != this->sourceId ||
-					   _news.endpoints.revision != this->sourceRevision;
+	const bool isNew =
+		_news.endpoints.whole || _news.source != this->sourceId || _news.endpoints.revision != this->sourceRevision;
 	if (!_news.readAge || !isNew)
 	{
 		return;
@@ -324,8 +324,7 @@
 	}
 	else
 	{
-		logEvent("control", "routes_unreadable",
-				 {{"name", _peer}, {"fault", std::string(read.status().message())}});
+		logEvent("control", "routes_unreadable", {{"name", _peer}, {"fault", std::string(read.status().message())}});
 	}
 }
 
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -311,16 +311,13 @@
 	}
 }
 
-/// Endpoints reset connections beyond a number that all nodes share: what rests at this node must leave room for
-/// requests of all others, which may not be sent twice after a reset.
-std::size_t ForwardTraffic::connectionsToKeep(const Active& _active) const
+std::size_t idleConnectionsOf(const PoolSpec* _pool, std::size_t _nodes)
 {
-	const PoolSpec* spec = _active.plan->pool(_active.pool);
-	if (spec == nullptr || spec->connections <= 0)
+	if (_pool == nullptr || _pool->connections <= 0)
 	{
 		return CallSpec{}.keepAtMost;
 	}
-	const double share = kIdleShare * static_cast<double>(spec->connections) / static_cast<double>(this->nodes);
+	const double share = kIdleShare * static_cast<double>(_pool->connections) / static_cast<double>(_nodes);
 	return std::min(CallSpec{}.keepAtMost, static_cast<std::size_t>(share));
 }
 
@@ -343,7 +340,7 @@
 	spec.timeout = active->giveUpAt - now + kCallSlack;
 	spec.connectTimeout = kConnectTimeout;
 	spec.fresh = _attempt.once;
-	spec.keepAtMost = this->connectionsToKeep(*active);
+	spec.keepAtMost = idleConnectionsOf(active->plan->pool(active->pool), this->nodes);
 	CallHandlers handlers;
 	handlers.onHead = [active](unsigned _status, const HttpHeaders& _headers)
 	{ return active->answer.takeHead(_status, _headers); };
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -27,6 +27,13 @@
 	PieceSchedulerConfig pieces;
 };
 
+/// Endpoints reset connections beyond a number that all nodes share: what rests at one node must leave room for the
+/// requests of all others, which may not be sent again after a reset.
+/// @param[in] _pool Pool of the endpoint, null when it is not known.
+/// @param[in] _nodes Live nodes, at least one.
+/// @returns Idle connections to one endpoint that a node may keep.
+std::size_t idleConnectionsOf(const PoolSpec* _pool, std::size_t _nodes);
+
 /// All forwarded requests of this node. Everything runs on thread 0 of the pool; functions that say so may be called
 /// from any thread.
 class ForwardTraffic
@@ -82,7 +89,6 @@
 	void submit(const ActivePointer& _active);
 	[[nodiscard]] std::string domainOfResults(const Active& _active) const;
 	void perform(const Actions& _actions);
-	[[nodiscard]] std::size_t connectionsToKeep(const Active& _active) const;
 	void startAttempt(const StartAttempt& _attempt);
 	void attemptEnded(const ActivePointer& _active, std::uint64_t _attempt, const CallEnd& _end);
 	void cancelAttempt(const CancelAttempt& _cancel);
--- a/src/stage_admission.cpp
+++ b/src/stage_admission.cpp
@@ -32,9 +32,9 @@
 {
 	for (auto& entry : this->pools)
 	{
-		entry.second.endpoints =
-			std::count_if(_endpoints.begin(), _endpoints.end(), [&](const Endpoint& _endpoint)
-						  { return _endpoint.pool == entry.first && !_endpoint.leaving; });
+		entry.second.endpoints = std::count_if(_endpoints.begin(), _endpoints.end(),
+											   [&](const Endpoint& _endpoint)
+											   { return _endpoint.pool == entry.first && !_endpoint.leaving; });
 	}
 }
 
--- a/src/stage_times.cpp
+++ b/src/stage_times.cpp
@@ -67,8 +67,8 @@
 	for (std::size_t stage = 0; stage < this->route.stages.size(); ++stage)
 	{
 		const std::string& pool = this->route.stages[stage].pool;
-		const auto known = std::find_if(demand.begin(), demand.end(),
-										[&](const PoolDemand& _demand) { return _demand.pool == pool; });
+		const auto known =
+			std::find_if(demand.begin(), demand.end(), [&](const PoolDemand& _demand) { return _demand.pool == pool; });
 		if (known != demand.end())
 		{
 			known->pieces += this->piecesOf(stage);
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -8,6 +8,7 @@
 
 #include "deployment.h"
 #include "event_stream.h"
+#include "forward_traffic.h"
 #include "http_client.h"
 #include "http_server.h"
 #include "property.h"
@@ -111,6 +112,7 @@
 		CallSpec spec;
 		spec.address = _address;
 		spec.timeout = kTimeout;
+		spec.keepAtMost = this->keepAtMost;
 		spec.request.method = _body.empty() ? "GET" : "POST";
 		spec.request.body = _body;
 		this->pool.post(0,
@@ -129,6 +131,8 @@
 		return promise.get_future().get();
 	}
 
+	std::size_t keepAtMost = CallSpec{}.keepAtMost;
+
 private:
 	IoPool pool{1};
 	HttpClient client{pool};
@@ -227,6 +231,40 @@
 	cr_assert_eq(server.connections, 2);
 }
 
+Test(client, no_more_connections_are_kept_than_told)
+{
+	ScriptServer server(
+		[](int _socket)
+		{
+			while (!ScriptServer::readHead(_socket).empty())
+			{
+				ScriptServer::say(_socket, answer("a", "one"));
+			}
+		});
+	Caller caller;
+	caller.call(server.address);
+	caller.call(server.address);
+	cr_assert_eq(server.connections, 1);
+	caller.keepAtMost = 0;
+	caller.call(server.address); // Over the one that is kept, which is closed behind it.
+	cr_assert_eq(server.connections, 1);
+	caller.call(server.address);
+	caller.call(server.address);
+	cr_assert_eq(server.connections, 3);
+}
+
+Test(client, idle_connections_of_all_nodes_leave_room_for_new_ones)
+{
+	PoolSpec pool;
+	cr_assert_eq(idleConnectionsOf(nullptr, 80), CallSpec{}.keepAtMost);
+	cr_assert_eq(idleConnectionsOf(&pool, 80), CallSpec{}.keepAtMost);
+	pool.connections = 110;
+	cr_assert_eq(idleConnectionsOf(&pool, 80), 0); // 80 nodes with one each would leave 30 of 110 for requests.
+	cr_assert_eq(idleConnectionsOf(&pool, 7), 7);
+	pool.connections = 100'000;
+	cr_assert_eq(idleConnectionsOf(&pool, 7), CallSpec{}.keepAtMost);
+}
+
 Test(client, connection_that_the_server_is_about_to_close_is_not_used_again)
 {
 	ScriptServer server(
--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -348,6 +348,7 @@
 						this->messages.push_back({_node, _send.to, _send.message});
 					},
 					[](const FreeResult&) {},
+					[](const RequestCrowded&) { RC_FAIL("no terms were given"); },
 				},
 				action);
 		}
@@ -425,43 +426,43 @@
 
 Test(schedulers, every_order_ends_once_though_nodes_die_and_messages_are_lost)
 {
-	checkHistories(
-		"schedulers",
-		[]
-		{
-			SchedulerWorld world(4);
-			const double loss = *rc::gen::elementOf(std::vector<double>{0.0, 0.2});
-			const int steps = *rc::gen::inRange(1, 40);
-			for (int step = 0; step < steps; ++step)
-			{
-				const std::string node = *rc::gen::elementOf(world.names);
-				const int what = *rc::gen::inRange(0, 12);
-				if (what == 0 && world.schedulers.size() > 1)
-				{
-					world.schedulers.erase(node); // Killed: says nothing any more.
-					world.open[node].clear();
-				}
-				else if (what == 1 && world.schedulers.count(node) == 0)
-				{
-					world.start(node);
-				}
-				else if (what < 8 && world.schedulers.count(node) > 0)
-				{
-					const std::uint64_t number = ++world.lastOrder;
-					world.open[node].insert(number);
-					world.take(node, world.schedulers.at(node).order("pool", {order(number, world.now)}, world.now));
-				}
-				world.step(loss);
-			}
-			for (int step = 0; step < 600; ++step)
-			{
-				world.step(0.0);
-			}
-			for (const auto& entry : world.open)
-			{
-				RC_ASSERT(entry.second.empty());
-			}
-		});
+	checkHistories("schedulers",
+				   []
+				   {
+					   SchedulerWorld world(4);
+					   const double loss = *rc::gen::elementOf(std::vector<double>{0.0, 0.2});
+					   const int steps = *rc::gen::inRange(1, 40);
+					   for (int step = 0; step < steps; ++step)
+					   {
+						   const std::string node = *rc::gen::elementOf(world.names);
+						   const int what = *rc::gen::inRange(0, 12);
+						   if (what == 0 && world.schedulers.size() > 1)
+						   {
+							   world.schedulers.erase(node); // Killed: says nothing any more.
+							   world.open[node].clear();
+						   }
+						   else if (what == 1 && world.schedulers.count(node) == 0)
+						   {
+							   world.start(node);
+						   }
+						   else if (what < 8 && world.schedulers.count(node) > 0)
+						   {
+							   const std::uint64_t number = ++world.lastOrder;
+							   world.open[node].insert(number);
+							   world.take(node, world.schedulers.at(node).order("pool", {order(number, world.now)},
+																				std::nullopt, world.now));
+						   }
+						   world.step(loss);
+					   }
+					   for (int step = 0; step < 600; ++step)
+					   {
+						   world.step(0.0);
+					   }
+					   for (const auto& entry : world.open)
+					   {
+						   RC_ASSERT(entry.second.empty());
+					   }
+				   });
 }
 
 Test(schedulers, nodes_that_see_the_same_members_choose_the_same_node)
