--- a/src/feed_relay.cpp
+++ b/src/feed_relay.cpp
@@ -75,13 +75,9 @@
 /// Each node has an order of its own among the readers, so that they have about as many nodes to tell.
 void FeedRelay::chooseSource(Micros _now)
 {
+	std::erase_if(this->avoidUntil, [_now](const auto& _entry) { return _entry.second <= _now; });
 	std::vector<std::string> candidates = this->readers;
-	std::erase_if(candidates,
-				  [&](const std::string& _reader)
-				  {
-					  const auto avoid = this->avoidUntil.find(_reader);
-					  return avoid != this->avoidUntil.end() && avoid->second > _now;
-				  });
+	std::erase_if(candidates, [&](const std::string& _reader) { return this->avoidUntil.count(_reader) > 0; });
 	sortByRank(candidates, rankOf(this->self, kReadersSeed));
 	const std::string chosen = candidates.empty() ? std::string() : candidates.front();
 	if (chosen != this->from)
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -494,6 +494,7 @@
 			  {"verdict", std::string(nameOf(_outcome.verdict))},
 			  {"reason", std::string(nameOf(_outcome.reason))},
 			  {"attempts", _active->attempts},
+			  {"retry_after_ms", _outcome.retryAfter / kMillisecond},
 			  {"took_ms", took / kMillisecond},
 			  {"events", times.events},
 			  {"first_event_ms", times.events == 0 ? -1 : (times.firstAt - _active->arrived) / kMillisecond},
--- a/src/piece_messages.cpp
+++ b/src/piece_messages.cpp
@@ -59,6 +59,23 @@
 	return order;
 }
 
+/// Set only in the first ask for a request.
+std::optional<AdmissionTerms> readTerms(CborReader& _reader)
+{
+	if (_reader.value("demand").isUndefined())
+	{
+		return std::nullopt;
+	}
+	AdmissionTerms terms;
+	terms.waitMost = _reader.integer("wait_most");
+	terms.refusable = _reader.boolean("refusable");
+	for (const QCborArray& fields : _reader.arrays("demand", 2))
+	{
+		terms.demand.push_back(PoolDemand{fields.at(0).toString().toStdString(), fields.at(1).toInteger()});
+	}
+	return terms;
+}
+
 } // namespace
 
 QCborMap toCbor(const PieceAsk& _message)
@@ -123,23 +140,6 @@
 	return QCborMap{{"type", "piece_free"}, {"handles", textArray(_message.handles)}};
 }
 
-/// Set only in the first ask for a request.
-static std::optional<AdmissionTerms> readTerms(CborReader& _reader)
-{
-	if (_reader.value("demand").isUndefined())
-	{
-		return std::nullopt;
-	}
-	AdmissionTerms terms;
-	terms.waitMost = _reader.integer("wait_most");
-	terms.refusable = _reader.boolean("refusable");
-	for (const QCborArray& fields : _reader.arrays("demand", 2))
-	{
-		terms.demand.push_back(PoolDemand{fields.at(0).toString().toStdString(), fields.at(1).toInteger()});
-	}
-	return terms;
-}
-
 PieceAsk readPieceAsk(CborReader& _reader)
 {
 	PieceAsk message;
