--- a/include/roadferry/parts/endpoints.h
+++ b/include/roadferry/parts/endpoints.h
@@ -43,6 +43,7 @@
 struct DirectoryChanges
 {
 	std::uint64_t revision = 0;        ///< The directory's revision with these changes.
+	std::uint64_t position = 0;        ///< Position in the platform's log up to which the directory was read.
 	bool whole = false;                ///< Whether the endpoints below are all there are.
 	std::vector<Endpoint> listed;      ///< Endpoints that are new or have changed.
 	std::vector<std::string> unlisted; ///< Endpoints that have gone.
@@ -69,8 +70,9 @@
 	void markLeaving(const std::string& _id);
 
 	/// The listing was read up to its end, whether or not anything had changed.
+	/// @param[in] _position Position in the platform's log behind what was read.
 	/// @param[in] _wasAway Whether the reading before had failed: entries may have lapsed meanwhile.
-	void readWell(Micros _now, bool _wasAway);
+	void readWell(std::uint64_t _position, Micros _now, bool _wasAway);
 
 	/// Drops what did not come back in time.
 	/// @returns Whether anything was dropped.
@@ -92,6 +94,9 @@
 	/// @returns When the listing was read last, 0 for never.
 	[[nodiscard]] Micros readAt() const;
 
+	/// @returns Position in the platform's log up to which this directory is complete.
+	[[nodiscard]] std::uint64_t position() const;
+
 private:
 	[[nodiscard]] bool inDoubt(Micros _now) const;
 	void drop(const std::string& _id);
@@ -105,6 +110,7 @@
 	std::set<std::string> missing; ///< Entries that have gone while in doubt, and are dropped with its end.
 	std::set<std::string> left;
 	Micros lastRead = 0;
+	std::uint64_t readUpTo = 0;
 	Micros doubtUntil = 0; ///< Until then a missing entry may be one that lapsed while the listing was away.
 };
 
--- a/include/roadferry/parts/feed_relay.h
+++ b/include/roadferry/parts/feed_relay.h
@@ -26,6 +26,7 @@
 	std::uint64_t version = 0;  ///< Version of the routes that the sender holds, 0 for none.
 	std::uint64_t source = 0;   ///< Directory whose revision the sender holds, 0 for none.
 	std::uint64_t revision = 0; ///< Of that directory.
+	Micros sentAt = 0;          ///< On the sender's clock; comes back with the answer.
 	bool operator==(const FeedAsk&) const = default;
 };
 
@@ -36,6 +37,9 @@
 	std::uint64_t source = 0; ///< Random number of the sender's directory.
 	DirectoryChanges endpoints;
 	std::optional<Micros> readAge; ///< Since the sender read the listing well; nothing while it cannot read it.
+	Micros routesAge = 0;          ///< Since the sender read the routes well.
+	std::uint64_t version = 0;     ///< Of the routes that the sender holds.
+	Micros answers = 0;            ///< When the question was sent, on the asker's clock.
 	bool operator==(const FeedNews&) const = default;
 };
 
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -62,6 +62,7 @@
 {
 	DirectoryChanges changes;
 	changes.revision = this->revision;
+	changes.position = this->readUpTo;
 	changes.whole = _revision == 0 || _revision < this->forgottenUpTo || _revision > this->revision;
 	const std::uint64_t since = changes.whole ? 0 : _revision;
 	for (const auto& entry : this->changedAt)
@@ -83,6 +84,7 @@
 
 void EndpointDirectory::take(const DirectoryChanges& _changes, Micros _now)
 {
+	this->readUpTo = _changes.position;
 	std::set<std::string> present;
 	for (const Endpoint& endpoint : _changes.listed)
 	{
@@ -154,13 +156,14 @@
 	}
 }
 
-void EndpointDirectory::readWell(Micros _now, bool _wasAway)
+void EndpointDirectory::readWell(std::uint64_t _position, Micros _now, bool _wasAway)
 {
 	if (_wasAway)
 	{
 		this->doubtUntil = _now + this->config.relistGrace;
 	}
 	this->lastRead = _now;
+	this->readUpTo = _position;
 }
 
 bool EndpointDirectory::expire(Micros _now)
@@ -198,4 +201,9 @@
 	return this->lastRead;
 }
 
+std::uint64_t EndpointDirectory::position() const
+{
+	return this->readUpTo;
+}
+
 } // namespace roadferry
--- a/src/feed_loop.cpp
+++ b/src/feed_loop.cpp
@@ -8,6 +8,7 @@
 
 #include "feed_loop.h"
 
+#include "clock.h"
 #include "logging.h"
 
 namespace roadferry
@@ -31,8 +32,8 @@
 
 } // namespace
 
-FeedLoop::FeedLoop(Feed& _feed, FeedTopic _topic, FeedPace _pace, FeedHandlers _handlers)
-	: feed(_feed), topic(_topic), pace(_pace), handlers(std::move(_handlers))
+FeedLoop::FeedLoop(Feed& _feed, FeedTopic _topic, FeedPace _pace, FeedHandler _onRead)
+	: feed(_feed), topic(_topic), pace(_pace), onRead(std::move(_onRead))
 {
 	this->timer.setSingleShot(true);
 	this->timer.setTimerType(Qt::PreciseTimer);
@@ -64,8 +65,14 @@
 	return this->backoff > 0;
 }
 
+Micros FeedLoop::readAt() const
+{
+	return this->lastRead;
+}
+
 void FeedLoop::read()
 {
+	this->begunAt = monotonicNow();
 	const auto whenDone = [this, began = this->turn](bool _whole)
 	{
 		return [this, began, _whole](const absl::StatusOr<FeedPage>& _page)
@@ -101,7 +108,8 @@
 	this->backoff = 0;
 	this->everRead = true;
 	this->position = _page->next;
-	this->handlers.onRead(_page->changes, _whole, wasLost);
+	this->lastRead = this->begunAt;
+	this->onRead(FeedReading{*_page, _whole, wasLost});
 	this->timer.start(toMs(this->pace.pause));
 }
 
@@ -116,7 +124,10 @@
 	}
 	if (!this->lost())
 	{
-		logEvent("feed", "lost", {{"topic", nameOf(this->topic)}, {"error", std::string(_status.message())}});
+		logEvent("feed", "lost",
+				 {{"topic", nameOf(this->topic)},
+				  {"error", std::string(_status.message())},
+				  {"after_ms", (monotonicNow() - this->begunAt) / kMillisecond}});
 	}
 	this->backoff = this->lost() ? std::min(kLongestBackoff, this->backoff * 2) : kFirstBackoff;
 	this->timer.start(toMs(this->backoff));
--- a/src/forward_control.cpp
+++ b/src/forward_control.cpp
@@ -32,11 +32,9 @@
 							   std::function<void(const RoutePlan&)> _onPlan)
 	: feed(_feed), traffic(_traffic), settings(std::move(_settings)), send(std::move(_send)),
 	  onPlan(std::move(_onPlan)), routeLoop(_feed, FeedTopic::Routes, settings.routes,
-											FeedHandlers{[this](const std::vector<FeedChange>& _changes, bool, bool)
-														 { this->onRoutes(_changes); }}),
+											[this](const FeedReading& _reading) { this->onRoutes(_reading); }),
 	  endpointLoop(_feed, FeedTopic::Endpoints, settings.endpoints,
-				   FeedHandlers{[this](const std::vector<FeedChange>& _changes, bool _whole, bool _wasLost)
-								{ this->onEndpoints(_changes, _whole, _wasLost); }}),
+				   [this](const FeedReading& _reading) { this->onEndpoints(_reading); }),
 	  directory(settings.directory),
 	  membership(settings.self, static_cast<std::uint64_t>(wallNanoseconds() / kNanosPerMicro), MembershipConfig{},
 				 randomNumber()),
@@ -58,9 +56,9 @@
 	return this->plan != nullptr && this->endpointsKnown;
 }
 
-void ForwardControl::onRoutes(const std::vector<FeedChange>& _changes)
+void ForwardControl::onRoutes(const FeedReading& _reading)
 {
-	for (const FeedChange& change : _changes)
+	for (const FeedChange& change : _reading.page.changes)
 	{
 		if (const auto* read = std::get_if<RoutesRead>(&change))
 		{
@@ -94,12 +92,12 @@
 			  {"workspaces", this->plan->data().workspaces.size()}});
 }
 
-void ForwardControl::onEndpoints(const std::vector<FeedChange>& _changes, bool _whole, bool _wasLost)
+void ForwardControl::onEndpoints(const FeedReading& _reading)
 {
 	const Micros now = monotonicNow();
 	std::vector<Endpoint> all;
-	this->directory.readWell(now, _wasLost);
-	for (const FeedChange& change : _changes)
+	this->directory.readWell(_reading.page.next, now, _reading.wasLost);
+	for (const FeedChange& change : _reading.page.changes)
 	{
 		std::visit(
 			Overloaded{
@@ -126,13 +124,13 @@
 			},
 			change);
 	}
-	if (_whole)
+	if (_reading.whole)
 	{
 		this->directory.relisted(all, now);
 	}
 	const bool dropped = this->directory.expire(now);
 	const bool first = !std::exchange(this->endpointsKnown, true);
-	if (first || dropped || _whole || !_changes.empty())
+	if (first || dropped || _reading.whole || !_reading.page.changes.empty())
 	{
 		this->publishEndpoints();
 	}
@@ -140,7 +138,7 @@
 
 void ForwardControl::publishEndpoints()
 {
-	this->traffic.setEndpoints(this->directory.endpoints());
+	this->traffic.setEndpoints(this->directory.endpoints(), this->directory.position());
 	this->tellFollowers(monotonicNow());
 }
 
@@ -199,7 +197,7 @@
 	if (!step.ask.empty())
 	{
 		const std::uint64_t version = this->plan == nullptr ? 0 : this->plan->data().version;
-		this->send(step.ask, FeedAsk{version, this->sourceId, this->sourceId == 0 ? 0 : this->sourceRevision});
+		this->send(step.ask, FeedAsk{version, this->sourceId, this->sourceId == 0 ? 0 : this->sourceRevision, _now});
 	}
 }
 
@@ -209,6 +207,7 @@
 	Follower& follower = this->followers[_peer];
 	follower.version = _ask.version;
 	follower.revision = _ask.source == this->directoryId ? _ask.revision : 0;
+	follower.askedAt = _ask.sentAt;
 	follower.until = now + this->settings.relay.followerLife;
 	this->tell(_peer, follower, now);
 }
@@ -218,6 +217,9 @@
 	const bool reads = this->reading && !this->routeLoop.lost() && !this->endpointLoop.lost() && this->ready();
 	FeedNews news;
 	news.source = this->directoryId;
+	news.answers = _follower.askedAt;
+	news.version = this->plan == nullptr ? 0 : this->plan->data().version;
+	news.routesAge = _now - this->routeLoop.readAt();
 	if (this->plan != nullptr && this->plan->data().version > _follower.version)
 	{
 		news.record = this->planRecord;
@@ -242,6 +244,27 @@
 	}
 }
 
+/// One line for all news that bring something: how old it is by its sender's word and by the way that it took, and
+/// whether it was known here already.
+void ForwardControl::logNews(const std::string& _peer, const FeedNews& _news, Micros _now) const
+{
+	const DirectoryChanges& endpoints = _news.endpoints;
+	if (_news.record.empty() && endpoints.listed.empty() && endpoints.unlisted.empty())
+	{
+		return;
+	}
+	logEvent("feed", "news",
+			 {{"peer", _peer},
+			  {"since_asked_ms", (_now - _news.answers) / kMillisecond},
+			  {"listing_read_ms_ago", _news.readAge ? *_news.readAge / kMillisecond : -1},
+			  {"routes_read_ms_ago", _news.routesAge / kMillisecond},
+			  {"record_bytes", _news.record.size()},
+			  {"version", _news.version},
+			  {"version_held", this->plan == nullptr ? 0 : this->plan->data().version},
+			  {"listing", endpoints.position},
+			  {"listing_held", this->directory.position()}});
+}
+
 void ForwardControl::onFeedNews(const std::string& _peer, const FeedNews& _news)
 {
 	if (_peer != this->relay.source())
@@ -249,6 +272,7 @@
 		return; // Of a node that was asked before; the one that is asked now tells all of it.
 	}
 	const Micros now = monotonicNow();
+	this->logNews(_peer, _news, now);
 	if (!_news.record.empty())
 	{
 		this->takeRecord(_peer, _news.record);
--- a/src/forward_control.h
+++ b/src/forward_control.h
@@ -59,14 +59,16 @@
 	{
 		std::uint64_t version = 0;  ///< Of the routes that it was told.
 		std::uint64_t revision = 0; ///< Of the directory that it was told.
+		Micros askedAt = 0;         ///< As it said, on its clock.
 		Micros until = 0;
 	};
 
 	void relayFeed(Micros _now);
 	void tellFollowers(Micros _now);
 	void tell(const std::string& _peer, Follower& _follower, Micros _now);
-	void onRoutes(const std::vector<FeedChange>& _changes);
-	void onEndpoints(const std::vector<FeedChange>& _changes, bool _whole, bool _wasLost);
+	void onRoutes(const FeedReading& _reading);
+	void onEndpoints(const FeedReading& _reading);
+	void logNews(const std::string& _peer, const FeedNews& _news, Micros _now) const;
 	void takeRecord(const std::string& _peer, const std::string& _record);
 	void takePlan(const RoutesRead& _read, const std::string& _source);
 	void publishEndpoints();
--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -22,6 +22,8 @@
 constexpr int kReadyPeriodMs = 20;
 constexpr int kDrainPeriodMs = 20;
 constexpr int kSettingsPeriodMs = 1'000;
+constexpr std::uint64_t kQueuedWorthALine =
+	64 * 1024; ///< Bytes that wait for one node: a tenth of a second at 5 Mbit/s.
 /// Balancers ask once a second and need two answers that say no; what they still send until then is served.
 constexpr Micros kBalancerNotice = 2'600 * kMillisecond;
 constexpr Micros kFarewellTime = 100 * kMillisecond;   ///< For the last messages to leave.
@@ -135,7 +137,12 @@
 	this->control->start();
 	QObject::connect(&this->readyTimer, &QTimer::timeout, [this] { this->isReady = this->control->ready(); });
 	this->readyTimer.start(kReadyPeriodMs);
-	QObject::connect(&this->settingsTimer, &QTimer::timeout, [this] { this->watchSettings(); });
+	QObject::connect(&this->settingsTimer, &QTimer::timeout,
+					 [this]
+					 {
+						 this->watchSettings();
+						 this->logQueues();
+					 });
 	this->settingsTimer.start(kSettingsPeriodMs);
 	return absl::OkStatus();
 }
@@ -227,6 +234,18 @@
 	}
 }
 
+/// Says so when messages to another node pile up, at most once a second.
+void ForwardNode::logQueues()
+{
+	const std::uint64_t queued = this->link->takeMostQueued();
+	const std::uint64_t bytes = this->link->bytes();
+	if (queued >= kQueuedWorthALine)
+	{
+		logEvent("peer", "queued", {{"bytes_for_one_node", queued}, {"bytes_in_and_out", bytes - this->bytesLogged}});
+	}
+	this->bytesLogged = bytes;
+}
+
 void ForwardNode::drain()
 {
 	if (this->leaving.exchange(true))
--- a/src/forward_node.h
+++ b/src/forward_node.h
@@ -40,6 +40,7 @@
 	void applyLimits(const RoutePlan& _plan);
 	void awaitIdle();
 	void watchSettings();
+	void logQueues();
 
 	Settings settings;
 	IoPool pool;
@@ -53,6 +54,7 @@
 	std::unique_ptr<ForwardControl> control;
 	std::unique_ptr<HttpServer> server;
 	std::unique_ptr<HttpServer> readinessServer;
+	std::uint64_t bytesLogged = 0; ///< Of messages between nodes, at the last look at their queues.
 	QTimer readyTimer;
 	QTimer drainTimer;
 	QTimer settingsTimer;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -81,13 +81,14 @@
 					});
 }
 
-void ForwardTraffic::setEndpoints(const std::vector<Endpoint>& _endpoints)
+void ForwardTraffic::setEndpoints(const std::vector<Endpoint>& _endpoints, std::uint64_t _position)
 {
 	this->pool.post(0,
-					[this, _endpoints]
+					[this, _endpoints, _position]
 					{
+						this->listing = _position;
 						this->dispatcher.setEndpoints(_endpoints);
-						this->pieces.setEndpoints(_endpoints);
+						this->pieces.setEndpoints(_endpoints, _position);
 					});
 }
 
@@ -361,6 +362,7 @@
 			 {{"request", active->request.id},
 			  {"attempt", active->attempts},
 			  {"endpoint", _attempt.endpoint},
+			  {"listing", this->listing},
 			  {"waited_ms", (now - active->arrived) / kMillisecond},
 			  {"left_ms", (active->giveUpAt - now) / kMillisecond}});
 	active->call = this->client.call(0, std::move(spec), std::move(handlers));
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -52,7 +52,8 @@
 
 	/// Each of these may be called from any thread.
 	void setPlan(const std::shared_ptr<const RoutePlan>& _plan);
-	void setEndpoints(const std::vector<Endpoint>& _endpoints);
+	/// @param[in] _position Position of the listing in the platform's log, for the logs.
+	void setEndpoints(const std::vector<Endpoint>& _endpoints, std::uint64_t _position);
 	void setMembers(const std::vector<std::string>& _members);
 	void setRetryBounds(double _share, double _burst);
 	void receive(const std::string& _from, const PieceMessage& _message);
@@ -115,6 +116,7 @@
 	std::size_t nodes = 1;                         ///< Live nodes, this one among them.
 	Micros refuseFrom = 0;                         ///< Of a planned stop, 0 for none.
 	Micros stopEnd = 0;
+	std::uint64_t listing = 0; ///< Position of the listing in use.
 	std::uint64_t lastRequest = 0;
 	std::uint64_t lastOrder = 0;
 	std::atomic<std::size_t> activeCount{0};
--- a/src/peer_link.cpp
+++ b/src/peer_link.cpp
@@ -15,6 +15,7 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <vector>
@@ -143,9 +144,20 @@
 		if (_peer.incoming)
 		{
 			this->server.send(_peer.handle, _message, kBinary, ignored);
+			this->noteQueued(this->server.get_con_from_hdl(_peer.handle, ignored));
 			return;
 		}
 		this->client.send(_peer.handle, _message, kBinary, ignored);
+		this->noteQueued(this->client.get_con_from_hdl(_peer.handle, ignored));
+	}
+
+	template<class Connection>
+	void noteQueued(const Connection& _connection)
+	{
+		if (_connection != nullptr)
+		{
+			this->mostQueued = std::max<std::uint64_t>(this->mostQueued, _connection->get_buffered_amount());
+		}
 	}
 
 	void sendNow(const std::string& _peer, std::string _message)
@@ -237,6 +249,7 @@
 	Client client;
 	std::map<std::string, Peer> peers;
 	std::atomic<std::uint64_t> byteCount{0};
+	std::atomic<std::uint64_t> mostQueued{0};
 	bool closing = false;
 };
 
@@ -284,6 +297,11 @@
 	return this->impl->byteCount;
 }
 
+std::uint64_t PeerLink::takeMostQueued()
+{
+	return this->impl->mostQueued.exchange(0);
+}
+
 void PeerLink::close()
 {
 	this->impl->pool.post(0, [impl = this->impl] { impl->closeAll(); });
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -168,7 +168,8 @@
 	return QCborMap{{"type", "feed_ask"},
 					{"version", static_cast<qint64>(_message.version)},
 					{"source", static_cast<qint64>(_message.source)},
-					{"revision", static_cast<qint64>(_message.revision)}};
+					{"revision", static_cast<qint64>(_message.revision)},
+					{"sent_at", static_cast<qint64>(_message.sentAt)}};
 }
 
 QCborMap toCbor(const FeedNews& _message)
@@ -176,7 +177,11 @@
 	QCborMap map{{"type", "feed_news"},
 				 {"record", QByteArray::fromStdString(_message.record)},
 				 {"source", static_cast<qint64>(_message.source)},
+				 {"version", static_cast<qint64>(_message.version)},
+				 {"routes_age", static_cast<qint64>(_message.routesAge)},
+				 {"answers", static_cast<qint64>(_message.answers)},
 				 {"revision", static_cast<qint64>(_message.endpoints.revision)},
+				 {"position", static_cast<qint64>(_message.endpoints.position)},
 				 {"whole", _message.endpoints.whole},
 				 {"listed", toCbor(_message.endpoints.listed)},
 				 {"unlisted", textArray(_message.endpoints.unlisted)}};
@@ -192,7 +197,11 @@
 	FeedNews message;
 	message.record = _reader.bytes("record");
 	message.source = _reader.natural("source");
+	message.version = _reader.natural("version");
+	message.routesAge = _reader.integer("routes_age");
+	message.answers = _reader.integer("answers");
 	message.endpoints.revision = _reader.natural("revision");
+	message.endpoints.position = _reader.natural("position");
 	message.endpoints.whole = _reader.boolean("whole");
 	message.endpoints.listed = readEndpoints(_reader, "listed");
 	message.endpoints.unlisted = _reader.texts("unlisted");
@@ -307,7 +316,8 @@
 	}
 	if (_type == "feed_ask")
 	{
-		return FeedAsk{_reader.natural("version"), _reader.natural("source"), _reader.natural("revision")};
+		return FeedAsk{_reader.natural("version"), _reader.natural("source"), _reader.natural("revision"),
+					   _reader.integer("sent_at")};
 	}
 	if (_type == "feed_news")
 	{
--- a/src/piece_runner.cpp
+++ b/src/piece_runner.cpp
@@ -49,7 +49,7 @@
 }
 
 /// One line for each batch: which pieces of which requests, and how long until they are due.
-void logBatch(const StartBatch& _batch, Micros _now)
+void logBatch(const StartBatch& _batch, std::uint64_t _listing, Micros _now)
 {
 	std::string pieces;
 	for (const PieceOrder& order : _batch.orders)
@@ -58,7 +58,11 @@
 						"/", (order.due - _now) / kMillisecond);
 	}
 	logEvent("pieces", "batch_started",
-			 {{"batch", _batch.batch}, {"pool", _batch.pool}, {"endpoint", _batch.endpoint.id}, {"pieces", pieces}});
+			 {{"batch", _batch.batch},
+			  {"pool", _batch.pool},
+			  {"endpoint", _batch.endpoint.id},
+			  {"listing", _listing},
+			  {"pieces", pieces}});
 }
 
 /// Why a request was not let in. The node that asked logs what it answered.
@@ -85,8 +89,9 @@
 	this->scheduler.setPools(_plan.data().pools);
 }
 
-void PieceRunner::setEndpoints(const std::vector<Endpoint>& _endpoints)
+void PieceRunner::setEndpoints(const std::vector<Endpoint>& _endpoints, std::uint64_t _position)
 {
+	this->listing = _position;
 	this->scheduler.setEndpoints(_endpoints);
 	this->tick();
 }
@@ -164,7 +169,7 @@
 void PieceRunner::start(const StartBatch& _batch)
 {
 	const Micros now = monotonicNow();
-	logBatch(_batch, now);
+	logBatch(_batch, this->listing, now);
 	CallSpec spec;
 	spec.address = _batch.endpoint.address;
 	spec.request = this->wire.batchRequest(_batch, now);
--- a/src/piece_runner.h
+++ b/src/piece_runner.h
@@ -30,7 +30,8 @@
 	PieceRunner(HttpClient& _client, const Wire& _wire, PieceScheduler _scheduler, PieceHandlers _handlers);
 
 	void setPlan(const RoutePlan& _plan);
-	void setEndpoints(const std::vector<Endpoint>& _endpoints);
+	/// @param[in] _position Position of the listing in the platform's log, for the logs.
+	void setEndpoints(const std::vector<Endpoint>& _endpoints, std::uint64_t _position);
 	void setMembers(const std::vector<std::string>& _members);
 
 	void order(const std::string& _pool, const std::vector<PieceOrder>& _orders,
@@ -55,6 +56,7 @@
 	const Wire& wire;
 	PieceScheduler scheduler;
 	PieceHandlers handlers;
+	std::uint64_t listing = 0;                                ///< Position of the listing in use.
 	std::map<std::uint64_t, std::shared_ptr<HttpCall>> calls; ///< By batch.
 	std::vector<std::string> spent;                           ///< Results that nobody needs, until the next tick.
 	std::map<std::string, std::vector<std::string>> frees;    ///< Results to drop, by the endpoint that keeps them.
--- a/tests/test_feed.cpp
+++ b/tests/test_feed.cpp
@@ -209,7 +209,7 @@
 							   source.markLeaving(id);
 							   break;
 						   case 2:
-							   source.readWell(now, *rc::gen::arbitrary<bool>());
+							   source.readWell(static_cast<std::uint64_t>(step), now, *rc::gen::arbitrary<bool>());
 							   break;
 						   case 3:
 							   source.expire(now);
--- a/tests/test_routes.cpp
+++ b/tests/test_routes.cpp
@@ -124,9 +124,9 @@
 Test(directory, missing_entry_is_gone_at_once_while_the_listing_is_well)
 {
 	EndpointDirectory directory(DirectoryConfig{});
-	directory.readWell(kSecond, false);
+	directory.readWell(0, kSecond, false);
 	directory.relisted({endpoint("e-1"), endpoint("e-2")}, kSecond);
-	directory.readWell(kSecond + 500 * kMillisecond, false);
+	directory.readWell(0, kSecond + 500 * kMillisecond, false);
 	directory.unlisted("e-1", kSecond + 500 * kMillisecond);
 	cr_assert(usableIds(directory) == std::vector<std::string>{"e-2"});
 }
@@ -134,10 +134,10 @@
 Test(directory, entry_that_lapsed_while_the_listing_was_away_has_time_to_come_back)
 {
 	EndpointDirectory directory(DirectoryConfig{});
-	directory.readWell(kSecond, false);
+	directory.readWell(0, kSecond, false);
 	directory.relisted({endpoint("e-1"), endpoint("e-2")}, kSecond);
 	const Micros back = 10 * kSecond;
-	directory.readWell(back, true);
+	directory.readWell(0, back, true);
 	directory.relisted({}, back);
 	cr_assert_eq(usableIds(directory).size(), 2);
 	directory.listed(endpoint("e-1"), back + kSecond);
@@ -149,11 +149,11 @@
 Test(directory, entry_that_goes_after_the_return_is_dropped_two_seconds_after_the_return)
 {
 	EndpointDirectory directory(DirectoryConfig{});
-	directory.readWell(kSecond, false);
+	directory.readWell(0, kSecond, false);
 	directory.relisted({endpoint("e-1")}, kSecond);
 	const Micros back = 10 * kSecond;
-	directory.readWell(back, true);
-	directory.readWell(back + 1'800 * kMillisecond, false);
+	directory.readWell(0, back, true);
+	directory.readWell(0, back + 1'800 * kMillisecond, false);
 	directory.unlisted("e-1", back + 1'800 * kMillisecond);
 	cr_assert(directory.expire(back + 2 * kSecond));
 	cr_assert(usableIds(directory).empty());
@@ -162,9 +162,9 @@
 Test(directory, slow_reading_is_no_reason_to_keep_a_missing_entry)
 {
 	EndpointDirectory directory(DirectoryConfig{});
-	directory.readWell(kSecond, false);
+	directory.readWell(0, kSecond, false);
 	directory.relisted({endpoint("e-1")}, kSecond);
-	directory.readWell(3 * kSecond, false);
+	directory.readWell(0, 3 * kSecond, false);
 	directory.unlisted("e-1", 3 * kSecond);
 	cr_assert(usableIds(directory).empty());
 }
@@ -200,7 +200,7 @@
 							   directory.unlisted(id, now);
 							   break;
 						   case 4:
-							   directory.readWell(now, *rc::gen::arbitrary<bool>());
+							   directory.readWell(0, now, *rc::gen::arbitrary<bool>());
 							   break;
 						   default:
 							   directory.expire(now);
