Decisions about the platform's topics stand in one class without I/O

What a node reads itself, whom it asks, what it tells others and what it keeps was spread over the control's timers and callbacks, where no test could play several nodes over a slow link. FeedExchange takes events and time and returns actions; ForwardControl performs them. Entries of the listing have their name and their position in the log as a type.

--- a/include/roadferry/parts/endpoints.h
+++ b/include/roadferry/parts/endpoints.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace roadferry
@@ -39,14 +40,44 @@
 	bool operator==(const DirectoryConfig&) const = default;
 };
 
+/// An endpoint's entry in the listing.
+struct ListedEndpoint
+{
+	std::string name;           ///< Of the entry; an endpoint that starts again may have the name that it had.
+	std::uint64_t position = 0; ///< Of the entry in the platform's log.
+	Endpoint endpoint;
+	bool operator==(const ListedEndpoint&) const = default;
+};
+
+/// An entry that is gone.
+struct UnlistedEndpoint
+{
+	std::string name;
+	std::uint64_t position = 0; ///< Of its end in the platform's log.
+	bool operator==(const UnlistedEndpoint&) const = default;
+};
+
+using ListingChange = std::variant<ListedEndpoint, UnlistedEndpoint>;
+
+/// One reading of the listing that went well.
+struct ListingRead
+{
+	std::uint64_t position = 0; ///< Position in the platform's log behind what was read.
+	bool whole = false;         ///< Whether the changes are all entries there are.
+	bool wasAway = false;       ///< Whether the reading before had failed: entries may have lapsed meanwhile.
+	Micros begunAt = 0;         ///< When it was begun.
+	std::vector<ListingChange> changes;
+	bool operator==(const ListingRead&) const = default;
+};
+
 /// What has changed in a directory since one of its revisions.
 struct DirectoryChanges
 {
-	std::uint64_t revision = 0;        ///< The directory's revision with these changes.
-	std::uint64_t position = 0;        ///< Position in the platform's log up to which the directory was read.
-	bool whole = false;                ///< Whether the endpoints below are all there are.
-	std::vector<Endpoint> listed;      ///< Endpoints that are new or have changed.
-	std::vector<std::string> unlisted; ///< Endpoints that have gone.
+	std::uint64_t revision = 0;         ///< The directory's revision with these changes.
+	std::uint64_t position = 0;         ///< Position in the platform's log up to which the directory was read.
+	bool whole = false;                 ///< Whether the endpoints below are all there are.
+	std::vector<ListedEndpoint> listed; ///< Entries that are new or have changed.
+	std::vector<std::string> unlisted;  ///< Names of entries that have gone.
 	bool operator==(const DirectoryChanges&) const = default;
 };
 
@@ -57,23 +88,13 @@
 public:
 	explicit EndpointDirectory(DirectoryConfig _config);
 
-	/// The listing was read: one endpoint's entry is there.
-	void listed(const Endpoint& _endpoint, Micros _now);
-
-	/// The listing was read: one endpoint's entry has gone.
-	void unlisted(const std::string& _id, Micros _now);
-
-	/// The whole listing was read anew: entries that are not in it have gone.
-	void relisted(const std::vector<Endpoint>& _endpoints, Micros _now);
+	/// The listing was read up to its end, whether or not anything had changed.
+	/// @returns Whether anything changed here.
+	bool read(const ListingRead& _read, Micros _now);
 
 	/// Another node knows the endpoint to be leaving.
 	void markLeaving(const std::string& _id);
 
-	/// The listing was read up to its end, whether or not anything had changed.
-	/// @param[in] _position Position in the platform's log behind what was read.
-	/// @param[in] _wasAway Whether the reading before had failed: entries may have lapsed meanwhile.
-	void readWell(std::uint64_t _position, Micros _now, bool _wasAway);
-
 	/// Drops what did not come back in time.
 	/// @returns Whether anything was dropped.
 	bool expire(Micros _now);
@@ -99,16 +120,19 @@
 
 private:
 	[[nodiscard]] bool inDoubt(Micros _now) const;
-	void drop(const std::string& _id);
+	void listed(const ListedEndpoint& _listed);
+	void unlisted(const std::string& _name, Micros _now);
+	void relisted(const std::set<std::string>& _present, Micros _now);
+	void drop(const std::string& _name);
 
 	DirectoryConfig config;
-	std::map<std::string, Endpoint> entries;
+	std::map<std::string, ListedEndpoint> entries;   ///< By name.
 	std::uint64_t revision = 0;                      ///< Counts changes.
 	std::map<std::string, std::uint64_t> changedAt;  ///< Revision of each entry's last change.
 	std::map<std::uint64_t, std::string> unlistedAt; ///< Entries that went, the latest ones.
 	std::uint64_t forgottenUpTo = 0;                 ///< Entries that went up to this revision are not known any more.
 	std::set<std::string> missing; ///< Entries that have gone while in doubt, and are dropped with its end.
-	std::set<std::string> left;
+	std::set<std::string> left;    ///< Endpoints that were seen leaving.
 	Micros lastRead = 0;
 	std::uint64_t readUpTo = 0;
 	Micros doubtUntil = 0; ///< Until then a missing entry may be one that lapsed while the listing was away.
--- /dev/null
+++ b/include/roadferry/parts/feed_exchange.h
@@ -0,0 +1,160 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Part of the public header: what one node knows of the platform's topics, by its own readings and from other nodes.
+
+#ifndef ROADFERRY_PARTS_FEED_EXCHANGE_H_HEADER_GUARD
+#define ROADFERRY_PARTS_FEED_EXCHANGE_H_HEADER_GUARD
+
+#include <roadferry/parts/feed_relay.h>
+
+#include <variant>
+
+namespace roadferry
+{
+
+/// The newest routes that a node holds.
+struct HeldRoutes
+{
+	std::uint64_t version = 0; ///< 0 for none.
+	std::string record;        ///< As the platform keeps them.
+	bool operator==(const HeldRoutes&) const = default;
+};
+
+/// Begin to read both topics.
+struct StartReading
+{
+	bool wasLost = false; ///< Whether the platform was away until now, as far as is known.
+	bool operator==(const StartReading&) const = default;
+};
+
+/// Read no more.
+struct StopReading
+{
+	bool operator==(const StopReading&) const = default;
+};
+
+/// Send a question to another node.
+struct SendFeedAsk
+{
+	std::string to;
+	FeedAsk message;
+	bool operator==(const SendFeedAsk&) const = default;
+};
+
+/// Send an answer to another node.
+struct SendFeedNews
+{
+	std::string to;
+	FeedNews message;
+	bool operator==(const SendFeedNews&) const = default;
+};
+
+/// Decode routes that another node has passed on, and hand them to FeedExchange::holdRoutes.
+struct DecodeRoutes
+{
+	std::string record;
+	std::string from;
+	bool operator==(const DecodeRoutes&) const = default;
+};
+
+/// The endpoints have changed.
+struct EndpointsChanged
+{
+	bool operator==(const EndpointsChanged&) const = default;
+};
+
+using FeedAction = std::variant<StartReading, StopReading, SendFeedAsk, SendFeedNews, DecodeRoutes, EndpointsChanged>;
+using FeedActions = std::vector<FeedAction>;
+
+/// Which of the platform's topics.
+enum class FeedTopic
+{
+	Routes,
+	Endpoints
+};
+
+/// Decides when a node reads the platform's topics itself, whom it asks otherwise, what it tells nodes that ask it,
+/// and keeps what it knows. No I/O, no clock.
+class FeedExchange
+{
+public:
+	/// @param[in] _id Random number that tells this process's revisions from those of others.
+	FeedExchange(std::string _self, FeedRelayConfig _relay, DirectoryConfig _directory, std::uint64_t _id);
+
+	/// @param[in] _members Live nodes, this one among them.
+	void setMembers(const std::vector<std::string>& _members);
+
+	FeedActions tick(Micros _now);
+	FeedActions onAsk(const std::string& _from, const FeedAsk& _ask, Micros _now);
+	FeedActions onNews(const std::string& _from, const FeedNews& _news, Micros _now);
+
+	/// Newer routes are in force here.
+	FeedActions holdRoutes(HeldRoutes _routes, Micros _now);
+
+	/// A reading of the routes went well; holdRoutes was called with what it gave.
+	/// @param[in] _begunAt When it was begun.
+	void routesRead(Micros _begunAt);
+
+	/// A reading of the endpoints went well.
+	FeedActions endpointsRead(const ListingRead& _read, Micros _now);
+
+	/// A reading went wrong.
+	void readingFailed(FeedTopic _topic);
+
+	/// Another node has told what it knows while the platform is away.
+	/// @param[in] _endpoints Taken only while none are known here.
+	/// @param[in] _leaving Endpoints that it has seen leaving.
+	FeedActions learn(const std::vector<ListedEndpoint>& _endpoints, const std::vector<std::string>& _leaving,
+					  Micros _now);
+
+	/// @returns Whether routes and endpoints are known.
+	[[nodiscard]] bool ready() const;
+
+	/// @returns Whether a topic cannot be read, or is not known yet.
+	[[nodiscard]] bool away() const;
+
+	[[nodiscard]] const EndpointDirectory& endpoints() const;
+	[[nodiscard]] const HeldRoutes& routes() const;
+
+	/// @returns The node that this one asks, empty for none.
+	[[nodiscard]] const std::string& source() const;
+
+	/// @returns Whether the last news said that their sender cannot read the platform's topics.
+	[[nodiscard]] bool sourceLost() const;
+
+private:
+	/// A node that has asked this one.
+	struct Follower
+	{
+		std::uint64_t version = 0;  ///< Of the routes that it was told.
+		std::uint64_t revision = 0; ///< Of the directory that it was told.
+		Micros askedAt = 0;         ///< As it said, on its clock.
+		Micros until = 0;
+	};
+
+	FeedNews newsFor(Follower& _follower, Micros _now) const;
+	void tellFollowers(Micros _now, FeedActions& _actions);
+	void endpointsChanged(Micros _now, FeedActions& _actions);
+
+	FeedRelayConfig config;
+	FeedRelay relay;
+	EndpointDirectory directory;
+	HeldRoutes held;
+	std::uint64_t id;
+	bool reading = false;
+	bool listingKnown = false;
+	bool routesLost = false;
+	bool listingLost = false;
+	Micros routesReadAt = 0;
+	std::map<std::string, Follower> followers; ///< By address.
+	std::uint64_t sourceId = 0;                ///< Directory that was followed last,
+	std::uint64_t sourceRevision = 0;          ///< and how far.
+};
+
+} // namespace roadferry
+
+#endif // ROADFERRY_PARTS_FEED_EXCHANGE_H_HEADER_GUARD
--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -15,6 +15,7 @@
 
 #include <roadferry/parts/batches.h>
 #include <roadferry/parts/endpoints.h>
+#include <roadferry/parts/feed_exchange.h>
 #include <roadferry/parts/feed_relay.h>
 #include <roadferry/parts/routes.h>
 #include <roadferry/parts/time.h>
--- a/src/adapter.h
+++ b/src/adapter.h
@@ -19,13 +19,6 @@
 namespace roadferry
 {
 
-/// What a feed tells of.
-enum class FeedTopic
-{
-	Routes,
-	Endpoints
-};
-
 /// A new version of the routes.
 struct RoutesRead
 {
@@ -33,18 +26,6 @@
 	std::string record; ///< As the platform keeps it, for nodes that cannot reach the platform.
 };
 
-/// An endpoint's entry is there.
-struct EndpointListed
-{
-	Endpoint endpoint;
-};
-
-/// An endpoint's entry has gone.
-struct EndpointUnlisted
-{
-	std::string id;
-};
-
 /// An entry that could not be read.
 struct UnreadableEntry
 {
@@ -52,7 +33,7 @@
 	std::string fault;
 };
 
-using FeedChange = std::variant<RoutesRead, EndpointListed, EndpointUnlisted, UnreadableEntry>;
+using FeedChange = std::variant<RoutesRead, ListedEndpoint, UnlistedEndpoint, UnreadableEntry>;
 
 /// Part of a feed.
 struct FeedPage
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -6,7 +6,7 @@
 /// @file
 /// Endpoints of a listing that can be away.
 
-#include <roadferry/parts/endpoints.h>
+#include <roadferry/roadferry.h>
 
 #include <algorithm>
 
@@ -29,28 +29,28 @@
 	return _now < this->doubtUntil;
 }
 
-void EndpointDirectory::listed(const Endpoint& _endpoint, Micros)
+void EndpointDirectory::listed(const ListedEndpoint& _listed)
 {
-	this->missing.erase(_endpoint.id);
-	if (_endpoint.leaving)
+	this->missing.erase(_listed.name);
+	if (_listed.endpoint.leaving)
 	{
-		this->left.insert(_endpoint.id);
+		this->left.insert(_listed.endpoint.id);
 	}
-	Endpoint updated = _endpoint;
-	updated.leaving = this->left.count(_endpoint.id) > 0;
-	const auto [entry, isNew] = this->entries.try_emplace(_endpoint.id);
+	ListedEndpoint updated = _listed;
+	updated.endpoint.leaving = this->left.count(_listed.endpoint.id) > 0;
+	const auto [entry, isNew] = this->entries.try_emplace(_listed.name);
 	if (isNew || entry->second != updated)
 	{
 		entry->second = std::move(updated);
-		this->changedAt[_endpoint.id] = ++this->revision;
+		this->changedAt[_listed.name] = ++this->revision;
 	}
 }
 
-void EndpointDirectory::drop(const std::string& _id)
+void EndpointDirectory::drop(const std::string& _name)
 {
-	this->entries.erase(_id);
-	this->changedAt.erase(_id);
-	this->unlistedAt.emplace(++this->revision, _id);
+	this->entries.erase(_name);
+	this->changedAt.erase(_name);
+	this->unlistedAt.emplace(++this->revision, _name);
 	if (this->unlistedAt.size() > kUnlistedKept)
 	{
 		this->forgottenUpTo = this->unlistedAt.begin()->first;
@@ -82,14 +82,14 @@
 	return changes;
 }
 
-void EndpointDirectory::take(const DirectoryChanges& _changes, Micros _now)
+void EndpointDirectory::take(const DirectoryChanges& _changes, Micros)
 {
 	this->readUpTo = _changes.position;
 	std::set<std::string> present;
-	for (const Endpoint& endpoint : _changes.listed)
+	for (const ListedEndpoint& entry : _changes.listed)
 	{
-		present.insert(endpoint.id);
-		this->listed(endpoint, _now);
+		present.insert(entry.name);
+		this->listed(entry);
 	}
 	std::vector<std::string> gone = _changes.unlisted;
 	for (const auto& entry : this->entries)
@@ -99,71 +99,86 @@
 			gone.push_back(entry.first);
 		}
 	}
-	for (const std::string& id : gone)
+	for (const std::string& name : gone)
 	{
-		this->missing.erase(id);
-		if (this->entries.count(id) > 0)
+		this->missing.erase(name);
+		if (this->entries.count(name) > 0)
 		{
-			this->drop(id);
+			this->drop(name);
 		}
 	}
 }
 
-void EndpointDirectory::unlisted(const std::string& _id, Micros _now)
+void EndpointDirectory::unlisted(const std::string& _name, Micros _now)
 {
-	if (this->entries.count(_id) == 0 || this->missing.count(_id) > 0)
+	const auto entry = this->entries.find(_name);
+	if (entry == this->entries.end() || this->missing.count(_name) > 0)
 	{
 		return;
 	}
-	if (this->inDoubt(_now) && this->left.count(_id) == 0)
+	if (this->inDoubt(_now) && !entry->second.endpoint.leaving)
 	{
-		this->missing.insert(_id);
+		this->missing.insert(_name);
 		return;
 	}
-	this->drop(_id);
+	this->drop(_name);
 }
 
-void EndpointDirectory::relisted(const std::vector<Endpoint>& _endpoints, Micros _now)
+void EndpointDirectory::relisted(const std::set<std::string>& _present, Micros _now)
 {
-	std::set<std::string> present;
-	for (const Endpoint& endpoint : _endpoints)
-	{
-		present.insert(endpoint.id);
-		this->listed(endpoint, _now);
-	}
 	std::vector<std::string> gone;
 	for (const auto& entry : this->entries)
 	{
-		if (present.count(entry.first) == 0)
+		if (_present.count(entry.first) == 0)
 		{
 			gone.push_back(entry.first);
 		}
 	}
-	for (const std::string& id : gone)
+	for (const std::string& name : gone)
 	{
-		this->unlisted(id, _now);
+		this->unlisted(name, _now);
 	}
 }
 
 void EndpointDirectory::markLeaving(const std::string& _id)
 {
 	this->left.insert(_id);
-	const auto found = this->entries.find(_id);
-	if (found != this->entries.end() && !found->second.leaving)
+	for (auto& entry : this->entries)
 	{
-		found->second.leaving = true;
-		this->changedAt[_id] = ++this->revision;
+		if (entry.second.endpoint.id == _id && !entry.second.endpoint.leaving)
+		{
+			entry.second.endpoint.leaving = true;
+			this->changedAt[entry.first] = ++this->revision;
+		}
 	}
 }
 
-void EndpointDirectory::readWell(std::uint64_t _position, Micros _now, bool _wasAway)
+bool EndpointDirectory::read(const ListingRead& _read, Micros _now)
 {
-	if (_wasAway)
+	const std::uint64_t before = this->revision;
+	if (_read.wasAway)
 	{
 		this->doubtUntil = _now + this->config.relistGrace;
 	}
 	this->lastRead = _now;
-	this->readUpTo = _position;
+	this->readUpTo = _read.position;
+	std::set<std::string> present;
+	for (const ListingChange& change : _read.changes)
+	{
+		std::visit(Overloaded{[&](const ListedEndpoint& _listed)
+							  {
+								  present.insert(_listed.name);
+								  this->listed(_listed);
+							  },
+							  [&](const UnlistedEndpoint& _gone) { this->unlisted(_gone.name, _now); }},
+				   change);
+	}
+	if (_read.whole)
+	{
+		this->relisted(present, _now);
+	}
+	this->expire(_now);
+	return this->revision != before;
 }
 
 bool EndpointDirectory::expire(Micros _now)
@@ -172,9 +187,9 @@
 	{
 		return false;
 	}
-	for (const std::string& id : this->missing)
+	for (const std::string& name : this->missing)
 	{
-		this->drop(id);
+		this->drop(name);
 	}
 	this->missing.clear();
 	return true;
@@ -186,7 +201,7 @@
 	result.reserve(this->entries.size());
 	for (const auto& entry : this->entries)
 	{
-		result.push_back(entry.second);
+		result.push_back(entry.second.endpoint);
 	}
 	return result;
 }
--- a/src/feed_loop.cpp
+++ b/src/feed_loop.cpp
@@ -32,8 +32,8 @@
 
 } // namespace
 
-FeedLoop::FeedLoop(Feed& _feed, FeedTopic _topic, FeedPace _pace, FeedHandler _onRead)
-	: feed(_feed), topic(_topic), pace(_pace), onRead(std::move(_onRead))
+FeedLoop::FeedLoop(Feed& _feed, FeedTopic _topic, FeedPace _pace, FeedHandlers _handlers)
+	: feed(_feed), topic(_topic), pace(_pace), handlers(std::move(_handlers))
 {
 	this->timer.setSingleShot(true);
 	this->timer.setTimerType(Qt::PreciseTimer);
@@ -65,11 +65,6 @@
 	return this->backoff > 0;
 }
 
-Micros FeedLoop::readAt() const
-{
-	return this->lastRead;
-}
-
 void FeedLoop::read()
 {
 	this->begunAt = monotonicNow();
@@ -108,8 +103,7 @@
 	this->backoff = 0;
 	this->everRead = true;
 	this->position = _page->next;
-	this->lastRead = this->begunAt;
-	this->onRead(FeedReading{*_page, _whole, wasLost});
+	this->handlers.onRead(FeedReading{*_page, _whole, wasLost, this->begunAt});
 	this->timer.start(toMs(this->pace.pause));
 }
 
@@ -129,6 +123,7 @@
 				  {"error", std::string(_status.message())},
 				  {"after_ms", (monotonicNow() - this->begunAt) / kMillisecond}});
 	}
+	this->handlers.onFailed();
 	this->backoff = this->lost() ? std::min(kLongestBackoff, this->backoff * 2) : kFirstBackoff;
 	this->timer.start(toMs(this->backoff));
 }
--- a/src/feed_loop.h
+++ b/src/feed_loop.h
@@ -30,17 +30,22 @@
 	FeedPage page;
 	bool whole = false;   ///< Whether the page has all entries there are.
 	bool wasLost = false; ///< Whether the reading before had failed.
+	Micros begunAt = 0;
 };
 
-/// Called on the control thread.
-using FeedHandler = std::function<void(const FeedReading& _reading)>;
+/// What a loop tells. Called on the control thread.
+struct FeedHandlers
+{
+	std::function<void(const FeedReading& _reading)> onRead;
+	std::function<void()> onFailed; ///< A reading went wrong; it is tried again.
+};
 
 /// Keeps a topic up to date: the whole of it first, then what came after; the whole again when the platform does not
 /// hold the changes any more. Pauses longer and longer while the platform does not answer.
 class FeedLoop
 {
 public:
-	FeedLoop(Feed& _feed, FeedTopic _topic, FeedPace _pace, FeedHandler _onRead);
+	FeedLoop(Feed& _feed, FeedTopic _topic, FeedPace _pace, FeedHandlers _handlers);
 
 	/// Begins to read, from the whole of the topic.
 	/// @param[in] _wasLost Whether the platform was away until now, as far as is known.
@@ -55,9 +60,6 @@
 	/// @returns Whether the last reading failed.
 	[[nodiscard]] bool lost() const;
 
-	/// @returns When the last reading that went well was begun, 0 for never.
-	[[nodiscard]] Micros readAt() const;
-
 private:
 	void read();
 	void done(const absl::StatusOr<FeedPage>& _page, bool _whole);
@@ -66,14 +68,13 @@
 	Feed& feed;
 	FeedTopic topic;
 	FeedPace pace;
-	FeedHandler onRead;
+	FeedHandlers handlers;
 	QTimer timer;
 	std::optional<std::uint64_t> position; ///< Nothing until the whole was read.
 	std::uint64_t turn = 0;                ///< Counts starts and stops; answers to earlier ones are dropped.
 	Micros backoff = 0;
 	bool everRead = false;
 	Micros begunAt = 0; ///< The reading under way.
-	Micros lastRead = 0;
 };
 
 } // namespace roadferry
--- a/src/forward_control.cpp
+++ b/src/forward_control.cpp
@@ -31,14 +31,16 @@
 							   std::function<void(const std::string&, const PeerMessage&)> _send,
 							   std::function<void(const RoutePlan&)> _onPlan)
 	: feed(_feed), traffic(_traffic), settings(std::move(_settings)), send(std::move(_send)),
-	  onPlan(std::move(_onPlan)), routeLoop(_feed, FeedTopic::Routes, settings.routes,
-											[this](const FeedReading& _reading) { this->onRoutes(_reading); }),
+	  onPlan(std::move(_onPlan)),
+	  routeLoop(_feed, FeedTopic::Routes, settings.routes,
+				FeedHandlers{[this](const FeedReading& _reading) { this->onRoutes(_reading); },
+							 [this] { this->exchange.readingFailed(FeedTopic::Routes); }}),
 	  endpointLoop(_feed, FeedTopic::Endpoints, settings.endpoints,
-				   [this](const FeedReading& _reading) { this->onEndpoints(_reading); }),
-	  directory(settings.directory),
+				   FeedHandlers{[this](const FeedReading& _reading) { this->onEndpoints(_reading); },
+								[this] { this->exchange.readingFailed(FeedTopic::Endpoints); }}),
 	  membership(settings.self, static_cast<std::uint64_t>(wallNanoseconds() / kNanosPerMicro), MembershipConfig{},
 				 randomNumber()),
-	  relay(settings.self, settings.relay), directoryId(randomNumber() >> 1) // CBOR's numbers have a sign.
+	  exchange(settings.self, settings.relay, settings.directory, randomNumber() >> 1) // CBOR's numbers have a sign.
 {
 	QObject::connect(&this->timer, &QTimer::timeout, [this] { this->tick(); });
 }
@@ -47,13 +49,42 @@
 {
 	this->membership.setSeeds(this->settings.seeds);
 	this->publishMembers();
-	this->relayFeed(monotonicNow());
+	this->perform(this->exchange.tick(monotonicNow()));
 	this->timer.start(kTickMs);
 }
 
 bool ForwardControl::ready() const
 {
-	return this->plan != nullptr && this->endpointsKnown;
+	return this->exchange.ready();
+}
+
+void ForwardControl::perform(const FeedActions& _actions)
+{
+	for (const FeedAction& action : _actions)
+	{
+		std::visit(Overloaded{[&](const StartReading& _start) { this->startReading(_start.wasLost); },
+							  [&](const StopReading&) { this->stopReading(); },
+							  [&](const SendFeedAsk& _ask) { this->send(_ask.to, _ask.message); },
+							  [&](const SendFeedNews& _news) { this->send(_news.to, _news.message); },
+							  [&](const DecodeRoutes& _routes) { this->takeRecord(_routes.from, _routes.record); },
+							  [&](const EndpointsChanged&) { this->publishEndpoints(); }},
+				   action);
+	}
+}
+
+void ForwardControl::startReading(bool _wasLost)
+{
+	logEvent("feed", "reads_itself",
+			 {{"peer", this->exchange.source()}, {"peer_lost_it", _wasLost}, {"members", this->members.size()}});
+	this->routeLoop.start(_wasLost);
+	this->endpointLoop.start(_wasLost);
+}
+
+void ForwardControl::stopReading()
+{
+	logEvent("feed", "reads_through_peer", {{"peer", this->exchange.source()}, {"members", this->members.size()}});
+	this->routeLoop.stop();
+	this->endpointLoop.stop();
 }
 
 void ForwardControl::onRoutes(const FeedReading& _reading)
@@ -69,6 +100,7 @@
 			logEvent("control", "routes_unreadable", {{"name", fault->name}, {"fault", fault->fault}});
 		}
 	}
+	this->exchange.routesRead(_reading.begunAt);
 }
 
 void ForwardControl::takePlan(const RoutesRead& _read, const std::string& _source)
@@ -79,10 +111,9 @@
 		return; // A copy that took longer; versions in force never go back.
 	}
 	this->plan = _read.plan;
-	this->planRecord = _read.record;
 	this->membership.setTableOffset(version);
 	this->traffic.setPlan(this->plan);
-	this->tellFollowers(monotonicNow());
+	this->perform(this->exchange.holdRoutes(HeldRoutes{version, _read.record}, monotonicNow()));
 	this->onPlan(*this->plan);
 	logEvent("control", "routes_in_force",
 			 {{"version", version},
@@ -94,18 +125,15 @@
 
 void ForwardControl::onEndpoints(const FeedReading& _reading)
 {
-	const Micros now = monotonicNow();
-	std::vector<Endpoint> all;
-	this->directory.readWell(_reading.page.next, now, _reading.wasLost);
+	ListingRead read{_reading.page.next, _reading.whole, _reading.wasLost, _reading.begunAt, {}};
 	for (const FeedChange& change : _reading.page.changes)
 	{
 		std::visit(
 			Overloaded{
 				[](const RoutesRead&) {},
-				[&](const EndpointListed& _listed)
+				[&](const ListedEndpoint& _listed)
 				{
-					all.push_back(_listed.endpoint);
-					this->directory.listed(_listed.endpoint, now);
+					read.changes.emplace_back(_listed);
 					logEvent("control", "endpoint_listed",
 							 {{"endpoint", _listed.endpoint.id},
 							  {"pool", _listed.endpoint.pool},
@@ -113,10 +141,10 @@
 							  {"failure_domain", _listed.endpoint.failureDomain},
 							  {"leaving", _listed.endpoint.leaving}});
 				},
-				[&](const EndpointUnlisted& _gone)
+				[&](const UnlistedEndpoint& _gone)
 				{
-					this->directory.unlisted(_gone.id, now);
-					logEvent("control", "endpoint_unlisted", {{"endpoint", _gone.id}});
+					read.changes.emplace_back(_gone);
+					logEvent("control", "endpoint_unlisted", {{"endpoint", _gone.name}});
 				},
 				[](const UnreadableEntry& _fault) {
 					logEvent("control", "endpoint_unreadable", {{"name", _fault.name}, {"fault", _fault.fault}});
@@ -124,22 +152,13 @@
 			},
 			change);
 	}
-	if (_reading.whole)
-	{
-		this->directory.relisted(all, now);
-	}
-	const bool dropped = this->directory.expire(now);
-	const bool first = !std::exchange(this->endpointsKnown, true);
-	if (first || dropped || _reading.whole || !_reading.page.changes.empty())
-	{
-		this->publishEndpoints();
-	}
+	this->perform(this->exchange.endpointsRead(read, monotonicNow()));
 }
 
 void ForwardControl::publishEndpoints()
 {
-	this->traffic.setEndpoints(this->directory.endpoints(), this->directory.position());
-	this->tellFollowers(monotonicNow());
+	const EndpointDirectory& directory = this->exchange.endpoints();
+	this->traffic.setEndpoints(directory.endpoints(), directory.position());
 }
 
 void ForwardControl::publishMembers()
@@ -150,7 +169,7 @@
 		return;
 	}
 	this->members = alive;
-	this->relay.setMembers(alive);
+	this->exchange.setMembers(alive);
 	const auto nodes = static_cast<double>(std::max(kFewestNodes, alive.size()));
 	this->traffic.setMembers(alive);
 	this->traffic.setRetryBounds(this->settings.retryShare * kRetryCaution,
@@ -163,85 +182,13 @@
 	const Micros now = monotonicNow();
 	this->carry(this->membership.tick(now));
 	this->publishMembers();
-	this->relayFeed(now);
-	if (this->directory.expire(now))
-	{
-		this->publishEndpoints();
-	}
+	this->perform(this->exchange.tick(now));
 	this->askPeers(now);
 }
 
-/// Reads the platform's topics, or asks a node that does.
-void ForwardControl::relayFeed(Micros _now)
-{
-	const FeedRelayStep step = this->relay.tick(_now);
-	if (step.readOwn != this->reading)
-	{
-		this->reading = step.readOwn;
-		logEvent("feed", step.readOwn ? "reads_itself" : "reads_through_peer",
-				 {{"peer", this->relay.source()},
-				  {"peer_lost_it", this->relay.sourceLost()},
-				  {"members", this->members.size()}});
-		if (step.readOwn)
-		{
-			this->sourceId = 0; // What is read meanwhile is not in the source's revisions.
-			this->routeLoop.start(this->relay.sourceLost());
-			this->endpointLoop.start(this->relay.sourceLost());
-		}
-		else
-		{
-			this->routeLoop.stop();
-			this->endpointLoop.stop();
-		}
-	}
-	if (!step.ask.empty())
-	{
-		const std::uint64_t version = this->plan == nullptr ? 0 : this->plan->data().version;
-		this->send(step.ask, FeedAsk{version, this->sourceId, this->sourceId == 0 ? 0 : this->sourceRevision, _now});
-	}
-}
-
 void ForwardControl::onFeedAsk(const std::string& _peer, const FeedAsk& _ask)
 {
-	const Micros now = monotonicNow();
-	Follower& follower = this->followers[_peer];
-	follower.version = _ask.version;
-	follower.revision = _ask.source == this->directoryId ? _ask.revision : 0;
-	follower.askedAt = _ask.sentAt;
-	follower.until = now + this->settings.relay.followerLife;
-	this->tell(_peer, follower, now);
-}
-
-void ForwardControl::tell(const std::string& _peer, Follower& _follower, Micros _now)
-{
-	const bool reads = this->reading && !this->routeLoop.lost() && !this->endpointLoop.lost() && this->ready();
-	FeedNews news;
-	news.source = this->directoryId;
-	news.answers = _follower.askedAt;
-	news.version = this->plan == nullptr ? 0 : this->plan->data().version;
-	news.routesAge = _now - this->routeLoop.readAt();
-	if (this->plan != nullptr && this->plan->data().version > _follower.version)
-	{
-		news.record = this->planRecord;
-		_follower.version = this->plan->data().version;
-	}
-	if (reads)
-	{
-		news.readAge = _now - this->directory.readAt();
-		news.endpoints = this->directory.changesSince(_follower.revision);
-		_follower.revision = news.endpoints.revision;
-	}
-	this->send(_peer, news);
-}
-
-/// Passes on what is new as soon as it is known here.
-void ForwardControl::tellFollowers(Micros _now)
-{
-	std::erase_if(this->followers, [_now](const auto& _entry) { return _entry.second.until < _now; });
-	for (auto& entry : this->followers)
-	{
-		this->tell(entry.first, entry.second, _now);
-	}
+	this->perform(this->exchange.onAsk(_peer, _ask, monotonicNow()));
 }
 
 /// One line for all news that bring something: how old it is by its sender's word and by the way that it took, and
@@ -262,46 +209,20 @@
 			  {"version", _news.version},
 			  {"version_held", this->plan == nullptr ? 0 : this->plan->data().version},
 			  {"listing", endpoints.position},
-			  {"listing_held", this->directory.position()}});
+			  {"listing_held", this->exchange.endpoints().position()}});
 }
 
 void ForwardControl::onFeedNews(const std::string& _peer, const FeedNews& _news)
 {
-	if (_peer != this->relay.source())
-	{
-		return; // Of a node that was asked before; the one that is asked now tells all of it.
-	}
 	const Micros now = monotonicNow();
 	this->logNews(_peer, _news, now);
-	if (!_news.record.empty())
-	{
-		this->takeRecord(_peer, _news.record);
-	}
-	this->relay.heard(_peer, _news.readAge, now);
-	const bool isNew =
-		_news.endpoints.whole || _news.source != this->sourceId || _news.endpoints.revision != this->sourceRevision;
-	if (!_news.readAge || !isNew)
-	{
-		return;
-	}
-	this->sourceId = _news.source;
-	this->sourceRevision = _news.endpoints.revision;
-	this->directory.take(_news.endpoints, now);
-	this->endpointsKnown = true;
-	logEvent("control", "endpoints_from_peer",
-			 {{"peer", _peer},
-			  {"whole", _news.endpoints.whole},
-			  {"listed", _news.endpoints.listed.size()},
-			  {"unlisted", _news.endpoints.unlisted.size()},
-			  {"read_ms_ago", *_news.readAge / kMillisecond}});
-	this->publishEndpoints();
+	this->perform(this->exchange.onNews(_peer, _news, now));
 }
 
 /// While the platform is away, or has not answered yet, other nodes may know more.
 void ForwardControl::askPeers(Micros _now)
 {
-	const bool away = this->routeLoop.lost() || this->endpointLoop.lost() || !this->ready();
-	if (!away || _now < this->askAt)
+	if (!this->exchange.away() || _now < this->askAt)
 	{
 		return;
 	}
@@ -315,23 +236,25 @@
 	this->askAt = _now + kAskEvery;
 	this->askTurn += 1;
 	RoutesAsk ask;
-	ask.version = this->plan == nullptr ? 0 : this->plan->data().version;
-	ask.endpoints = !this->endpointsKnown;
+	ask.version = this->exchange.routes().version;
+	ask.endpoints = !this->exchange.ready();
 	this->send(peers[this->askTurn % peers.size()], ask);
 }
 
 void ForwardControl::onRoutesAsk(const std::string& _peer, const RoutesAsk& _ask)
 {
+	const HeldRoutes& routes = this->exchange.routes();
+	const EndpointDirectory& directory = this->exchange.endpoints();
 	RoutesGive give;
-	if (this->plan != nullptr && this->plan->data().version > _ask.version)
+	if (routes.version > _ask.version)
 	{
-		give.record = this->planRecord;
+		give.record = routes.record;
 	}
-	if (_ask.endpoints && this->endpointsKnown)
+	if (_ask.endpoints)
 	{
-		give.endpoints = this->directory.endpoints();
+		give.endpoints = directory.changesSince(0).listed;
 	}
-	give.leaving.assign(this->directory.leaving().begin(), this->directory.leaving().end());
+	give.leaving.assign(directory.leaving().begin(), directory.leaving().end());
 	if (!give.record.empty() || !give.endpoints.empty() || !give.leaving.empty())
 	{
 		this->send(_peer, give);
@@ -358,20 +281,7 @@
 	{
 		this->takeRecord(_peer, _give.record);
 	}
-	if (!this->endpointsKnown && !_give.endpoints.empty())
-	{
-		this->endpointsKnown = true;
-		for (const Endpoint& endpoint : _give.endpoints)
-		{
-			this->directory.listed(endpoint, monotonicNow());
-		}
-		logEvent("control", "endpoints_from_peer", {{"peer", _peer}, {"endpoints", _give.endpoints.size()}});
-	}
-	for (const std::string& endpoint : _give.leaving)
-	{
-		this->directory.markLeaving(endpoint);
-	}
-	this->publishEndpoints();
+	this->perform(this->exchange.learn(_give.endpoints, _give.leaving, monotonicNow()));
 }
 
 void ForwardControl::carry(const std::vector<SendGossip>& _messages)
--- a/src/forward_control.h
+++ b/src/forward_control.h
@@ -54,18 +54,9 @@
 	[[nodiscard]] bool ready() const;
 
 private:
-	/// A node that hears of the platform's topics from this one.
-	struct Follower
-	{
-		std::uint64_t version = 0;  ///< Of the routes that it was told.
-		std::uint64_t revision = 0; ///< Of the directory that it was told.
-		Micros askedAt = 0;         ///< As it said, on its clock.
-		Micros until = 0;
-	};
-
-	void relayFeed(Micros _now);
-	void tellFollowers(Micros _now);
-	void tell(const std::string& _peer, Follower& _follower, Micros _now);
+	void perform(const FeedActions& _actions);
+	void startReading(bool _wasLost);
+	void stopReading();
 	void onRoutes(const FeedReading& _reading);
 	void onEndpoints(const FeedReading& _reading);
 	void logNews(const std::string& _peer, const FeedNews& _news, Micros _now) const;
@@ -84,19 +75,11 @@
 	std::function<void(const RoutePlan&)> onPlan;
 	FeedLoop routeLoop;
 	FeedLoop endpointLoop;
-	EndpointDirectory directory;
 	Membership membership;
-	FeedRelay relay;
-	bool reading = false;                      ///< Whether this node reads the topics itself.
-	std::map<std::string, Follower> followers; ///< By address.
-	std::uint64_t directoryId;                 ///< Tells this process's revisions from those of others.
-	std::uint64_t sourceId = 0;                ///< Directory that was followed last,
-	std::uint64_t sourceRevision = 0;          ///< and how far.
+	FeedExchange exchange;
 	QTimer timer;
 	std::shared_ptr<const RoutePlan> plan;
-	std::string planRecord;
 	std::vector<std::string> members;
-	bool endpointsKnown = false;
 	Micros askAt = 0;
 	std::size_t askTurn = 0;
 };
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -28,7 +28,7 @@
 constexpr std::int64_t kMemberStates = 4;
 constexpr std::int64_t kVerdicts = 3;
 constexpr std::int64_t kReasons = 18;
-constexpr qsizetype kEndpointFields = 6;
+constexpr qsizetype kEndpointFields = 8;
 
 QCborMap toCbor(const RelayRequest& _message)
 {
@@ -131,28 +131,36 @@
 		{"type", "routes_ask"}, {"version", static_cast<qint64>(_message.version)}, {"endpoints", _message.endpoints}};
 }
 
-QCborArray toCbor(const std::vector<Endpoint>& _endpoints)
+QCborArray toCbor(const std::vector<ListedEndpoint>& _entries)
 {
-	QCborArray endpoints;
-	for (const Endpoint& endpoint : _endpoints)
+	QCborArray array;
+	for (const ListedEndpoint& entry : _entries)
 	{
-		endpoints.append(QCborArray{text(endpoint.id), text(endpoint.address), text(endpoint.pool),
-									text(endpoint.failureDomain), static_cast<qint64>(endpoint.slots),
-									endpoint.leaving});
+		const Endpoint& endpoint = entry.endpoint;
+		array.append(QCborArray{text(entry.name), static_cast<qint64>(entry.position), text(endpoint.id),
+								text(endpoint.address), text(endpoint.pool), text(endpoint.failureDomain),
+								static_cast<qint64>(endpoint.slots), endpoint.leaving});
 	}
-	return endpoints;
+	return array;
 }
 
-std::vector<Endpoint> readEndpoints(CborReader& _reader, const char* _name)
+std::vector<ListedEndpoint> readEndpoints(CborReader& _reader, const char* _name)
 {
-	std::vector<Endpoint> endpoints;
-	for (const QCborArray& entry : _reader.arrays(_name, kEndpointFields))
+	std::vector<ListedEndpoint> entries;
+	for (const QCborArray& fields : _reader.arrays(_name, kEndpointFields))
 	{
-		endpoints.push_back(Endpoint{entry.at(0).toString().toStdString(), entry.at(1).toString().toStdString(),
-									 entry.at(2).toString().toStdString(), entry.at(3).toString().toStdString(),
-									 entry.at(4).toInteger(), entry.at(5).toBool()});
+		ListedEndpoint entry;
+		entry.name = fields.at(0).toString().toStdString();
+		entry.position = static_cast<std::uint64_t>(fields.at(1).toInteger());
+		entry.endpoint = Endpoint{fields.at(2).toString().toStdString(),
+								  fields.at(3).toString().toStdString(),
+								  fields.at(4).toString().toStdString(),
+								  fields.at(5).toString().toStdString(),
+								  fields.at(6).toInteger(),
+								  fields.at(7).toBool()};
+		entries.push_back(std::move(entry));
 	}
-	return endpoints;
+	return entries;
 }
 
 QCborMap toCbor(const RoutesGive& _message)
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -87,7 +87,7 @@
 struct RoutesGive
 {
 	std::string record; ///< The routes as the platform keeps them; empty when the asker holds them.
-	std::vector<Endpoint> endpoints;
+	std::vector<ListedEndpoint> endpoints;
 	std::vector<std::string> leaving; ///< Endpoints that were seen leaving.
 	bool operator==(const RoutesGive&) const = default;
 };
--- /dev/null
+++ b/tests/listing_log.h
@@ -0,0 +1,89 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// A platform's log of endpoints' entries, for tests: entries get positions, and readings are made from any position.
+
+#ifndef ROADFERRY_LISTING_LOG_H_HEADER_GUARD
+#define ROADFERRY_LISTING_LOG_H_HEADER_GUARD
+
+#include <roadferry/roadferry.h>
+
+namespace roadferry
+{
+
+/// The log.
+class ListingLog
+{
+public:
+	/// @returns Position of the new entry.
+	std::uint64_t put(const std::string& _name, const Endpoint& _endpoint)
+	{
+		const std::uint64_t position = this->end();
+		this->changes.emplace_back(ListedEndpoint{_name, position, _endpoint});
+		return position;
+	}
+
+	std::uint64_t put(const Endpoint& _endpoint)
+	{
+		return this->put(_endpoint.id, _endpoint);
+	}
+
+	std::uint64_t remove(const std::string& _name)
+	{
+		const std::uint64_t position = this->end();
+		this->changes.emplace_back(UnlistedEndpoint{_name, position});
+		return position;
+	}
+
+	[[nodiscard]] std::uint64_t end() const
+	{
+		return this->changes.size();
+	}
+
+	/// @returns All changes from a position on.
+	[[nodiscard]] ListingRead since(std::uint64_t _position, bool _wasAway = false, Micros _begunAt = 0) const
+	{
+		ListingRead read{this->end(), false, _wasAway, _begunAt, {}};
+		read.changes.assign(this->changes.begin() + static_cast<std::ptrdiff_t>(_position), this->changes.end());
+		return read;
+	}
+
+	/// @returns The newest entry of each name that is there.
+	[[nodiscard]] ListingRead whole(bool _wasAway = false, Micros _begunAt = 0) const
+	{
+		ListingRead read{this->end(), true, _wasAway, _begunAt, {}};
+		for (const auto& entry : this->present())
+		{
+			read.changes.emplace_back(entry.second);
+		}
+		return read;
+	}
+
+	/// @returns The newest entry of each name that is there, by name.
+	[[nodiscard]] std::map<std::string, ListedEndpoint> present() const
+	{
+		std::map<std::string, ListedEndpoint> entries;
+		for (const ListingChange& change : this->changes)
+		{
+			if (const auto* listed = std::get_if<ListedEndpoint>(&change))
+			{
+				entries[listed->name] = *listed;
+			}
+			else
+			{
+				entries.erase(std::get<UnlistedEndpoint>(change).name);
+			}
+		}
+		return entries;
+	}
+
+private:
+	std::vector<ListingChange> changes; ///< By position.
+};
+
+} // namespace roadferry
+
+#endif // ROADFERRY_LISTING_LOG_H_HEADER_GUARD
--- a/tests/test_feed.cpp
+++ b/tests/test_feed.cpp
@@ -6,6 +6,7 @@
 /// @file
 /// Few nodes read the platform's topics for all: who reads, who asks whom, and what happens when news stop.
 
+#include "listing_log.h"
 #include "property.h"
 
 #include <roadferry/roadferry.h>
@@ -193,6 +194,8 @@
 					   EndpointDirectory source(DirectoryConfig{});
 					   EndpointDirectory follower(DirectoryConfig{});
 					   const std::vector<std::string> ids = {"e-1", "e-2", "e-3", "e-4"};
+					   ListingLog log;
+					   std::uint64_t known = 0;
 					   std::uint64_t held = 0;
 					   Micros now = kSecond;
 					   const int steps = *rc::gen::inRange(1, 60);
@@ -203,19 +206,21 @@
 						   switch (*rc::gen::inRange(0, 6))
 						   {
 						   case 0:
-							   source.unlisted(id, now);
+							   log.remove(id);
 							   break;
 						   case 1:
 							   source.markLeaving(id);
 							   break;
 						   case 2:
-							   source.readWell(static_cast<std::uint64_t>(step), now, *rc::gen::arbitrary<bool>());
+							   source.read(log.since(std::exchange(known, log.end()), *rc::gen::arbitrary<bool>()),
+										   now);
 							   break;
 						   case 3:
 							   source.expire(now);
 							   break;
 						   default:
-							   source.listed(endpoint(id, *rc::gen::inRange(0, 4) == 0), now);
+							   log.put(endpoint(id, *rc::gen::inRange(0, 4) == 0));
+							   source.read(log.since(std::exchange(known, log.end())), now);
 							   break;
 						   }
 						   if (*rc::gen::inRange(0, 3) == 0)
@@ -232,13 +237,17 @@
 Test(directory_changes, one_that_lacks_too_much_takes_the_whole)
 {
 	EndpointDirectory source(DirectoryConfig{});
-	source.listed(endpoint("stays"), kSecond);
+	ListingLog log;
+	log.put(endpoint("stays"));
+	source.read(log.since(0), kSecond);
 	const std::uint64_t held = source.changesSince(0).revision;
 	for (int index = 0; index < 1'200; ++index)
 	{
 		const std::string id = "e-" + std::to_string(index);
-		source.listed(endpoint(id), kSecond);
-		source.unlisted(id, kSecond);
+		const std::uint64_t known = log.end();
+		log.put(endpoint(id));
+		log.remove(id);
+		source.read(log.since(known), kSecond);
 	}
 	const DirectoryChanges changes = source.changesSince(held);
 	cr_assert(changes.whole);
--- a/tests/test_routes.cpp
+++ b/tests/test_routes.cpp
@@ -6,6 +6,7 @@
 /// @file
 /// Routes against a plain search; endpoints whose listing is away.
 
+#include "listing_log.h"
 #include "property.h"
 
 #include <roadferry/roadferry.h>
@@ -124,23 +125,29 @@
 Test(directory, missing_entry_is_gone_at_once_while_the_listing_is_well)
 {
 	EndpointDirectory directory(DirectoryConfig{});
-	directory.readWell(0, kSecond, false);
-	directory.relisted({endpoint("e-1"), endpoint("e-2")}, kSecond);
-	directory.readWell(0, kSecond + 500 * kMillisecond, false);
-	directory.unlisted("e-1", kSecond + 500 * kMillisecond);
+	ListingLog log;
+	log.put(endpoint("e-1"));
+	log.put(endpoint("e-2"));
+	directory.read(log.whole(), kSecond);
+	log.remove("e-1");
+	directory.read(log.since(2), kSecond + 500 * kMillisecond);
 	cr_assert(usableIds(directory) == std::vector<std::string>{"e-2"});
 }
 
 Test(directory, entry_that_lapsed_while_the_listing_was_away_has_time_to_come_back)
 {
 	EndpointDirectory directory(DirectoryConfig{});
-	directory.readWell(0, kSecond, false);
-	directory.relisted({endpoint("e-1"), endpoint("e-2")}, kSecond);
+	ListingLog log;
+	log.put(endpoint("e-1"));
+	log.put(endpoint("e-2"));
+	directory.read(log.whole(), kSecond);
+	log.remove("e-1");
+	log.remove("e-2");
 	const Micros back = 10 * kSecond;
-	directory.readWell(0, back, true);
-	directory.relisted({}, back);
+	directory.read(log.whole(true), back);
 	cr_assert_eq(usableIds(directory).size(), 2);
-	directory.listed(endpoint("e-1"), back + kSecond);
+	log.put(endpoint("e-1"));
+	directory.read(log.since(4), back + kSecond);
 	cr_assert_not(directory.expire(back + 1'900 * kMillisecond));
 	cr_assert(directory.expire(back + 2 * kSecond));
 	cr_assert(usableIds(directory) == std::vector<std::string>{"e-1"});
@@ -149,12 +156,14 @@
 Test(directory, entry_that_goes_after_the_return_is_dropped_two_seconds_after_the_return)
 {
 	EndpointDirectory directory(DirectoryConfig{});
-	directory.readWell(0, kSecond, false);
-	directory.relisted({endpoint("e-1")}, kSecond);
+	ListingLog log;
+	log.put(endpoint("e-1"));
+	directory.read(log.whole(), kSecond);
 	const Micros back = 10 * kSecond;
-	directory.readWell(0, back, true);
-	directory.readWell(0, back + 1'800 * kMillisecond, false);
-	directory.unlisted("e-1", back + 1'800 * kMillisecond);
+	directory.read(log.since(1, true), back);
+	log.remove("e-1");
+	directory.read(log.since(1), back + 1'800 * kMillisecond);
+	cr_assert_eq(usableIds(directory).size(), 1);
 	cr_assert(directory.expire(back + 2 * kSecond));
 	cr_assert(usableIds(directory).empty());
 }
@@ -162,10 +171,11 @@
 Test(directory, slow_reading_is_no_reason_to_keep_a_missing_entry)
 {
 	EndpointDirectory directory(DirectoryConfig{});
-	directory.readWell(0, kSecond, false);
-	directory.relisted({endpoint("e-1")}, kSecond);
-	directory.readWell(0, 3 * kSecond, false);
-	directory.unlisted("e-1", 3 * kSecond);
+	ListingLog log;
+	log.put(endpoint("e-1"));
+	directory.read(log.whole(), kSecond);
+	log.remove("e-1");
+	directory.read(log.since(1), 3 * kSecond);
 	cr_assert(usableIds(directory).empty());
 }
 
@@ -175,6 +185,10 @@
 				   []
 				   {
 					   EndpointDirectory directory(DirectoryConfig{});
+					   ListingLog log;
+					   std::uint64_t known = 0;
+					   const auto readOn = [&](Micros _now, bool _wasAway)
+					   { directory.read(log.since(std::exchange(known, log.end()), _wasAway), _now); };
 					   const std::vector<std::string> ids = {"e-1", "e-2", "e-3"};
 					   std::set<std::string> left;
 					   Micros now = kSecond;
@@ -186,10 +200,12 @@
 						   switch (*rc::gen::inRange(0, 6))
 						   {
 						   case 0:
-							   directory.listed(endpoint(id), now);
+							   log.put(endpoint(id));
+							   readOn(now, false);
 							   break;
 						   case 1:
-							   directory.listed(endpoint(id, true), now);
+							   log.put(endpoint(id, true));
+							   readOn(now, false);
 							   left.insert(id);
 							   break;
 						   case 2:
@@ -197,10 +213,11 @@
 							   left.insert(id);
 							   break;
 						   case 3:
-							   directory.unlisted(id, now);
+							   log.remove(id);
+							   readOn(now, false);
 							   break;
 						   case 4:
-							   directory.readWell(0, now, *rc::gen::arbitrary<bool>());
+							   readOn(now, *rc::gen::arbitrary<bool>());
 							   break;
 						   default:
 							   directory.expire(now);
