--- a/tests/listing_log.h
+++ b/tests/listing_log.h
@@ -64,10 +64,17 @@
 
 	/// @returns The newest entry of each name that is there, by name.
 	[[nodiscard]] std::map<std::string, ListedEndpoint> present() const
+	{
+		return this->present(this->end());
+	}
+
+	/// @returns The newest entry of each name that was there when the log ended at a position.
+	[[nodiscard]] std::map<std::string, ListedEndpoint> present(std::uint64_t _position) const
 	{
 		std::map<std::string, ListedEndpoint> entries;
-		for (const ListingChange& change : this->changes)
+		for (std::size_t index = 0; index < _position; ++index)
 		{
+			const ListingChange& change = this->changes[index];
 			if (const auto* listed = std::get_if<ListedEndpoint>(&change))
 			{
 				entries[listed->name] = *listed;
--- /dev/null
+++ b/tests/test_feed_exchange.cpp
@@ -0,0 +1,208 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// What nodes know of the platform's topics is recent, and is never replaced by something older.
+
+#include "feed_world.h"
+#include "property.h"
+
+namespace
+{
+
+using namespace roadferry;
+
+constexpr Micros kInForceWithin = 3 * kSecond; ///< The bound of deployments with so many nodes.
+
+Endpoint endpoint(const std::string& _id, bool _leaving = false)
+{
+	return Endpoint{_id, "10.0.0.1:80", "pool", "north", 1, _leaving};
+}
+
+bool lists(const FeedExchange& _exchange, const std::string& _id)
+{
+	const std::vector<Endpoint> all = _exchange.endpoints().endpoints();
+	return std::any_of(all.begin(), all.end(), [&](const Endpoint& _endpoint) { return _endpoint.id == _id; });
+}
+
+} // namespace
+
+/// Guards against changes of routes that are late because each version queues whole behind the ones before it.
+Test(feed_exchange, quick_changes_over_narrow_links_are_in_force_in_time)
+{
+	FeedWorld world(FeedWorldConfig{80, 500'000, 16'000});
+	world.runFor(5 * kSecond);
+	for (int change = 0; change < 60; ++change)
+	{
+		world.publishRoutes();
+		world.runFor(300 * kMillisecond);
+		for (const FeedWorld::Node& node : world.nodes)
+		{
+			cr_assert_geq(node.exchange.routes().version, world.versionBefore(kInForceWithin), "%s, change %d",
+						  node.name.c_str(), change);
+		}
+	}
+}
+
+/// Guards against news that count as fresh although they spent seconds on their way.
+Test(feed_exchange, nodes_that_hear_over_a_link_that_fills_up_are_not_late)
+{
+	FeedWorld world(FeedWorldConfig{});
+	world.runFor(3 * kSecond);
+	for (int change = 0; change < 100; ++change)
+	{
+		for (const std::string& reader : world.readers())
+		{
+			Micros& delay = world.node(reader).extraDelay;
+			delay = std::min(4 * kSecond, delay + 80 * kMillisecond);
+		}
+		world.publishRoutes();
+		world.runFor(200 * kMillisecond);
+		for (const FeedWorld::Node& node : world.nodes)
+		{
+			cr_assert_geq(node.exchange.routes().version, world.versionBefore(kInForceWithin), "%s, change %d",
+						  node.name.c_str(), change);
+		}
+	}
+}
+
+/// Guards against a node that gets an endpoint back, which it had seen go, from a node that has read less.
+Test(feed_exchange, endpoint_seen_to_go_is_not_taken_back_from_a_node_that_has_read_less)
+{
+	ListingLog log;
+	log.put(endpoint("stays"));
+	log.put(endpoint("goes"));
+	EndpointDirectory behind(DirectoryConfig{});
+	behind.read(log.whole(), kSecond);
+	log.remove("goes");
+	EndpointDirectory ahead(DirectoryConfig{});
+	ahead.read(log.whole(), kSecond);
+	ahead.take(behind.changesSince(0), 2 * kSecond);
+	cr_assert_eq(ahead.endpoints().size(), 1, "a listing of position %zu replaced one of position %zu",
+				 static_cast<std::size_t>(behind.position()), static_cast<std::size_t>(log.end()));
+}
+
+/// Guards against an older listing in any order of readings and news, between three directories and against the log.
+Test(feed_exchange, older_listing_never_replaces_a_newer_one)
+{
+	checkHistories("directories",
+				   []
+				   {
+					   ListingLog log;
+					   std::vector<EndpointDirectory> directories(3, EndpointDirectory(DirectoryConfig{}));
+					   std::vector<std::uint64_t> known(3, 0); ///< Position up to which each knows the log.
+					   const std::vector<std::string> names = {"e-1", "e-2", "e-3", "e-4"};
+					   Micros now = kSecond;
+					   const int steps = *rc::gen::inRange(1, 80);
+					   for (int step = 0; step < steps; ++step)
+					   {
+						   now += 100 * kMillisecond;
+						   const std::string name = *rc::gen::elementOf(names);
+						   const std::size_t one = *rc::gen::inRange<std::size_t>(0, 3);
+						   const std::size_t other = *rc::gen::inRange<std::size_t>(0, 3);
+						   switch (*rc::gen::inRange(0, 5))
+						   {
+						   case 0:
+							   log.remove(name);
+							   break;
+						   case 1:
+							   log.put(name, endpoint(name + "/" + std::to_string(log.end())));
+							   break;
+						   case 2:
+							   directories[one].read(log.since(known[one], false, now), now);
+							   known[one] = log.end();
+							   break;
+						   case 3:
+							   directories[one].read(log.whole(false, now), now);
+							   known[one] = log.end();
+							   break;
+						   default:
+							   directories[one].take(directories[other].changesSince(0), now);
+							   known[one] = std::max(known[one], known[other]);
+							   break;
+						   }
+						   for (std::size_t index = 0; index < directories.size(); ++index)
+						   {
+							   std::vector<Endpoint> expected;
+							   for (const auto& entry : log.present(known[index]))
+							   {
+								   expected.push_back(entry.second.endpoint);
+							   }
+							   RC_ASSERT(directories[index].endpoints() == expected);
+						   }
+					   }
+				   });
+}
+
+/// Guards against endpoints that come back, and changes that are late, in a cluster with nodes cut off, silent and
+/// slow.
+Test(feed_exchange, cluster_in_trouble_keeps_its_nodes_up_to_date)
+{
+	constexpr int kClusterHistories = 20;
+	const char* given = std::getenv("ROADFERRY_HISTORIES");
+	const std::string histories = given == nullptr ? std::to_string(kClusterHistories) : given;
+	setenv("RC_PARAMS", ("seed=20261204 max_success=" + histories).c_str(), 1);
+	const auto below = [](Micros _limit)
+	{ return *rc::gen::noShrink(rc::gen::resize(rc::kNominalSize, rc::gen::inRange<Micros>(0, _limit))); };
+	const bool holds =
+		rc::check("cluster",
+				  [&]
+				  {
+					  FeedWorld world(FeedWorldConfig{24, 250'000, 8'000});
+					  world.log.put(endpoint("stays"));
+					  world.runFor(3 * kSecond);
+					  Micros endpoints = 0;
+					  for (int step = 0; step < 60; ++step)
+					  {
+						  FeedWorld::Node& node = world.nodes[static_cast<std::size_t>(below(24))];
+						  switch (below(9))
+						  {
+						  case 0:
+							  node.cutOff = true;
+							  break;
+						  case 1:
+							  node.silent = true;
+							  break;
+						  case 2:
+							  node.extraDelay = below(5 * kSecond);
+							  break;
+						  case 3:
+						  case 4:
+							  node.cutOff = false;
+							  node.silent = false;
+							  node.extraDelay = 0;
+							  node.troubledUntil = world.now;
+							  break;
+						  case 5:
+							  world.publishRoutes();
+							  break;
+						  case 6:
+							  world.log.put(endpoint("e-" + std::to_string(++endpoints)));
+							  break;
+						  default: // Names that were never listed do not come later.
+							  endpoints = std::max<Micros>(1, endpoints);
+							  world.log.remove("e-" + std::to_string(1 + below(endpoints)));
+							  break;
+						  }
+						  world.runFor(below(600 * kMillisecond));
+						  for (const FeedWorld::Node& each : world.nodes)
+						  {
+							  const bool troubled = each.cutOff || each.silent || each.extraDelay > 0;
+							  if (!troubled && world.now - each.troubledUntil > 2 * kInForceWithin)
+							  {
+								  RC_ASSERT(each.exchange.routes().version >= world.versionBefore(kInForceWithin));
+							  }
+							  for (const auto& gone : each.seenGone)
+							  {
+								  const Micros since = std::max({gone.second, each.troubledUntil, each.doubtedAt});
+								  const bool waited =
+									  !each.silent && world.now - since > 2 * kSecond + FeedWorld::kTick;
+								  RC_ASSERT(!waited || !lists(each.exchange, gone.first));
+							  }
+						  }
+					  }
+				  });
+	cr_assert(holds);
+}
