--- a/include/roadferry/parts/endpoints.h
+++ b/include/roadferry/parts/endpoints.h
@@ -83,6 +83,10 @@
 
 /// The endpoints of a listing that can be away: nothing is forgotten while it is, and what vanished meanwhile gets
 /// some time to come back. An endpoint that was once seen leaving stays so.
+///
+/// A directory is complete up to a position in the platform's log, and each entry has its own. Two directories merge by
+/// position, whichever was read last: the later entry of a name wins, and a name that is absent where the log was read
+/// past its entry is gone.
 class EndpointDirectory
 {
 public:
@@ -106,7 +110,7 @@
 	/// @returns What it lacks.
 	[[nodiscard]] DirectoryChanges changesSince(std::uint64_t _revision) const;
 
-	/// Takes the changes of another node's directory, which has waited for entries to come back.
+	/// Merges the changes of another node's directory, which may have read less of the log or more.
 	void take(const DirectoryChanges& _changes, Micros _now);
 
 	/// @returns Endpoints that were seen leaving or gone, for other nodes.
@@ -121,8 +125,9 @@
 private:
 	[[nodiscard]] bool inDoubt(Micros _now) const;
 	void listed(const ListedEndpoint& _listed);
-	void unlisted(const std::string& _name, Micros _now);
-	void relisted(const std::set<std::string>& _present, Micros _now);
+	void unlisted(const UnlistedEndpoint& _gone, Micros _now);
+	void relisted(const std::set<std::string>& _present, std::uint64_t _position, Micros _now);
+	void startOver();
 	void drop(const std::string& _name);
 
 	DirectoryConfig config;
@@ -134,8 +139,8 @@
 	std::set<std::string> missing; ///< Entries that have gone while in doubt, and are dropped with its end.
 	std::set<std::string> left;    ///< Endpoints that were seen leaving.
 	Micros lastRead = 0;
-	std::uint64_t readUpTo = 0;
-	Micros doubtUntil = 0; ///< Until then a missing entry may be one that lapsed while the listing was away.
+	std::uint64_t readUpTo = 0; ///< Position up to which this directory is complete.
+	Micros doubtUntil = 0;      ///< Until then a missing entry may be one that lapsed while the listing was away.
 };
 
 } // namespace roadferry
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -31,17 +31,27 @@
 
 void EndpointDirectory::listed(const ListedEndpoint& _listed)
 {
-	this->missing.erase(_listed.name);
+	const auto held = this->entries.find(_listed.name);
+	const bool isOlder =
+		held == this->entries.end() ? _listed.position < this->readUpTo : _listed.position < held->second.position;
+	if (isOlder)
+	{
+		return;
+	}
+	const bool isNewer = held == this->entries.end() || _listed.position > held->second.position;
+	if (isNewer)
+	{
+		this->missing.erase(_listed.name);
+	}
 	if (_listed.endpoint.leaving)
 	{
 		this->left.insert(_listed.endpoint.id);
 	}
 	ListedEndpoint updated = _listed;
 	updated.endpoint.leaving = this->left.count(_listed.endpoint.id) > 0;
-	const auto [entry, isNew] = this->entries.try_emplace(_listed.name);
-	if (isNew || entry->second != updated)
+	if (isNewer || held->second != updated)
 	{
-		entry->second = std::move(updated);
+		this->entries[_listed.name] = std::move(updated);
 		this->changedAt[_listed.name] = ++this->revision;
 	}
 }
@@ -82,61 +92,65 @@
 	return changes;
 }
 
-void EndpointDirectory::take(const DirectoryChanges& _changes, Micros)
+void EndpointDirectory::take(const DirectoryChanges& _changes, Micros _now)
 {
-	this->readUpTo = _changes.position;
 	std::set<std::string> present;
 	for (const ListedEndpoint& entry : _changes.listed)
 	{
 		present.insert(entry.name);
 		this->listed(entry);
 	}
-	std::vector<std::string> gone = _changes.unlisted;
-	for (const auto& entry : this->entries)
+	for (const std::string& name : _changes.unlisted)
 	{
-		if (_changes.whole && present.count(entry.first) == 0)
-		{
-			gone.push_back(entry.first);
-		}
+		this->unlisted(UnlistedEndpoint{name, _changes.position}, _now);
 	}
-	for (const std::string& name : gone)
+	if (_changes.whole)
 	{
-		this->missing.erase(name);
-		if (this->entries.count(name) > 0)
-		{
-			this->drop(name);
-		}
+		this->relisted(present, _changes.position, _now);
 	}
+	this->readUpTo = std::max(this->readUpTo, _changes.position);
 }
 
-void EndpointDirectory::unlisted(const std::string& _name, Micros _now)
+void EndpointDirectory::unlisted(const UnlistedEndpoint& _gone, Micros _now)
 {
-	const auto entry = this->entries.find(_name);
-	if (entry == this->entries.end() || this->missing.count(_name) > 0)
+	const auto entry = this->entries.find(_gone.name);
+	const bool applies = entry != this->entries.end() && entry->second.position < _gone.position;
+	if (!applies || this->missing.count(_gone.name) > 0)
 	{
 		return;
 	}
 	if (this->inDoubt(_now) && !entry->second.endpoint.leaving)
 	{
-		this->missing.insert(_name);
+		this->missing.insert(_gone.name);
 		return;
 	}
-	this->drop(_name);
+	this->drop(_gone.name);
 }
 
-void EndpointDirectory::relisted(const std::set<std::string>& _present, Micros _now)
+/// Entries up to a position that are not among those present have gone.
+void EndpointDirectory::relisted(const std::set<std::string>& _present, std::uint64_t _position, Micros _now)
 {
-	std::vector<std::string> gone;
+	std::vector<UnlistedEndpoint> gone;
 	for (const auto& entry : this->entries)
 	{
 		if (_present.count(entry.first) == 0)
 		{
-			gone.push_back(entry.first);
+			gone.push_back(UnlistedEndpoint{entry.first, _position});
 		}
 	}
-	for (const std::string& name : gone)
+	for (const UnlistedEndpoint& entry : gone)
 	{
-		this->unlisted(name, _now);
+		this->unlisted(entry, _now);
+	}
+}
+
+/// The platform's log has begun anew: what is held is older than all that it has.
+void EndpointDirectory::startOver()
+{
+	this->readUpTo = 0;
+	for (auto& entry : this->entries)
+	{
+		entry.second.position = 0;
 	}
 }
 
@@ -161,7 +175,10 @@
 		this->doubtUntil = _now + this->config.relistGrace;
 	}
 	this->lastRead = _now;
-	this->readUpTo = _read.position;
+	if (_read.whole && _read.position < this->readUpTo)
+	{
+		this->startOver();
+	}
 	std::set<std::string> present;
 	for (const ListingChange& change : _read.changes)
 	{
@@ -170,13 +187,14 @@
 								  present.insert(_listed.name);
 								  this->listed(_listed);
 							  },
-							  [&](const UnlistedEndpoint& _gone) { this->unlisted(_gone.name, _now); }},
+							  [&](const UnlistedEndpoint& _gone) { this->unlisted(_gone, _now); }},
 				   change);
 	}
 	if (_read.whole)
 	{
-		this->relisted(present, _now);
+		this->relisted(present, _read.position, _now);
 	}
+	this->readUpTo = std::max(this->readUpTo, _read.position);
 	this->expire(_now);
 	return this->revision != before;
 }
--- a/src/feed_exchange.cpp
+++ b/src/feed_exchange.cpp
@@ -34,7 +34,6 @@
 		this->listingLost = this->routesLost;
 		if (step.readOwn)
 		{
-			this->sourceId = 0; // What is read meanwhile is not in the source's revisions.
 			actions.emplace_back(StartReading{this->relay.sourceLost()});
 		}
 		else
