--- a/include/roadferry/parts/endpoints.h
+++ b/include/roadferry/parts/endpoints.h
@@ -116,7 +116,7 @@
 	/// @returns Endpoints that were seen leaving or gone, for other nodes.
 	[[nodiscard]] const std::set<std::string>& leaving() const;
 
-	/// @returns When the listing was read last, 0 for never.
+	/// @returns When the last reading of the listing was begun, 0 for never.
 	[[nodiscard]] Micros readAt() const;
 
 	/// @returns Position in the platform's log up to which this directory is complete.
--- a/include/roadferry/parts/feed_exchange.h
+++ b/include/roadferry/parts/feed_exchange.h
@@ -111,6 +111,10 @@
 	FeedActions learn(const std::vector<ListedEndpoint>& _endpoints, const std::vector<std::string>& _leaving,
 					  Micros _now);
 
+	/// @returns How long one reading of the routes should wait for a change: no longer than may pass before a
+	/// connection that went silent is noticed, or before the nodes that ask this one want to know.
+	[[nodiscard]] Micros routesWait() const;
+
 	/// @returns Whether routes and endpoints are known.
 	[[nodiscard]] bool ready() const;
 
--- a/include/roadferry/parts/feed_relay.h
+++ b/include/roadferry/parts/feed_relay.h
@@ -36,22 +36,23 @@
 	std::string record;       ///< The routes as the platform keeps them; empty when the asker holds them.
 	std::uint64_t source = 0; ///< Random number of the sender's directory.
 	DirectoryChanges endpoints;
-	std::optional<Micros> readAge; ///< Since the sender read the listing well; nothing while it cannot read it.
-	Micros routesAge = 0;          ///< Since the sender read the routes well.
-	std::uint64_t version = 0;     ///< Of the routes that the sender holds.
-	Micros answers = 0;            ///< When the question was sent, on the asker's clock.
+	std::optional<Micros> age; ///< Since the sender began its last reading of both topics; nothing while it cannot.
+	std::uint64_t version = 0; ///< Of the routes that the sender holds.
+	Micros answers = 0;        ///< When the question was sent, on the asker's clock.
 	bool operator==(const FeedNews&) const = default;
 };
 
 /// Times and counts of a FeedRelay.
 struct FeedRelayConfig
 {
-	std::size_t eachReadsUpTo = 9;              ///< Up to so many nodes each one reads for itself.
-	std::size_t readersLeast = 3;               ///< One can be cut off and one die, and one is left.
-	Micros askEvery = 400 * kMillisecond;       ///< Each question is answered: it is the keepalive as well.
-	Micros staleAfter = 1'500 * kMillisecond;   ///< Changes have to be in force 2 s after the platform has them.
-	Micros avoidFor = 5 * kSecond;              ///< A node whose news were stale is not asked.
-	Micros followerLife = 2'000 * kMillisecond; ///< A node that does not ask any more gets no news.
+	std::size_t eachReadsUpTo = 9;                   ///< Up to so many nodes each one reads for itself.
+	std::size_t readersLeast = 3;                    ///< One can be cut off and one die, and one is left.
+	Micros askEvery = 400 * kMillisecond;            ///< Each question is answered: it is the keepalive as well.
+	Micros staleAfter = 1'500 * kMillisecond;        ///< Changes have to be in force 2 s after the platform has them.
+	Micros routesWait = kSecond;                     ///< How long one reading of the routes waits for a change,
+	Micros routesWaitForOthers = 400 * kMillisecond; ///< and at a node that tells others: their news are no newer.
+	Micros avoidFor = 5 * kSecond;                   ///< A node whose news were stale is not asked.
+	Micros followerLife = 2'000 * kMillisecond;      ///< A node that does not ask any more gets no news.
 	bool operator==(const FeedRelayConfig&) const = default;
 };
 
@@ -75,8 +76,8 @@
 	void setMembers(const std::vector<std::string>& _members);
 
 	/// News have come.
-	/// @param[in] _readAge As the news have it.
-	void heard(const std::string& _from, const std::optional<Micros>& _readAge, Micros _now);
+	/// @param[in] _knownAt Time point of which they tell all, nothing when their sender cannot read the topics.
+	void heard(const std::string& _from, const std::optional<Micros>& _knownAt);
 
 	FeedRelayStep tick(Micros _now);
 
@@ -96,7 +97,7 @@
 	std::string from;
 	bool lost = false;
 	Micros followedAt = 0;         ///< When the source was chosen.
-	std::optional<Micros> freshAt; ///< When fresh news came from any source.
+	std::optional<Micros> knownAt; ///< Time point up to which all is known from other nodes.
 	std::optional<Micros> askedAt;
 };
 
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -174,7 +174,7 @@
 	{
 		this->doubtUntil = _now + this->config.relistGrace;
 	}
-	this->lastRead = _now;
+	this->lastRead = _read.begunAt;
 	if (_read.whole && _read.position < this->readUpTo)
 	{
 		this->startOver();
--- a/src/feed_exchange.cpp
+++ b/src/feed_exchange.cpp
@@ -70,7 +70,6 @@
 	news.source = this->id;
 	news.answers = _follower.askedAt;
 	news.version = this->held.version;
-	news.routesAge = _now - this->routesReadAt;
 	if (this->held.version > _follower.version)
 	{
 		news.record = this->held.record;
@@ -78,7 +77,7 @@
 	}
 	if (reads)
 	{
-		news.readAge = _now - this->directory.readAt();
+		news.age = _now - std::min(this->routesReadAt, this->directory.readAt());
 		news.endpoints = this->directory.changesSince(_follower.revision);
 		_follower.revision = news.endpoints.revision;
 	}
@@ -112,10 +111,12 @@
 	{
 		actions.emplace_back(DecodeRoutes{_news.record, _from});
 	}
-	this->relay.heard(_from, _news.readAge, _now);
+	// The sender's age was true after the question was sent: the way there and back counts as age, too.
+	const Micros asked = std::min(_news.answers, _now);
+	this->relay.heard(_from, _news.age ? std::optional(asked - *_news.age) : std::nullopt);
 	const bool isNew =
 		_news.endpoints.whole || _news.source != this->sourceId || _news.endpoints.revision != this->sourceRevision;
-	if (!_news.readAge || !isNew)
+	if (!_news.age || !isNew)
 	{
 		return actions;
 	}
@@ -176,6 +177,11 @@
 	return actions;
 }
 
+Micros FeedExchange::routesWait() const
+{
+	return this->followers.empty() ? this->config.routesWait : this->config.routesWaitForOthers;
+}
+
 bool FeedExchange::ready() const
 {
 	return !this->held.record.empty() && this->listingKnown;
--- a/src/feed_loop.cpp
+++ b/src/feed_loop.cpp
@@ -55,6 +55,11 @@
 	this->timer.stop();
 }
 
+void FeedLoop::setWait(Micros _wait)
+{
+	this->pace.wait = _wait;
+}
+
 bool FeedLoop::known() const
 {
 	return this->everRead;
--- a/src/feed_loop.h
+++ b/src/feed_loop.h
@@ -54,6 +54,9 @@
 	/// Reads no more until the next start.
 	void stop();
 
+	/// @param[in] _wait How long each reading from now on waits for something new.
+	void setWait(Micros _wait);
+
 	/// @returns Whether the whole topic was read at least once.
 	[[nodiscard]] bool known() const;
 
--- a/src/feed_relay.cpp
+++ b/src/feed_relay.cpp
@@ -59,16 +59,16 @@
 	this->readers = feedReadersOf(_members, this->config);
 }
 
-void FeedRelay::heard(const std::string& _from, const std::optional<Micros>& _readAge, Micros _now)
+void FeedRelay::heard(const std::string& _from, const std::optional<Micros>& _knownAt)
 {
 	if (_from != this->from)
 	{
 		return; // Of a node that was asked before.
 	}
-	this->lost = !_readAge;
-	if (_readAge && *_readAge < this->config.staleAfter)
+	this->lost = !_knownAt;
+	if (_knownAt)
 	{
-		this->freshAt = _now - *_readAge;
+		this->knownAt = std::max(this->knownAt.value_or(*_knownAt), *_knownAt);
 	}
 }
 
@@ -94,11 +94,11 @@
 	if (reads)
 	{
 		this->from.clear();
-		this->freshAt.reset();
+		this->knownAt.reset();
 		this->lost = false;
 		return FeedRelayStep{true, {}};
 	}
-	const bool fresh = this->freshAt && _now - *this->freshAt <= this->config.staleAfter;
+	const bool fresh = this->knownAt && _now - *this->knownAt <= this->config.staleAfter;
 	if (!fresh && !this->from.empty() && _now - this->followedAt > this->config.staleAfter)
 	{
 		this->avoidUntil[this->from] = _now + this->config.avoidFor;
--- a/src/forward_control.cpp
+++ b/src/forward_control.cpp
@@ -32,7 +32,7 @@
 							   std::function<void(const RoutePlan&)> _onPlan)
 	: feed(_feed), traffic(_traffic), settings(std::move(_settings)), send(std::move(_send)),
 	  onPlan(std::move(_onPlan)),
-	  routeLoop(_feed, FeedTopic::Routes, settings.routes,
+	  routeLoop(_feed, FeedTopic::Routes, FeedPace{settings.relay.routesWait, 0},
 				FeedHandlers{[this](const FeedReading& _reading) { this->onRoutes(_reading); },
 							 [this] { this->exchange.readingFailed(FeedTopic::Routes); }}),
 	  endpointLoop(_feed, FeedTopic::Endpoints, settings.endpoints,
@@ -183,6 +183,7 @@
 	this->carry(this->membership.tick(now));
 	this->publishMembers();
 	this->perform(this->exchange.tick(now));
+	this->routeLoop.setWait(this->exchange.routesWait());
 	this->askPeers(now);
 }
 
@@ -203,8 +204,7 @@
 	logEvent("feed", "news",
 			 {{"peer", _peer},
 			  {"since_asked_ms", (_now - _news.answers) / kMillisecond},
-			  {"listing_read_ms_ago", _news.readAge ? *_news.readAge / kMillisecond : -1},
-			  {"routes_read_ms_ago", _news.routesAge / kMillisecond},
+			  {"read_ms_ago", _news.age ? *_news.age / kMillisecond : -1},
 			  {"record_bytes", _news.record.size()},
 			  {"version", _news.version},
 			  {"version_held", this->plan == nullptr ? 0 : this->plan->data().version},
--- a/src/forward_control.h
+++ b/src/forward_control.h
@@ -25,7 +25,6 @@
 	double retrySlack = 20;         ///< and beyond that, in each window.
 	DirectoryConfig directory;
 	FeedRelayConfig relay;
-	FeedPace routes{2 * kSecond, 0};
 	FeedPace endpoints{0, 600 * kMillisecond};
 };
 
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -186,16 +186,15 @@
 				 {"record", QByteArray::fromStdString(_message.record)},
 				 {"source", static_cast<qint64>(_message.source)},
 				 {"version", static_cast<qint64>(_message.version)},
-				 {"routes_age", static_cast<qint64>(_message.routesAge)},
 				 {"answers", static_cast<qint64>(_message.answers)},
 				 {"revision", static_cast<qint64>(_message.endpoints.revision)},
 				 {"position", static_cast<qint64>(_message.endpoints.position)},
 				 {"whole", _message.endpoints.whole},
 				 {"listed", toCbor(_message.endpoints.listed)},
 				 {"unlisted", textArray(_message.endpoints.unlisted)}};
-	if (_message.readAge)
+	if (_message.age)
 	{
-		map.insert(QStringLiteral("read_age"), static_cast<qint64>(*_message.readAge));
+		map.insert(QStringLiteral("age"), static_cast<qint64>(*_message.age));
 	}
 	return map;
 }
@@ -206,16 +205,15 @@
 	message.record = _reader.bytes("record");
 	message.source = _reader.natural("source");
 	message.version = _reader.natural("version");
-	message.routesAge = _reader.integer("routes_age");
 	message.answers = _reader.integer("answers");
 	message.endpoints.revision = _reader.natural("revision");
 	message.endpoints.position = _reader.natural("position");
 	message.endpoints.whole = _reader.boolean("whole");
 	message.endpoints.listed = readEndpoints(_reader, "listed");
 	message.endpoints.unlisted = _reader.texts("unlisted");
-	if (!_reader.value("read_age").isUndefined())
+	if (!_reader.value("age").isUndefined())
 	{
-		message.readAge = _reader.integer("read_age");
+		message.age = _reader.integer("age");
 	}
 	return message;
 }
--- a/tests/feed_world.h
+++ b/tests/feed_world.h
@@ -32,7 +32,6 @@
 	static constexpr Micros kStep = 10 * kMillisecond;
 	static constexpr Micros kTick = 200 * kMillisecond;
 	static constexpr Micros kReadEvery = 600 * kMillisecond;
-	static constexpr Micros kRoutesWait = 2 * kSecond;
 	static constexpr Micros kLinkTime = 2 * kMillisecond;
 	static constexpr Micros kTimeOut = 1'500 * kMillisecond; ///< Of a reading, beyond the time it waits.
 	static constexpr std::size_t kBytesOfEntry = 110;
@@ -231,7 +230,7 @@
 		}
 		if (_node.cutOff)
 		{
-			if (this->now - _node.routesBegunAt >= kRoutesWait + kTimeOut)
+			if (this->now - _node.routesBegunAt >= _node.exchange.routesWait() + kTimeOut)
 			{
 				_node.routesBegunAt = this->now;
 				_node.exchange.readingFailed(FeedTopic::Routes);
@@ -245,7 +244,7 @@
 			return;
 		}
 		const bool newer = this->version > _node.exchange.routes().version;
-		if (newer || this->now - _node.routesBegunAt >= kRoutesWait)
+		if (newer || this->now - _node.routesBegunAt >= _node.exchange.routesWait())
 		{
 			this->holdRoutes(_node, this->version);
 			_node.exchange.routesRead(_node.routesBegunAt);
--- a/tests/test_feed.cpp
+++ b/tests/test_feed.cpp
@@ -75,8 +75,8 @@
 	void answer(const std::string& _asker, const std::string& _asked)
 	{
 		const bool well = this->reads[_asked] && this->cutOff.count(_asked) == 0 && this->knownAt(_asked) > 0;
-		const std::optional<Micros> age = well ? std::optional(this->now - this->knownAt(_asked)) : std::nullopt;
-		this->nodes.at(_asker).heard(_asked, age, this->now);
+		const std::optional<Micros> known = well ? std::optional(this->knownAt(_asked)) : std::nullopt;
+		this->nodes.at(_asker).heard(_asked, known);
 		if (well)
 		{
 			this->readAt[_asker] = std::max(this->knownAt(_asker), this->knownAt(_asked));
--- a/tests/test_messages.cpp
+++ b/tests/test_messages.cpp
@@ -52,7 +52,7 @@
 								  true,
 								  {ListedEndpoint{"e", 5, Endpoint{"e-1", "10.0.0.3:80", "pool", "north", 6, true}}},
 								  {"e-2"}},
-				 400'000, 300'000, 7, 11},
+				 400'000, 7, 11},
 		FeedNews{},
 		PieceGive{{PieceStarted{4}},
 				  {PieceMade{5, "10.0.0.3:80/2", "north"}},
