--- a/include/roadferry/parts/endpoints.h
+++ b/include/roadferry/parts/endpoints.h
@@ -37,6 +37,10 @@
 {
 	/// How long after the listing's return a missing endpoint is kept: live ones list themselves again in this time.
 	Micros relistGrace = 2 * kSecond;
+
+	/// How long an entry of an earlier start, written behind that of a later one, is taken for a write that was held
+	/// up: the later start writes again in this time. After it the endpoint's clock must have been set back.
+	Micros earlierStartGrace = 3 * kSecond;
 	bool operator==(const DirectoryConfig&) const = default;
 };
 
@@ -46,6 +50,7 @@
 	std::string name;           ///< Of the entry; an endpoint that starts again may have the name that it had.
 	std::uint64_t position = 0; ///< Of the entry in the platform's log.
 	Endpoint endpoint;
+	std::int64_t startedAt = 0; ///< By the endpoint's own clock, in Unix milliseconds; 0 when not told.
 	bool operator==(const ListedEndpoint&) const = default;
 };
 
@@ -57,7 +62,15 @@
 	bool operator==(const UnlistedEndpoint&) const = default;
 };
 
-using ListingChange = std::variant<ListedEndpoint, UnlistedEndpoint>;
+/// An entry that names no endpoint that could be used, whatever the entry before it named.
+struct UnusableEntry
+{
+	std::string name;
+	std::uint64_t position = 0;
+	bool operator==(const UnusableEntry&) const = default;
+};
+
+using ListingChange = std::variant<ListedEndpoint, UnlistedEndpoint, UnusableEntry>;
 
 /// One reading of the listing that went well.
 struct ListingRead
@@ -126,11 +139,21 @@
 	[[nodiscard]] std::uint64_t position() const;
 
 private:
+	/// An entry of an earlier start than the one that is held, and when it was read.
+	struct EarlierStart
+	{
+		ListedEndpoint entry;
+		Micros since = 0;
+	};
+
 	[[nodiscard]] bool inDoubt(Micros _now) const;
 	void listed(const ListedEndpoint& _listed);
 	void unlisted(const UnlistedEndpoint& _gone, Micros _now);
 	void relisted(const std::set<std::string>& _present, std::uint64_t _position, Micros _now);
+	void unusable(const UnusableEntry& _entry);
 	void startOver();
+	void listedHere(const ListedEndpoint& _listed, Micros _now);
+	bool adoptEarlierStarts(Micros _now);
 	void drop(const std::string& _name);
 
 	DirectoryConfig config;
@@ -140,7 +163,8 @@
 	std::map<std::uint64_t, std::string> unlistedAt; ///< Entries that went, the latest ones.
 	std::uint64_t forgottenUpTo = 0;                 ///< Entries that went up to this revision are not known any more.
 	std::set<std::string> missing; ///< Entries that have gone while in doubt, and are dropped with its end.
-	std::set<std::string> left;    ///< Endpoints that were seen leaving.
+	std::map<std::string, EarlierStart> earlierStarts; ///< By name.
+	std::set<std::string> left;                        ///< Endpoints that were seen leaving.
 	Micros lastRead = 0;
 	std::uint64_t readUpTo = 0; ///< Position up to which this directory is complete.
 	Micros doubtUntil = 0;      ///< Until then a missing entry may be one that lapsed while the listing was away.
--- a/src/adapter.h
+++ b/src/adapter.h
@@ -31,6 +31,7 @@
 {
 	std::string name;
 	std::string fault;
+	std::uint64_t position = 0;
 };
 
 using FeedChange = std::variant<RoutesRead, ListedEndpoint, UnlistedEndpoint, UnreadableEntry>;
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -127,6 +127,18 @@
 	this->drop(_gone.name);
 }
 
+/// The endpoint has not lapsed: there is nothing to wait for.
+void EndpointDirectory::unusable(const UnusableEntry& _entry)
+{
+	const auto held = this->entries.find(_entry.name);
+	if (held != this->entries.end() && held->second.position < _entry.position)
+	{
+		this->missing.erase(_entry.name);
+		this->drop(_entry.name);
+	}
+	this->earlierStarts.erase(_entry.name);
+}
+
 /// Entries up to a position that are not among those present have gone.
 void EndpointDirectory::relisted(const std::set<std::string>& _present, std::uint64_t _position, Micros _now)
 {
@@ -185,9 +197,14 @@
 		std::visit(Overloaded{[&](const ListedEndpoint& _listed)
 							  {
 								  present.insert(_listed.name);
-								  this->listed(_listed);
+								  this->listedHere(_listed, _now);
+							  },
+							  [&](const UnlistedEndpoint& _gone)
+							  {
+								  this->earlierStarts.erase(_gone.name);
+								  this->unlisted(_gone, _now);
 							  },
-							  [&](const UnlistedEndpoint& _gone) { this->unlisted(_gone, _now); }},
+							  [&](const UnusableEntry& _entry) { this->unusable(_entry); }},
 				   change);
 	}
 	if (_read.whole)
@@ -199,11 +216,46 @@
 	return this->revision != before;
 }
 
+/// Takes an entry that was read here. Starts of one endpoint are in the order of its clock, unless that was set back.
+void EndpointDirectory::listedHere(const ListedEndpoint& _listed, Micros _now)
+{
+	const auto held = this->entries.find(_listed.name);
+	const bool isEarlierStart = held != this->entries.end() && _listed.position > held->second.position &&
+								_listed.startedAt > 0 && _listed.startedAt < held->second.startedAt;
+	if (!isEarlierStart)
+	{
+		this->earlierStarts.erase(_listed.name);
+		this->listed(_listed);
+		return;
+	}
+	this->earlierStarts.try_emplace(_listed.name, EarlierStart{_listed, _now}).first->second.entry = _listed;
+}
+
+bool EndpointDirectory::adoptEarlierStarts(Micros _now)
+{
+	const std::uint64_t before = this->revision;
+	for (auto entry = this->earlierStarts.begin(); entry != this->earlierStarts.end();)
+	{
+		if (_now - entry->second.since < this->config.earlierStartGrace)
+		{
+			++entry;
+			continue;
+		}
+		if (this->entries.count(entry->first) > 0)
+		{
+			this->listed(entry->second.entry);
+		}
+		entry = this->earlierStarts.erase(entry);
+	}
+	return this->revision != before;
+}
+
 bool EndpointDirectory::expire(Micros _now)
 {
+	const bool adopted = this->adoptEarlierStarts(_now);
 	if (this->inDoubt(_now) || this->missing.empty())
 	{
-		return false;
+		return adopted;
 	}
 	for (const std::string& name : this->missing)
 	{
--- a/src/forward_control.cpp
+++ b/src/forward_control.cpp
@@ -24,7 +24,8 @@
 constexpr std::int64_t kNanosPerMicro = 1'000;
 /// Part of the retries that all nodes together are allowed: views of who is alive differ for seconds.
 constexpr double kRetryCaution = 0.6;
-constexpr std::size_t kFewestNodes = 3; ///< Assumed until the members are known.
+constexpr std::size_t kUnreadableLogged = 5; ///< Entries of one reading that get a line each.
+constexpr std::size_t kFewestNodes = 3;      ///< Assumed until the members are known.
 
 } // namespace
 
@@ -128,6 +129,7 @@
 void ForwardControl::onEndpoints(const FeedReading& _reading)
 {
 	ListingRead read{_reading.page.next, _reading.whole, _reading.wasLost, _reading.begunAt, {}};
+	std::size_t unreadable = 0;
 	for (const FeedChange& change : _reading.page.changes)
 	{
 		std::visit(
@@ -148,12 +150,22 @@
 					read.changes.emplace_back(_gone);
 					logEvent("control", "endpoint_unlisted", {{"endpoint", _gone.name}});
 				},
-				[](const UnreadableEntry& _fault) {
-					logEvent("control", "endpoint_unreadable", {{"name", _fault.name}, {"fault", _fault.fault}});
+				[&](const UnreadableEntry& _fault)
+				{
+					read.changes.emplace_back(UnusableEntry{_fault.name, _fault.position});
+					unreadable += 1;
+					if (unreadable <= kUnreadableLogged)
+					{
+						logEvent("control", "endpoint_unreadable", {{"name", _fault.name}, {"fault", _fault.fault}});
+					}
 				},
 			},
 			change);
 	}
+	if (unreadable > kUnreadableLogged)
+	{
+		logEvent("control", "more_endpoints_unreadable", {{"entries", unreadable - kUnreadableLogged}});
+	}
 	this->perform(this->exchange.endpointsRead(read, monotonicNow()));
 }
 
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -28,7 +28,7 @@
 constexpr std::int64_t kMemberStates = 4;
 constexpr std::int64_t kVerdicts = 3;
 constexpr std::int64_t kReasons = 18;
-constexpr qsizetype kEndpointFields = 8;
+constexpr qsizetype kEndpointFields = 9;
 
 QCborMap toCbor(const RelayRequest& _message)
 {
@@ -139,7 +139,8 @@
 		const Endpoint& endpoint = entry.endpoint;
 		array.append(QCborArray{text(entry.name), static_cast<qint64>(entry.position), text(endpoint.id),
 								text(endpoint.address), text(endpoint.pool), text(endpoint.failureDomain),
-								static_cast<qint64>(endpoint.slots), endpoint.leaving});
+								static_cast<qint64>(endpoint.slots), endpoint.leaving,
+								static_cast<qint64>(entry.startedAt)});
 	}
 	return array;
 }
@@ -158,6 +159,7 @@
 								  fields.at(5).toString().toStdString(),
 								  fields.at(6).toInteger(),
 								  fields.at(7).toBool()};
+		entry.startedAt = fields.at(8).toInteger();
 		entries.push_back(std::move(entry));
 	}
 	return entries;
--- a/tests/listing_log.h
+++ b/tests/listing_log.h
@@ -19,10 +19,18 @@
 {
 public:
 	/// @returns Position of the new entry.
-	std::uint64_t put(const std::string& _name, const Endpoint& _endpoint)
+	std::uint64_t put(const std::string& _name, const Endpoint& _endpoint, std::int64_t _startedAt = 0)
 	{
 		const std::uint64_t position = this->end();
-		this->changes.emplace_back(ListedEndpoint{_name, position, _endpoint});
+		this->changes.emplace_back(ListedEndpoint{_name, position, _endpoint, _startedAt});
+		return position;
+	}
+
+	/// Another writer leaves something that names no endpoint.
+	std::uint64_t spoil(const std::string& _name)
+	{
+		const std::uint64_t position = this->end();
+		this->changes.emplace_back(UnusableEntry{_name, position});
 		return position;
 	}
 
@@ -74,15 +82,9 @@
 		std::map<std::string, ListedEndpoint> entries;
 		for (std::size_t index = 0; index < _position; ++index)
 		{
-			const ListingChange& change = this->changes[index];
-			if (const auto* listed = std::get_if<ListedEndpoint>(&change))
-			{
-				entries[listed->name] = *listed;
-			}
-			else
-			{
-				entries.erase(std::get<UnlistedEndpoint>(change).name);
-			}
+			std::visit(Overloaded{[&](const ListedEndpoint& _listed) { entries[_listed.name] = _listed; },
+								  [&](const auto& _other) { entries.erase(_other.name); }},
+					   this->changes[index]);
 		}
 		return entries;
 	}
--- a/tests/test_feed_exchange.cpp
+++ b/tests/test_feed_exchange.cpp
@@ -124,11 +124,14 @@
 						   const std::string name = *rc::gen::elementOf(names);
 						   const std::size_t one = *rc::gen::inRange<std::size_t>(0, 3);
 						   const std::size_t other = *rc::gen::inRange<std::size_t>(0, 3);
-						   switch (*rc::gen::inRange(0, 5))
+						   switch (*rc::gen::inRange(0, 6))
 						   {
 						   case 0:
 							   log.remove(name);
 							   break;
+						   case 5:
+							   log.spoil(name);
+							   break;
 						   case 1:
 							   log.put(name, endpoint(name + "/" + std::to_string(log.end())));
 							   break;
@@ -158,6 +161,124 @@
 				   });
 }
 
+/// Guards against an endpoint that starts again under its name and stays shut out because its earlier start had left.
+Test(feed_exchange, endpoint_that_starts_again_is_usable_though_it_had_left)
+{
+	ListingLog log;
+	EndpointDirectory directory(DirectoryConfig{});
+	log.put("e", endpoint("e@100", true), 100);
+	directory.read(log.whole(), kSecond);
+	log.put("e", endpoint("e@200"), 200);
+	directory.read(log.since(1), 2 * kSecond);
+	cr_assert(directory.endpoints() == std::vector<Endpoint>{endpoint("e@200")});
+}
+
+/// Guards against an earlier start that comes back by a write that was held up, and against an endpoint whose clock was
+/// set back and that is shut out for good.
+Test(feed_exchange, earlier_start_counts_only_when_the_later_one_stays_silent)
+{
+	const DirectoryConfig config;
+	ListingLog log;
+	EndpointDirectory directory(config);
+	log.put("held-up", endpoint("held-up@200"), 200);
+	log.put("set-back", endpoint("set-back@200"), 200);
+	directory.read(log.whole(), kSecond);
+	log.put("held-up", endpoint("held-up@100"), 100);
+	log.put("set-back", endpoint("set-back@100"), 100);
+	const Micros read = 2 * kSecond;
+	directory.read(log.since(2), read);
+	cr_assert_eq(directory.endpoints().front(), endpoint("held-up@200"));
+	log.put("held-up", endpoint("held-up@200"), 200);
+	directory.read(log.since(4), read + kSecond);
+	cr_assert_not(directory.expire(read + config.earlierStartGrace - 1));
+	cr_assert(directory.expire(read + config.earlierStartGrace));
+	cr_assert(directory.endpoints() == (std::vector<Endpoint>{endpoint("held-up@200"), endpoint("set-back@100")}));
+}
+
+/// Guards against starts that are mixed up by restarts, leaving, lapses and sources that lag, in two directories of
+/// which one also hears from the other, against the log.
+Test(feed_exchange, directories_agree_with_the_log_over_restarts)
+{
+	checkHistories("restarts",
+				   []
+				   {
+					   const DirectoryConfig config;
+					   ListingLog log;
+					   EndpointDirectory source(config);
+					   EndpointDirectory follower(config);
+					   std::uint64_t sourceKnows = 0;
+					   std::uint64_t followerKnows = 0;
+					   const std::vector<std::string> names = {"e-1", "e-2", "e-3"};
+					   std::set<std::string> left; ///< Starts that have said so where both could read it.
+					   std::int64_t starts = 0;
+					   std::map<std::string, std::int64_t> startOf;
+					   Micros now = kSecond;
+					   const int steps = *rc::gen::inRange(1, 80);
+					   for (int step = 0; step < steps; ++step)
+					   {
+						   now += *rc::gen::inRange<Micros>(0, 500 * kMillisecond);
+						   const std::string name = *rc::gen::elementOf(names);
+						   const auto entry = [&](bool _leaving)
+						   { return endpoint(name + "@" + std::to_string(startOf[name]), _leaving); };
+						   switch (*rc::gen::inRange(0, 7))
+						   {
+						   case 0:
+							   startOf[name] = ++starts;
+							   log.put(name, entry(false), startOf[name]);
+							   break;
+						   case 1:
+							   log.put(name, entry(true), startOf[name]);
+							   left.insert(entry(true).id);
+							   break;
+						   case 2:
+							   log.remove(name);
+							   break;
+						   case 3:
+							   log.spoil(name);
+							   break;
+						   case 4:
+							   source.read(log.since(sourceKnows, *rc::gen::arbitrary<bool>(), now), now);
+							   sourceKnows = log.end();
+							   break;
+						   case 5:
+							   follower.read(log.whole(false, now), now);
+							   followerKnows = log.end();
+							   break;
+						   default:
+							   follower.take(source.changesSince(0), now);
+							   followerKnows = std::max(followerKnows, sourceKnows);
+							   break;
+						   }
+						   source.expire(now);
+						   follower.expire(now);
+						   for (const auto& [directory, knows] :
+								{std::pair{&source, sourceKnows}, std::pair{&follower, followerKnows}})
+						   {
+							   const auto present = log.present(knows);
+							   for (const Endpoint& held : directory->endpoints())
+							   {
+								   const auto newest = present.find(held.id.substr(0, held.id.find('@')));
+								   RC_ASSERT(newest == present.end() || newest->second.endpoint.id == held.id);
+							   }
+							   for (const auto& listed : present)
+							   {
+								   const std::vector<Endpoint> all = directory->endpoints();
+								   RC_ASSERT(std::find(all.begin(), all.end(), listed.second.endpoint) != all.end() ||
+											 left.count(listed.second.endpoint.id) > 0);
+							   }
+						   }
+					   }
+					   // When nothing is in doubt any more, both hold what the log has.
+					   now += 2 * config.relistGrace;
+					   source.read(log.since(sourceKnows, false, now), now);
+					   follower.take(source.changesSince(0), now);
+					   source.expire(now);
+					   follower.expire(now);
+					   RC_ASSERT(source.endpoints() == follower.endpoints());
+					   RC_ASSERT(source.endpoints().size() == log.present().size());
+				   });
+}
+
 /// Guards against endpoints that come back, and changes that are late, in a cluster with nodes cut off, silent and
 /// slow.
 Test(feed_exchange, cluster_in_trouble_keeps_its_nodes_up_to_date)
