--- a/include/roadferry/parts/endpoints.h
+++ b/include/roadferry/parts/endpoints.h
@@ -35,6 +35,10 @@
 /// Times of an EndpointDirectory.
 struct DirectoryConfig
 {
+	/// After so long without news of the listing the platform may have been away, and entries may have lapsed
+	/// meanwhile: less than three of the reports that an endpoint writes each second or so.
+	Micros lapseAfter = 2 * kSecond;
+
 	/// How long after the listing's return a missing endpoint is kept: live ones list themselves again in this time.
 	Micros relistGrace = 2 * kSecond;
 
@@ -77,7 +81,6 @@
 {
 	std::uint64_t position = 0; ///< Position in the platform's log behind what was read.
 	bool whole = false;         ///< Whether the changes are all entries there are.
-	bool wasAway = false;       ///< Whether the reading before had failed: entries may have lapsed meanwhile.
 	Micros begunAt = 0;         ///< When it was begun.
 	std::vector<ListingChange> changes;
 	bool operator==(const ListingRead&) const = default;
@@ -127,7 +130,8 @@
 	[[nodiscard]] DirectoryChanges changesSince(std::uint64_t _revision) const;
 
 	/// Merges the changes of another node's directory, which may have read less of the log or more.
-	void take(const DirectoryChanges& _changes, Micros _now);
+	/// @param[in] _knownAt Time point at which the other directory was complete.
+	void take(const DirectoryChanges& _changes, Micros _knownAt, Micros _now);
 
 	/// @returns Endpoints that were seen leaving or gone, for other nodes.
 	[[nodiscard]] const std::set<std::string>& leaving() const;
@@ -149,9 +153,11 @@
 	[[nodiscard]] bool inDoubt(Micros _now) const;
 	void listed(const ListedEndpoint& _listed);
 	void unlisted(const UnlistedEndpoint& _gone, Micros _now);
-	void relisted(const std::set<std::string>& _present, std::uint64_t _position, Micros _now);
-	void unusable(const UnusableEntry& _entry);
+	[[nodiscard]] std::vector<UnlistedEndpoint> absentFrom(const std::set<std::string>& _present,
+														   std::uint64_t _position) const;
+	void dropUpTo(const UnlistedEndpoint& _gone);
 	void startOver();
+	void noteKnown(Micros _knownAt, Micros _now);
 	void listedHere(const ListedEndpoint& _listed, Micros _now);
 	bool adoptEarlierStarts(Micros _now);
 	void drop(const std::string& _name);
@@ -166,6 +172,7 @@
 	std::map<std::string, EarlierStart> earlierStarts; ///< By name.
 	std::set<std::string> left;                        ///< Endpoints that were seen leaving.
 	Micros lastRead = 0;
+	Micros knownAt = 0;         ///< Time point at which this directory was complete, 0 for never.
 	std::uint64_t readUpTo = 0; ///< Position up to which this directory is complete.
 	Micros doubtUntil = 0;      ///< Until then a missing entry may be one that lapsed while the listing was away.
 };
--- a/include/roadferry/parts/feed_exchange.h
+++ b/include/roadferry/parts/feed_exchange.h
@@ -27,7 +27,6 @@
 /// Begin to read both topics.
 struct StartReading
 {
-	bool wasLost = false; ///< Whether the platform was away until now, as far as is known.
 	bool operator==(const StartReading&) const = default;
 };
 
@@ -137,9 +136,6 @@
 	/// @returns The node that this one asks, empty for none.
 	[[nodiscard]] const std::string& source() const;
 
-	/// @returns Whether the last news said that their sender cannot read the platform's topics.
-	[[nodiscard]] bool sourceLost() const;
-
 private:
 	/// A node that has asked this one.
 	struct Follower
@@ -156,7 +152,7 @@
 	void tellFollowers(FeedActions& _actions);
 	void answerHeld(Micros _now, FeedActions& _actions);
 	void sendAsk(const std::string& _to, Micros _now, FeedActions& _actions) const;
-	void takeEndpoints(const FeedNews& _news, Micros _now, FeedActions& _actions);
+	void takeEndpoints(const FeedNews& _news, Micros _knownAt, Micros _now, FeedActions& _actions);
 	void endpointsChanged(FeedActions& _actions);
 
 	FeedRelayConfig config;
--- a/include/roadferry/parts/feed_relay.h
+++ b/include/roadferry/parts/feed_relay.h
@@ -84,7 +84,8 @@
 	/// @param[in] _knownAt Time point of which they tell all, nothing when their sender cannot read the topics.
 	void heard(const std::string& _from, const std::optional<Micros>& _knownAt);
 
-	FeedRelayStep tick(Micros _now);
+	/// @param[in] _lost Whether this node cannot read the topics: then it asks, too, if it reads by its turn.
+	FeedRelayStep tick(Micros _now, bool _lost);
 
 	/// @returns Node to ask now, empty while an answer is due.
 	std::string dueAsk(Micros _now);
@@ -92,9 +93,6 @@
 	/// @returns The node that this one hears from, empty while it reads by its own turn.
 	[[nodiscard]] const std::string& source() const;
 
-	/// @returns Whether the last news said that their sender cannot read the platform's topics.
-	[[nodiscard]] bool sourceLost() const;
-
 private:
 	void chooseSource(Micros _now);
 
@@ -103,7 +101,6 @@
 	std::vector<std::string> readers;         ///< Nodes that read by turn.
 	std::map<std::string, Micros> avoidUntil; ///< Nodes whose news were stale.
 	std::string from;
-	bool lost = false;
 	Micros followedAt = 0;         ///< When the source was chosen.
 	std::optional<Micros> knownAt; ///< Time point up to which all is known from other nodes.
 	std::optional<Micros> askedAt;
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -29,6 +29,16 @@
 	return _now < this->doubtUntil;
 }
 
+/// After a gap in what is known the listing may have been away.
+void EndpointDirectory::noteKnown(Micros _knownAt, Micros _now)
+{
+	if (this->knownAt > 0 && _knownAt - this->knownAt > this->config.lapseAfter)
+	{
+		this->doubtUntil = _now + this->config.relistGrace;
+	}
+	this->knownAt = std::max(this->knownAt, _knownAt);
+}
+
 void EndpointDirectory::listed(const ListedEndpoint& _listed)
 {
 	const auto held = this->entries.find(_listed.name);
@@ -92,68 +102,67 @@
 	return changes;
 }
 
-void EndpointDirectory::take(const DirectoryChanges& _changes, Micros _now)
+void EndpointDirectory::take(const DirectoryChanges& _changes, Micros _knownAt, Micros _now)
 {
+	this->noteKnown(_knownAt, _now);
 	std::set<std::string> present;
 	for (const ListedEndpoint& entry : _changes.listed)
 	{
 		present.insert(entry.name);
 		this->listed(entry);
 	}
+	// The other node has waited for them to come back.
 	for (const std::string& name : _changes.unlisted)
 	{
-		this->unlisted(UnlistedEndpoint{name, _changes.position}, _now);
+		this->dropUpTo(UnlistedEndpoint{name, _changes.position});
 	}
 	if (_changes.whole)
 	{
-		this->relisted(present, _changes.position, _now);
+		for (const UnlistedEndpoint& gone : this->absentFrom(present, _changes.position))
+		{
+			this->dropUpTo(gone);
+		}
 	}
 	this->readUpTo = std::max(this->readUpTo, _changes.position);
 }
 
-void EndpointDirectory::unlisted(const UnlistedEndpoint& _gone, Micros _now)
+/// Drops an entry, unless a later one is held.
+void EndpointDirectory::dropUpTo(const UnlistedEndpoint& _gone)
 {
-	const auto entry = this->entries.find(_gone.name);
-	const bool applies = entry != this->entries.end() && entry->second.position < _gone.position;
-	if (!applies || this->missing.count(_gone.name) > 0)
+	const auto held = this->entries.find(_gone.name);
+	if (held != this->entries.end() && held->second.position < _gone.position)
 	{
-		return;
+		this->missing.erase(_gone.name);
+		this->drop(_gone.name);
 	}
-	if (this->inDoubt(_now) && !entry->second.endpoint.leaving)
-	{
-		this->missing.insert(_gone.name);
-		return;
-	}
-	this->drop(_gone.name);
 }
 
-/// The endpoint has not lapsed: there is nothing to wait for.
-void EndpointDirectory::unusable(const UnusableEntry& _entry)
+/// Drops an entry that has gone, or keeps it for a while where it may have lapsed.
+void EndpointDirectory::unlisted(const UnlistedEndpoint& _gone, Micros _now)
 {
-	const auto held = this->entries.find(_entry.name);
-	if (held != this->entries.end() && held->second.position < _entry.position)
+	const auto held = this->entries.find(_gone.name);
+	const bool applies = held != this->entries.end() && held->second.position < _gone.position;
+	if (applies && this->inDoubt(_now) && !held->second.endpoint.leaving)
 	{
-		this->missing.erase(_entry.name);
-		this->drop(_entry.name);
+		this->missing.insert(_gone.name);
+		return;
 	}
-	this->earlierStarts.erase(_entry.name);
+	this->dropUpTo(_gone);
 }
 
-/// Entries up to a position that are not among those present have gone.
-void EndpointDirectory::relisted(const std::set<std::string>& _present, std::uint64_t _position, Micros _now)
+/// @returns Entries that are not in a listing of that position.
+std::vector<UnlistedEndpoint> EndpointDirectory::absentFrom(const std::set<std::string>& _present,
+															std::uint64_t _position) const
 {
-	std::vector<UnlistedEndpoint> gone;
+	std::vector<UnlistedEndpoint> absent;
 	for (const auto& entry : this->entries)
 	{
 		if (_present.count(entry.first) == 0)
 		{
-			gone.push_back(UnlistedEndpoint{entry.first, _position});
+			absent.push_back(UnlistedEndpoint{entry.first, _position});
 		}
 	}
-	for (const UnlistedEndpoint& entry : gone)
-	{
-		this->unlisted(entry, _now);
-	}
+	return absent;
 }
 
 /// The platform's log has begun anew: what is held is older than all that it has.
@@ -182,10 +191,7 @@
 bool EndpointDirectory::read(const ListingRead& _read, Micros _now)
 {
 	const std::uint64_t before = this->revision;
-	if (_read.wasAway)
-	{
-		this->doubtUntil = _now + this->config.relistGrace;
-	}
+	this->noteKnown(_read.begunAt, _now);
 	this->lastRead = _read.begunAt;
 	if (_read.whole && _read.position < this->readUpTo)
 	{
@@ -204,12 +210,19 @@
 								  this->earlierStarts.erase(_gone.name);
 								  this->unlisted(_gone, _now);
 							  },
-							  [&](const UnusableEntry& _entry) { this->unusable(_entry); }},
+							  [&](const UnusableEntry& _entry)
+							  {
+								  this->earlierStarts.erase(_entry.name);
+								  this->dropUpTo(UnlistedEndpoint{_entry.name, _entry.position});
+							  }},
 				   change);
 	}
 	if (_read.whole)
 	{
-		this->relisted(present, _read.position, _now);
+		for (const UnlistedEndpoint& gone : this->absentFrom(present, _read.position))
+		{
+			this->unlisted(gone, _now);
+		}
 	}
 	this->readUpTo = std::max(this->readUpTo, _read.position);
 	this->expire(_now);
--- a/src/feed_exchange.cpp
+++ b/src/feed_exchange.cpp
@@ -27,15 +27,15 @@
 FeedActions FeedExchange::tick(Micros _now)
 {
 	FeedActions actions;
-	const FeedRelayStep step = this->relay.tick(_now);
+	const FeedRelayStep step = this->relay.tick(_now, this->away());
 	if (step.readOwn != this->reading)
 	{
 		this->reading = step.readOwn;
-		this->routesLost = step.readOwn && this->relay.sourceLost();
-		this->listingLost = this->routesLost;
+		this->routesLost = false;
+		this->listingLost = false;
 		if (step.readOwn)
 		{
-			actions.emplace_back(StartReading{this->relay.sourceLost()});
+			actions.emplace_back(StartReading{});
 		}
 		else
 		{
@@ -46,7 +46,7 @@
 	{
 		this->sendAsk(step.ask, _now, actions);
 	}
-	if (this->directory.expire(_now))
+	if (!this->listingLost && this->directory.expire(_now))
 	{
 		this->endpointsChanged(actions);
 	}
@@ -166,28 +166,27 @@
 	}
 	// The sender's age was true after the question was sent: the way there and back counts as age, too.
 	const Micros asked = std::min(_news.answers, _now);
-	this->relay.heard(_from, _news.age ? std::optional(asked - *_news.age) : std::nullopt);
-	if (_news.age)
+	const std::optional<Micros> knownAt = _news.age ? std::optional(std::min(_now, asked - *_news.age)) : std::nullopt;
+	this->relay.heard(_from, knownAt);
+	if (knownAt)
 	{
-		this->takeEndpoints(_news, _now, actions);
+		this->takeEndpoints(_news, *knownAt, _now, actions);
 	}
 	actions.emplace_back(AskNext{});
 	return actions;
 }
 
-void FeedExchange::takeEndpoints(const FeedNews& _news, Micros _now, FeedActions& _actions)
+void FeedExchange::takeEndpoints(const FeedNews& _news, Micros _knownAt, Micros _now, FeedActions& _actions)
 {
-	const bool isNew =
-		_news.endpoints.whole || _news.source != this->sourceId || _news.endpoints.revision != this->sourceRevision;
-	if (!isNew)
-	{
-		return;
-	}
 	this->sourceId = _news.source;
 	this->sourceRevision = _news.endpoints.revision;
-	this->directory.take(_news.endpoints, _now);
-	this->listingKnown = true;
-	this->endpointsChanged(_actions);
+	const std::uint64_t before = this->directory.latestRevision();
+	this->directory.take(_news.endpoints, _knownAt, _now);
+	const bool first = !std::exchange(this->listingKnown, true);
+	if (first || this->directory.latestRevision() != before)
+	{
+		this->endpointsChanged(_actions);
+	}
 }
 
 FeedActions FeedExchange::holdRoutes(HeldRoutes _routes)
@@ -229,7 +228,7 @@
 	if (!this->listingKnown && !_endpoints.empty())
 	{
 		this->listingKnown = true;
-		this->directory.take(DirectoryChanges{0, 0, false, _endpoints, {}}, _now);
+		this->directory.take(DirectoryChanges{0, 0, false, _endpoints, {}}, 0, _now);
 	}
 	for (const std::string& endpoint : _leaving)
 	{
@@ -269,9 +268,4 @@
 	return this->relay.source();
 }
 
-bool FeedExchange::sourceLost() const
-{
-	return this->relay.sourceLost();
-}
-
 } // namespace roadferry
--- a/src/feed_loop.cpp
+++ b/src/feed_loop.cpp
@@ -40,11 +40,11 @@
 	QObject::connect(&this->timer, &QTimer::timeout, [this] { this->read(); });
 }
 
-void FeedLoop::start(bool _wasLost)
+void FeedLoop::start()
 {
 	this->turn += 1;
 	this->position.reset();
-	this->backoff = _wasLost ? kFirstBackoff : 0;
+	this->backoff = 0;
 	this->read();
 }
 
@@ -100,15 +100,14 @@
 		this->failed(_page.status());
 		return;
 	}
-	const bool wasLost = this->lost();
-	if (wasLost)
+	if (this->lost())
 	{
 		logEvent("feed", "regained", {{"topic", nameOf(this->topic)}});
 	}
 	this->backoff = 0;
 	this->everRead = true;
 	this->position = _page->next;
-	this->handlers.onRead(FeedReading{*_page, _whole, wasLost, this->begunAt});
+	this->handlers.onRead(FeedReading{*_page, _whole, this->begunAt});
 	this->timer.start(toMs(this->pace.pause));
 }
 
--- a/src/feed_loop.h
+++ b/src/feed_loop.h
@@ -28,8 +28,7 @@
 struct FeedReading
 {
 	FeedPage page;
-	bool whole = false;   ///< Whether the page has all entries there are.
-	bool wasLost = false; ///< Whether the reading before had failed.
+	bool whole = false; ///< Whether the page has all entries there are.
 	Micros begunAt = 0;
 };
 
@@ -48,8 +47,7 @@
 	FeedLoop(Feed& _feed, FeedTopic _topic, FeedPace _pace, FeedHandlers _handlers);
 
 	/// Begins to read, from the whole of the topic.
-	/// @param[in] _wasLost Whether the platform was away until now, as far as is known.
-	void start(bool _wasLost);
+	void start();
 
 	/// Reads no more until the next start.
 	void stop();
--- a/src/feed_relay.cpp
+++ b/src/feed_relay.cpp
@@ -66,7 +66,6 @@
 		return; // Of a node that was asked before.
 	}
 	this->answered = true;
-	this->lost = !_knownAt;
 	if (_knownAt)
 	{
 		this->knownAt = std::max(this->knownAt.value_or(*_knownAt), *_knownAt);
@@ -78,7 +77,8 @@
 {
 	std::erase_if(this->avoidUntil, [_now](const auto& _entry) { return _entry.second <= _now; });
 	std::vector<std::string> candidates = this->readers;
-	std::erase_if(candidates, [&](const std::string& _reader) { return this->avoidUntil.count(_reader) > 0; });
+	std::erase_if(candidates, [&](const std::string& _reader)
+				  { return _reader == this->self || this->avoidUntil.count(_reader) > 0; });
 	sortByRank(candidates, rankOf(this->self, kReadersSeed));
 	const std::string chosen = candidates.empty() ? std::string() : candidates.front();
 	if (chosen != this->from)
@@ -89,14 +89,13 @@
 	}
 }
 
-FeedRelayStep FeedRelay::tick(Micros _now)
+FeedRelayStep FeedRelay::tick(Micros _now, bool _lost)
 {
 	const bool reads = std::find(this->readers.begin(), this->readers.end(), this->self) != this->readers.end();
-	if (reads)
+	if (reads && !_lost)
 	{
 		this->from.clear();
 		this->knownAt.reset();
-		this->lost = false;
 		return FeedRelayStep{true, {}};
 	}
 	const bool fresh = this->knownAt && _now - *this->knownAt <= this->config.staleAfter;
@@ -105,7 +104,7 @@
 		this->avoidUntil[this->from] = _now + this->config.avoidFor;
 	}
 	this->chooseSource(_now);
-	return FeedRelayStep{!fresh, this->dueAsk(_now)};
+	return FeedRelayStep{reads || !fresh, this->dueAsk(_now)};
 }
 
 std::string FeedRelay::dueAsk(Micros _now)
@@ -125,9 +124,4 @@
 	return this->from;
 }
 
-bool FeedRelay::sourceLost() const
-{
-	return this->lost;
-}
-
 } // namespace roadferry
--- a/src/forward_control.cpp
+++ b/src/forward_control.cpp
@@ -64,7 +64,7 @@
 {
 	for (const FeedAction& action : _actions)
 	{
-		std::visit(Overloaded{[&](const StartReading& _start) { this->startReading(_start.wasLost); },
+		std::visit(Overloaded{[&](const StartReading&) { this->startReading(); },
 							  [&](const StopReading&) { this->stopReading(); },
 							  [&](const SendFeedAsk& _ask) { this->send(_ask.to, _ask.message); },
 							  [&](const SendFeedNews& _news) { this->send(_news.to, _news.message); },
@@ -75,12 +75,11 @@
 	}
 }
 
-void ForwardControl::startReading(bool _wasLost)
+void ForwardControl::startReading()
 {
-	logEvent("feed", "reads_itself",
-			 {{"peer", this->exchange.source()}, {"peer_lost_it", _wasLost}, {"members", this->members.size()}});
-	this->routeLoop.start(_wasLost);
-	this->endpointLoop.start(_wasLost);
+	logEvent("feed", "reads_itself", {{"peer", this->exchange.source()}, {"members", this->members.size()}});
+	this->routeLoop.start();
+	this->endpointLoop.start();
 }
 
 void ForwardControl::stopReading()
@@ -128,7 +127,7 @@
 
 void ForwardControl::onEndpoints(const FeedReading& _reading)
 {
-	ListingRead read{_reading.page.next, _reading.whole, _reading.wasLost, _reading.begunAt, {}};
+	ListingRead read{_reading.page.next, _reading.whole, _reading.begunAt, {}};
 	std::size_t unreadable = 0;
 	for (const FeedChange& change : _reading.page.changes)
 	{
--- a/src/forward_control.h
+++ b/src/forward_control.h
@@ -54,7 +54,7 @@
 
 private:
 	void perform(const FeedActions& _actions);
-	void startReading(bool _wasLost);
+	void startReading();
 	void stopReading();
 	void onRoutes(const FeedReading& _reading);
 	void onEndpoints(const FeedReading& _reading);
--- a/tests/feed_world.h
+++ b/tests/feed_world.h
@@ -43,7 +43,6 @@
 		std::string name;
 		FeedExchange exchange;
 		bool reading = false;
-		bool wasLost = false;
 		Micros routesBegunAt = 0;
 		Micros nextListing = 0;
 		std::optional<std::uint64_t> position = {};
@@ -53,7 +52,6 @@
 		bool cutOff = false;                         ///< From the platform.
 		bool silent = false;                         ///< Nothing gets in or out.
 		Micros troubledUntil = 0;                    ///< When its last trouble ended.
-		Micros doubtedAt = 0;                        ///< When it last read the listing after a time without.
 		std::map<std::string, Micros> seenGone = {}; ///< Names whose end it has read itself, and when.
 	};
 
@@ -74,6 +72,17 @@
 		this->publishRoutes();
 	}
 
+	void list(const Endpoint& _endpoint)
+	{
+		this->log.put(_endpoint);
+	}
+
+	void unlist(const std::string& _name)
+	{
+		this->log.remove(_name);
+		this->removedAt.emplace(_name, this->now);
+	}
+
 	void publishRoutes()
 	{
 		this->version += 1;
@@ -139,8 +148,9 @@
 	std::vector<Node> nodes;
 	ListingLog log;
 	Micros now = 10 * kSecond;
-	std::size_t readingsBegun = 0; ///< By all nodes so far.
-	double bytesSent = 0;          ///< By all nodes so far.
+	std::map<std::string, Micros> removedAt; ///< Names that went, and when.
+	std::size_t readingsBegun = 0;           ///< By all nodes so far.
+	double bytesSent = 0;                    ///< By all nodes so far.
 
 private:
 	/// A message on its way.
@@ -206,11 +216,10 @@
 	{
 		for (const FeedAction& action : _actions)
 		{
-			std::visit(Overloaded{[&](const StartReading& _start)
+			std::visit(Overloaded{[&](const StartReading&)
 								  {
 									  _node.reading = true;
 									  this->readingsBegun += 1;
-									  _node.wasLost = _start.wasLost;
 									  _node.position.reset();
 									  _node.routesBegunAt = this->now;
 									  _node.nextListing = this->now;
@@ -243,7 +252,6 @@
 			if (this->now - _node.nextListing >= kTimeOut)
 			{
 				_node.nextListing = this->now;
-				_node.wasLost = true;
 				_node.exchange.readingFailed(FeedTopic::Endpoints);
 			}
 			return;
@@ -263,10 +271,8 @@
 
 	void readListing(Node& _node)
 	{
-		const bool wasLost = std::exchange(_node.wasLost, false);
-		_node.doubtedAt = wasLost ? this->now : _node.doubtedAt;
 		const ListingRead read =
-			_node.position ? this->log.since(*_node.position, wasLost, this->now) : this->log.whole(wasLost, this->now);
+			_node.position ? this->log.since(*_node.position, this->now) : this->log.whole(this->now);
 		for (const ListingChange& change : read.changes)
 		{
 			if (const auto* gone = std::get_if<UnlistedEndpoint>(&change))
--- a/tests/listing_log.h
+++ b/tests/listing_log.h
@@ -52,17 +52,17 @@
 	}
 
 	/// @returns All changes from a position on.
-	[[nodiscard]] ListingRead since(std::uint64_t _position, bool _wasAway = false, Micros _begunAt = 0) const
+	[[nodiscard]] ListingRead since(std::uint64_t _position, Micros _begunAt) const
 	{
-		ListingRead read{this->end(), false, _wasAway, _begunAt, {}};
+		ListingRead read{this->end(), false, _begunAt, {}};
 		read.changes.assign(this->changes.begin() + static_cast<std::ptrdiff_t>(_position), this->changes.end());
 		return read;
 	}
 
 	/// @returns The newest entry of each name that is there.
-	[[nodiscard]] ListingRead whole(bool _wasAway = false, Micros _begunAt = 0) const
+	[[nodiscard]] ListingRead whole(Micros _begunAt) const
 	{
-		ListingRead read{this->end(), true, _wasAway, _begunAt, {}};
+		ListingRead read{this->end(), true, _begunAt, {}};
 		for (const auto& entry : this->present())
 		{
 			read.changes.emplace_back(entry.second);
--- a/tests/test_feed.cpp
+++ b/tests/test_feed.cpp
@@ -58,7 +58,7 @@
 			{
 				continue;
 			}
-			const FeedRelayStep step = this->nodes.at(name).tick(this->now);
+			const FeedRelayStep step = this->nodes.at(name).tick(this->now, this->cutOff.count(name) > 0);
 			this->reads[name] = step.readOwn;
 			const bool due = this->now - this->knownAt(name) >= kReadEvery || this->knownAt(name) == 0;
 			if (step.readOwn && this->cutOff.count(name) == 0 && due)
@@ -212,21 +212,20 @@
 							   source.markLeaving(id);
 							   break;
 						   case 2:
-							   source.read(log.since(std::exchange(known, log.end()), *rc::gen::arbitrary<bool>()),
-										   now);
+							   source.read(log.since(std::exchange(known, log.end()), now), now);
 							   break;
 						   case 3:
 							   source.expire(now);
 							   break;
 						   default:
 							   log.put(endpoint(id, *rc::gen::inRange(0, 4) == 0));
-							   source.read(log.since(std::exchange(known, log.end())), now);
+							   source.read(log.since(std::exchange(known, log.end()), now), now);
 							   break;
 						   }
 						   if (*rc::gen::inRange(0, 3) == 0)
 						   {
 							   const DirectoryChanges changes = source.changesSince(held);
-							   follower.take(changes, now);
+							   follower.take(changes, now, now);
 							   held = changes.revision;
 							   RC_ASSERT(follower.endpoints() == source.endpoints());
 						   }
@@ -239,7 +238,7 @@
 	EndpointDirectory source(DirectoryConfig{});
 	ListingLog log;
 	log.put(endpoint("stays"));
-	source.read(log.since(0), kSecond);
+	source.read(log.since(0, kSecond), kSecond);
 	const std::uint64_t held = source.changesSince(0).revision;
 	for (int index = 0; index < 1'200; ++index)
 	{
@@ -247,7 +246,7 @@
 		const std::uint64_t known = log.end();
 		log.put(endpoint(id));
 		log.remove(id);
-		source.read(log.since(known), kSecond);
+		source.read(log.since(known, kSecond), kSecond);
 	}
 	const DirectoryChanges changes = source.changesSince(held);
 	cr_assert(changes.whole);
--- a/tests/test_feed_exchange.cpp
+++ b/tests/test_feed_exchange.cpp
@@ -15,6 +15,8 @@
 using namespace roadferry;
 
 constexpr Micros kInForceWithin = 3 * kSecond; ///< The bound of deployments with so many nodes.
+/// The time that a lapsed entry has to come back, and a reading and a tick after it.
+constexpr Micros kSeenGoneWithin = DirectoryConfig{}.relistGrace + FeedWorld::kReadEvery + FeedWorld::kTick;
 
 Endpoint endpoint(const std::string& _id, bool _leaving = false)
 {
@@ -97,11 +99,11 @@
 	log.put(endpoint("stays"));
 	log.put(endpoint("goes"));
 	EndpointDirectory behind(DirectoryConfig{});
-	behind.read(log.whole(), kSecond);
+	behind.read(log.whole(kSecond), kSecond);
 	log.remove("goes");
 	EndpointDirectory ahead(DirectoryConfig{});
-	ahead.read(log.whole(), kSecond);
-	ahead.take(behind.changesSince(0), 2 * kSecond);
+	ahead.read(log.whole(kSecond), kSecond);
+	ahead.take(behind.changesSince(0), kSecond, 2 * kSecond);
 	cr_assert_eq(ahead.endpoints().size(), 1, "a listing of position %zu replaced one of position %zu",
 				 static_cast<std::size_t>(behind.position()), static_cast<std::size_t>(log.end()));
 }
@@ -120,7 +122,7 @@
 					   const int steps = *rc::gen::inRange(1, 80);
 					   for (int step = 0; step < steps; ++step)
 					   {
-						   now += 100 * kMillisecond;
+						   now += 10 * kMillisecond; // Too little in all for entries to lapse.
 						   const std::string name = *rc::gen::elementOf(names);
 						   const std::size_t one = *rc::gen::inRange<std::size_t>(0, 3);
 						   const std::size_t other = *rc::gen::inRange<std::size_t>(0, 3);
@@ -136,15 +138,15 @@
 							   log.put(name, endpoint(name + "/" + std::to_string(log.end())));
 							   break;
 						   case 2:
-							   directories[one].read(log.since(known[one], false, now), now);
+							   directories[one].read(log.since(known[one], now), now);
 							   known[one] = log.end();
 							   break;
 						   case 3:
-							   directories[one].read(log.whole(false, now), now);
+							   directories[one].read(log.whole(now), now);
 							   known[one] = log.end();
 							   break;
 						   default:
-							   directories[one].take(directories[other].changesSince(0), now);
+							   directories[one].take(directories[other].changesSince(0), now, now);
 							   known[one] = std::max(known[one], known[other]);
 							   break;
 						   }
@@ -161,15 +163,51 @@
 				   });
 }
 
+/// Guards against a node that reads by its turn, is turned away by the platform, and hears from nobody.
+Test(feed_exchange, reader_that_the_platform_turns_away_hears_from_other_nodes)
+{
+	FeedWorld world(FeedWorldConfig{});
+	world.list(endpoint("goes"));
+	world.runFor(3 * kSecond);
+	FeedWorld::Node& reader = world.node(world.readers().front());
+	cr_assert(lists(reader.exchange, "goes"));
+	reader.cutOff = true;
+	world.runFor(2 * kSecond);
+	world.unlist("goes");
+	world.publishRoutes();
+	world.runFor(kInForceWithin);
+	cr_assert_not(lists(reader.exchange, "goes"));
+	cr_assert_eq(reader.exchange.routes().version, world.versionBefore(0));
+}
+
+/// Guards against entries that are kept for their return though the platform was away for other nodes only.
+Test(feed_exchange, nodes_that_can_read_do_not_doubt_the_listing_for_their_sources_trouble)
+{
+	FeedWorld world(FeedWorldConfig{});
+	world.list(endpoint("goes"));
+	world.runFor(3 * kSecond);
+	for (const std::string& reader : world.readers())
+	{
+		world.node(reader).cutOff = true;
+	}
+	world.runFor(4 * kSecond);
+	world.unlist("goes");
+	world.runFor(FeedWorld::kReadEvery + 2 * FeedWorld::kTick);
+	for (const FeedWorld::Node& node : world.nodes)
+	{
+		cr_assert(node.cutOff || !lists(node.exchange, "goes"), "%s", node.name.c_str());
+	}
+}
+
 /// Guards against an endpoint that starts again under its name and stays shut out because its earlier start had left.
 Test(feed_exchange, endpoint_that_starts_again_is_usable_though_it_had_left)
 {
 	ListingLog log;
 	EndpointDirectory directory(DirectoryConfig{});
 	log.put("e", endpoint("e@100", true), 100);
-	directory.read(log.whole(), kSecond);
+	directory.read(log.whole(kSecond), kSecond);
 	log.put("e", endpoint("e@200"), 200);
-	directory.read(log.since(1), 2 * kSecond);
+	directory.read(log.since(1, 2 * kSecond), 2 * kSecond);
 	cr_assert(directory.endpoints() == std::vector<Endpoint>{endpoint("e@200")});
 }
 
@@ -182,14 +220,14 @@
 	EndpointDirectory directory(config);
 	log.put("held-up", endpoint("held-up@200"), 200);
 	log.put("set-back", endpoint("set-back@200"), 200);
-	directory.read(log.whole(), kSecond);
+	directory.read(log.whole(kSecond), kSecond);
 	log.put("held-up", endpoint("held-up@100"), 100);
 	log.put("set-back", endpoint("set-back@100"), 100);
 	const Micros read = 2 * kSecond;
-	directory.read(log.since(2), read);
+	directory.read(log.since(2, read), read);
 	cr_assert_eq(directory.endpoints().front(), endpoint("held-up@200"));
 	log.put("held-up", endpoint("held-up@200"), 200);
-	directory.read(log.since(4), read + kSecond);
+	directory.read(log.since(4, read + kSecond), read + kSecond);
 	cr_assert_not(directory.expire(read + config.earlierStartGrace - 1));
 	cr_assert(directory.expire(read + config.earlierStartGrace));
 	cr_assert(directory.endpoints() == (std::vector<Endpoint>{endpoint("held-up@200"), endpoint("set-back@100")}));
@@ -237,15 +275,15 @@
 							   log.spoil(name);
 							   break;
 						   case 4:
-							   source.read(log.since(sourceKnows, *rc::gen::arbitrary<bool>(), now), now);
+							   source.read(log.since(sourceKnows, now), now);
 							   sourceKnows = log.end();
 							   break;
 						   case 5:
-							   follower.read(log.whole(false, now), now);
+							   follower.read(log.whole(now), now);
 							   followerKnows = log.end();
 							   break;
 						   default:
-							   follower.take(source.changesSince(0), now);
+							   follower.take(source.changesSince(0), now, now);
 							   followerKnows = std::max(followerKnows, sourceKnows);
 							   break;
 						   }
@@ -269,10 +307,11 @@
 						   }
 					   }
 					   // When nothing is in doubt any more, both hold what the log has.
-					   now += 2 * config.relistGrace;
-					   source.read(log.since(sourceKnows, false, now), now);
-					   follower.take(source.changesSince(0), now);
+					   now += config.lapseAfter;
+					   source.read(log.since(sourceKnows, now), now);
+					   now += config.relistGrace;
 					   source.expire(now);
+					   follower.take(source.changesSince(0), now, now);
 					   follower.expire(now);
 					   RC_ASSERT(source.endpoints() == follower.endpoints());
 					   RC_ASSERT(source.endpoints().size() == log.present().size());
@@ -337,11 +376,17 @@
 							  {
 								  RC_ASSERT(each.exchange.routes().version >= world.versionBefore(kInForceWithin));
 							  }
+							  // Once seen to go, what has waited for its return is not listed again.
 							  for (const auto& gone : each.seenGone)
 							  {
-								  const Micros since = std::max({gone.second, each.troubledUntil, each.doubtedAt});
-								  const bool waited =
-									  !each.silent && world.now - since > 2 * kSecond + FeedWorld::kTick;
+								  const Micros since = std::max(gone.second, each.troubledUntil);
+								  const bool waited = !troubled && world.now - since > kSeenGoneWithin;
+								  RC_ASSERT(!waited || !lists(each.exchange, gone.first));
+							  }
+							  for (const auto& gone : world.removedAt)
+							  {
+								  const Micros since = std::max(gone.second, each.troubledUntil + kInForceWithin);
+								  const bool waited = !troubled && world.now - since > kInForceWithin;
 								  RC_ASSERT(!waited || !lists(each.exchange, gone.first));
 							  }
 						  }
--- a/tests/test_routes.cpp
+++ b/tests/test_routes.cpp
@@ -128,9 +128,9 @@
 	ListingLog log;
 	log.put(endpoint("e-1"));
 	log.put(endpoint("e-2"));
-	directory.read(log.whole(), kSecond);
+	directory.read(log.whole(kSecond), kSecond);
 	log.remove("e-1");
-	directory.read(log.since(2), kSecond + 500 * kMillisecond);
+	directory.read(log.since(2, kSecond + 500 * kMillisecond), kSecond + 500 * kMillisecond);
 	cr_assert(usableIds(directory) == std::vector<std::string>{"e-2"});
 }
 
@@ -140,14 +140,14 @@
 	ListingLog log;
 	log.put(endpoint("e-1"));
 	log.put(endpoint("e-2"));
-	directory.read(log.whole(), kSecond);
+	directory.read(log.whole(kSecond), kSecond);
 	log.remove("e-1");
 	log.remove("e-2");
 	const Micros back = 10 * kSecond;
-	directory.read(log.whole(true), back);
+	directory.read(log.whole(back), back);
 	cr_assert_eq(usableIds(directory).size(), 2);
 	log.put(endpoint("e-1"));
-	directory.read(log.since(4), back + kSecond);
+	directory.read(log.since(4, back + kSecond), back + kSecond);
 	cr_assert_not(directory.expire(back + 1'900 * kMillisecond));
 	cr_assert(directory.expire(back + 2 * kSecond));
 	cr_assert(usableIds(directory) == std::vector<std::string>{"e-1"});
@@ -158,11 +158,11 @@
 	EndpointDirectory directory(DirectoryConfig{});
 	ListingLog log;
 	log.put(endpoint("e-1"));
-	directory.read(log.whole(), kSecond);
+	directory.read(log.whole(kSecond), kSecond);
 	const Micros back = 10 * kSecond;
-	directory.read(log.since(1, true), back);
+	directory.read(log.since(1, back), back);
 	log.remove("e-1");
-	directory.read(log.since(1), back + 1'800 * kMillisecond);
+	directory.read(log.since(1, back + 1'800 * kMillisecond), back + 1'800 * kMillisecond);
 	cr_assert_eq(usableIds(directory).size(), 1);
 	cr_assert(directory.expire(back + 2 * kSecond));
 	cr_assert(usableIds(directory).empty());
@@ -173,9 +173,9 @@
 	EndpointDirectory directory(DirectoryConfig{});
 	ListingLog log;
 	log.put(endpoint("e-1"));
-	directory.read(log.whole(), kSecond);
+	directory.read(log.whole(kSecond), kSecond);
 	log.remove("e-1");
-	directory.read(log.since(1), 3 * kSecond);
+	directory.read(log.since(1, 3 * kSecond), 3 * kSecond);
 	cr_assert(usableIds(directory).empty());
 }
 
@@ -187,8 +187,8 @@
 					   EndpointDirectory directory(DirectoryConfig{});
 					   ListingLog log;
 					   std::uint64_t known = 0;
-					   const auto readOn = [&](Micros _now, bool _wasAway)
-					   { directory.read(log.since(std::exchange(known, log.end()), _wasAway), _now); };
+					   const auto readOn = [&](Micros _now)
+					   { directory.read(log.since(std::exchange(known, log.end()), _now), _now); };
 					   const std::vector<std::string> ids = {"e-1", "e-2", "e-3"};
 					   std::set<std::string> left;
 					   Micros now = kSecond;
@@ -201,11 +201,11 @@
 						   {
 						   case 0:
 							   log.put(endpoint(id));
-							   readOn(now, false);
+							   readOn(now);
 							   break;
 						   case 1:
 							   log.put(endpoint(id, true));
-							   readOn(now, false);
+							   readOn(now);
 							   left.insert(id);
 							   break;
 						   case 2:
@@ -214,10 +214,10 @@
 							   break;
 						   case 3:
 							   log.remove(id);
-							   readOn(now, false);
+							   readOn(now);
 							   break;
 						   case 4:
-							   readOn(now, *rc::gen::arbitrary<bool>());
+							   readOn(now);
 							   break;
 						   default:
 							   directory.expire(now);
