--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -234,7 +234,7 @@
 	}
 }
 
-/// Says so when messages to another node pile up, at most once a second.
+/// Says so when messages to other nodes pile up or vanish, at most once a second.
 void ForwardNode::logQueues()
 {
 	const std::uint64_t queued = this->link->takeMostQueued();
@@ -244,6 +244,12 @@
 		logEvent("peer", "queued", {{"bytes_for_one_node", queued}, {"bytes_in_and_out", bytes - this->bytesLogged}});
 	}
 	this->bytesLogged = bytes;
+	const std::uint64_t silent = this->link->silentConnections();
+	if (silent > this->silentLogged)
+	{
+		logEvent("peer", "silent_connections_closed", {{"connections", silent - this->silentLogged}});
+		this->silentLogged = silent;
+	}
 }
 
 void ForwardNode::drain()
--- a/src/forward_node.h
+++ b/src/forward_node.h
@@ -55,6 +55,7 @@
 	std::unique_ptr<HttpServer> server;
 	std::unique_ptr<HttpServer> readinessServer;
 	std::uint64_t bytesLogged = 0; ///< Of messages between nodes, at the last look at their queues.
+	std::uint64_t silentLogged = 0;
 	QTimer readyTimer;
 	QTimer drainTimer;
 	QTimer settingsTimer;
--- a/src/peer_link.cpp
+++ b/src/peer_link.cpp
@@ -17,7 +17,9 @@
 
 #include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace roadferry
@@ -30,11 +32,16 @@
 using Client = websocketpp::client<websocketpp::config::asio_client>;
 using Handle = websocketpp::connection_hdl;
 using Error = websocketpp::lib::error_code;
+using Clock = std::chrono::steady_clock;
 
 constexpr std::size_t kMessageLimit = 8 * 1024 * 1024;
 constexpr std::size_t kQueueLimit = 4'096; ///< Messages that wait for a connection to open.
 constexpr long kOpenTimeoutMs = 1'000;
 constexpr const char* kPeerHeader = "X-Roadferry-Peer";
+constexpr std::int64_t kSilenceCheckPeriod = 250'000;  ///< Microseconds.
+constexpr std::chrono::milliseconds kPingAfter{1'000}; ///< Without an answer of any kind to what was written.
+constexpr std::chrono::milliseconds kSilentAfter{2'000};
+constexpr long kCloseTimeoutMs = 1'000;
 constexpr auto kBinary = websocketpp::frame::opcode::binary;
 
 /// The connection to one node, whichever side opened it.
@@ -44,6 +51,8 @@
 	bool incoming = false;
 	bool open = false;
 	std::vector<std::string> queued;
+	std::optional<Clock::time_point> unanswered; ///< Oldest message after which nothing has come on this connection.
+	bool pinged = false;                         ///< Since then.
 };
 
 } // namespace
@@ -70,8 +79,13 @@
 	{
 		this->server.set_validate_handler([this](const Handle& _handle) { return this->isPeer(_handle); });
 		this->server.set_open_handler([this](const Handle& _handle) { this->accepted(_handle); });
-		this->server.set_message_handler([this](const Handle& _handle, const Server::message_ptr& _message)
-										 { this->received(this->announced(_handle), _message->get_payload()); });
+		this->server.set_message_handler(
+			[this](const Handle& _handle, const Server::message_ptr& _message)
+			{ this->received(this->announced(_handle), _handle, _message->get_payload()); });
+		this->server.set_pong_handler([this](const Handle& _handle, const std::string&)
+									  { this->answered(this->announced(_handle), _handle); });
+		this->server.set_close_handshake_timeout(kCloseTimeoutMs);
+		this->client.set_close_handshake_timeout(kCloseTimeoutMs);
 		this->server.set_close_handler([this](const Handle& _handle)
 									   { this->closed(this->announced(_handle), _handle); });
 		this->server.set_fail_handler([](const Handle&) {});
@@ -94,22 +108,104 @@
 	void accepted(const Handle& _handle)
 	{
 		Peer& peer = this->peers[this->announced(_handle)];
+		if (peer.open && !peer.incoming)
+		{
+			return; // Both sides opened one at the same time.
+		}
 		if (peer.open)
 		{
-			return;
+			this->closeConnection(peer); // The other side has given it up.
 		}
+		peer.unanswered.reset();
+		peer.pinged = false;
 		peer.handle = _handle;
 		peer.incoming = true;
 		peer.open = true;
 		this->flush(peer);
 	}
 
-	void received(const std::string& _peer, const std::string& _message)
+	void received(const std::string& _peer, const Handle& _handle, const std::string& _message)
 	{
 		this->byteCount += _message.size();
+		this->answered(_peer, _handle);
 		this->handlers.onMessage(_peer, _message);
 	}
 
+	static bool isSame(const Handle& _left, const Handle& _right)
+	{
+		return !_left.owner_before(_right) && !_right.owner_before(_left);
+	}
+
+	/// Something has come on a connection.
+	void answered(const std::string& _peer, const Handle& _handle)
+	{
+		const auto found = this->peers.find(_peer);
+		if (found != this->peers.end() && isSame(found->second.handle, _handle))
+		{
+			found->second.unanswered.reset();
+			found->second.pinged = false;
+		}
+	}
+
+	/// A connection may fall silent without being reset: then only the answers that do not come show it.
+	void checkSilence()
+	{
+		const Clock::time_point now = Clock::now();
+		std::vector<std::string> silent;
+		for (auto& entry : this->peers)
+		{
+			Peer& peer = entry.second;
+			if (!peer.open || !peer.unanswered)
+			{
+				continue;
+			}
+			if (now - *peer.unanswered >= kSilentAfter && peer.pinged)
+			{
+				silent.push_back(entry.first);
+			}
+			else if (now - *peer.unanswered >= kPingAfter && !peer.pinged)
+			{
+				this->ping(peer);
+			}
+		}
+		for (const std::string& peer : silent)
+		{
+			this->giveUp(peer);
+		}
+	}
+
+	void ping(Peer& _peer)
+	{
+		Error ignored;
+		_peer.pinged = true;
+		if (_peer.incoming)
+		{
+			this->server.ping(_peer.handle, "", ignored);
+			return;
+		}
+		this->client.ping(_peer.handle, "", ignored);
+	}
+
+	void giveUp(const std::string& _peer)
+	{
+		const Peer peer = this->peers.at(_peer);
+		this->peers.erase(_peer);
+		this->closeConnection(peer);
+		this->silentCount += 1;
+		this->handlers.onClosed(_peer);
+	}
+
+	void closeConnection(const Peer& _peer)
+	{
+		Error ignored;
+		if (_peer.incoming)
+		{
+			this->server.close(_peer.handle, websocketpp::close::status::going_away, "", ignored);
+			return;
+		}
+		this->client.close(_peer.handle, websocketpp::close::status::going_away, "", ignored);
+	}
+
 	void closed(const std::string& _peer, const Handle& _handle)
 	{
 		const auto found = this->peers.find(_peer);
@@ -117,8 +213,7 @@
 		{
 			return;
 		}
-		const bool same = !_handle.owner_before(found->second.handle) && !found->second.handle.owner_before(_handle);
-		if (!same)
+		if (!isSame(found->second.handle, _handle))
 		{
 			return;
 		}
@@ -136,11 +231,12 @@
 		}
 	}
 
-	void write(const Peer& _peer, const std::string& _message)
+	void write(Peer& _peer, const std::string& _message)
 	{
 		// A connection that fails here is closed by the library, which calls the close handler.
 		Error ignored;
 		this->byteCount += _message.size();
+		_peer.unanswered = _peer.unanswered.value_or(Clock::now());
 		if (_peer.incoming)
 		{
 			this->server.send(_peer.handle, _message, kBinary, ignored);
@@ -196,8 +292,10 @@
 		connection->append_header("Authorization", "Bearer " + this->secret);
 		connection->append_header(kPeerHeader, this->selfAddress);
 		connection->set_open_handler([this, _peer](const Handle& _handle) { this->opened(_peer, _handle); });
-		connection->set_message_handler([this, _peer](const Handle&, const Client::message_ptr& _message)
-										{ this->received(_peer, _message->get_payload()); });
+		connection->set_message_handler([this, _peer](const Handle& _handle, const Client::message_ptr& _message)
+										{ this->received(_peer, _handle, _message->get_payload()); });
+		connection->set_pong_handler([this, _peer](const Handle& _handle, const std::string&)
+									 { this->answered(_peer, _handle); });
 		connection->set_close_handler([this, _peer](const Handle& _handle) { this->closed(_peer, _handle); });
 		connection->set_fail_handler([this, _peer](const Handle& _handle) { this->closed(_peer, _handle); });
 		this->peers[_peer].handle = connection->get_handle();
@@ -228,16 +326,10 @@
 		}
 		for (const auto& entry : this->peers)
 		{
-			if (!entry.second.open)
+			if (entry.second.open)
 			{
-				continue;
+				this->closeConnection(entry.second);
 			}
-			if (entry.second.incoming)
-			{
-				this->server.close(entry.second.handle, websocketpp::close::status::going_away, "", ignored);
-				continue;
-			}
-			this->client.close(entry.second.handle, websocketpp::close::status::going_away, "", ignored);
 		}
 	}
 
@@ -250,6 +342,7 @@
 	std::map<std::string, Peer> peers;
 	std::atomic<std::uint64_t> byteCount{0};
 	std::atomic<std::uint64_t> mostQueued{0};
+	std::atomic<std::uint64_t> silentCount{0};
 	bool closing = false;
 };
 
@@ -278,6 +371,7 @@
 	const auto endpoint = this->impl->server.get_local_endpoint(ignored);
 	this->impl->selfAddress = _ip + ":" + std::to_string(endpoint.port());
 	this->impl->server.start_accept(error);
+	this->impl->pool.every(0, kSilenceCheckPeriod, [impl = this->impl] { impl->checkSilence(); });
 	return error ? "peer listen: " + error.message() : std::string();
 }
 
@@ -297,6 +391,11 @@
 	return this->impl->byteCount;
 }
 
+std::uint64_t PeerLink::silentConnections() const
+{
+	return this->impl->silentCount;
+}
+
 std::uint64_t PeerLink::takeMostQueued()
 {
 	return this->impl->mostQueued.exchange(0);
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -55,6 +55,9 @@
 	/// @returns Bytes of messages sent and received so far.
 	[[nodiscard]] std::uint64_t bytes() const;
 
+	/// @returns How many connections were given up since nothing came on them any more.
+	[[nodiscard]] std::uint64_t silentConnections() const;
+
 	/// @returns Most bytes that waited for one node since the last call.
 	[[nodiscard]] std::uint64_t takeMostQueued();
 
--- /dev/null
+++ b/tests/test_peers.cpp
@@ -0,0 +1,105 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Connections between nodes that fall silent, or stay quiet because there is nothing to say.
+
+#include "clock.h"
+#include "deployment.h"
+#include "io_pool.h"
+#include "peer_link.h"
+#include "silent_proxy.h"
+
+#include <criterion/criterion.h>
+
+#include <mutex>
+
+namespace
+{
+
+using namespace roadferry;
+
+/// One node's link, and what it has heard.
+class Node
+{
+public:
+	Node()
+		: pool(1), link(this->pool, "secret",
+						PeerHandlers{[this](const std::string&, const std::string& _message)
+									 {
+										 const std::lock_guard<std::mutex> lock(this->mutex);
+										 this->messages.push_back(_message);
+									 },
+									 [this](const std::string&) { this->closes += 1; }})
+	{
+		cr_assert(this->link.listen("127.0.0.1", 0).empty());
+	}
+
+	~Node()
+	{
+		this->link.close();
+		this->pool.stop();
+	}
+
+	Node(const Node&) = delete;
+	Node& operator=(const Node&) = delete;
+
+	bool heard(const std::string& _message)
+	{
+		const std::lock_guard<std::mutex> lock(this->mutex);
+		return std::find(this->messages.begin(), this->messages.end(), _message) != this->messages.end();
+	}
+
+	[[nodiscard]] std::uint16_t port() const
+	{
+		const std::string& address = this->link.self();
+		return static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+	}
+
+	std::mutex mutex;
+	std::vector<std::string> messages;
+	std::atomic<int> closes{0};
+	IoPool pool;
+	PeerLink link;
+};
+
+} // namespace
+
+/// Guards against messages that vanish for good in a connection that fell silent without being reset.
+Test(peers, connection_that_falls_silent_is_replaced)
+{
+	Node receiver;
+	Node sender;
+	SilentProxy proxy(receiver.port());
+	sender.link.send(proxy.address(), "before");
+	Deployment::await("the first message", [&] { return receiver.heard("before"); });
+	proxy.silence();
+	Deployment::await("a message on another connection",
+					  [&]
+					  {
+						  sender.link.send(proxy.address(), "after");
+						  return receiver.heard("after");
+					  });
+	cr_assert_geq(proxy.accepted(), 2);
+	cr_assert_geq(sender.closes, 1);
+}
+
+/// Guards against a connection that is given up though the other node lives and only has nothing to say.
+Test(peers, one_sided_connection_stays_open)
+{
+	Node receiver;
+	Node sender;
+	SilentProxy proxy(receiver.port());
+	const Micros until = monotonicNow() + 4 * kSecond;
+	int sent = 0;
+	Deployment::await("messages for longer than a silence lasts",
+					  [&]
+					  {
+						  sender.link.send(proxy.address(), std::to_string(++sent));
+						  return monotonicNow() > until && receiver.heard(std::to_string(sent - 1));
+					  });
+	cr_assert_eq(proxy.accepted(), 1);
+	cr_assert_eq(sender.closes, 0);
+}
