--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -341,6 +341,7 @@
 	spec.timeout = active->giveUpAt - now + kCallSlack;
 	spec.connectTimeout = kConnectTimeout;
 	spec.fresh = _attempt.once;
+	spec.noticeSilence = active->route.repeatable;
 	spec.keepAtMost = idleConnectionsOf(active->plan->pool(active->pool), this->nodes);
 	CallHandlers handlers;
 	handlers.onHead = [active](unsigned _status, const HttpHeaders& _headers)
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -18,6 +18,10 @@
 #include <boost/beast/http.hpp>
 #include <boost/optional.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
@@ -43,6 +47,9 @@
 
 using Clock = std::chrono::steady_clock;
 
+constexpr int kProbeSeconds = 1;              ///< Without a byte, and between two probes.
+constexpr int kProbes = 2;                    ///< Without an answer.
+constexpr int kUnacknowledgedMs = 2'500;      ///< That bytes may wait for the other machine.
 constexpr int kSkippedMost = 4;               ///< Responses to other requests that are read past on one connection.
 constexpr std::chrono::seconds kIdleLife{30}; ///< For servers that do not say how long they keep connections.
 constexpr std::chrono::milliseconds kIdleMargin{300}; ///< Before the server's own limit, so that closes rarely cross.
@@ -111,6 +118,19 @@
 	return true;
 }
 
+/// Probes of the kernel's find out that nobody is at the other end, whether or not anything is under way.
+void setProbes(Tcp::socket& _socket, bool _on)
+{
+	const int socket = _socket.native_handle();
+	const auto set = [socket](int _level, int _option, int _value)
+	{ ::setsockopt(socket, _level, _option, &_value, sizeof(_value)); };
+	set(SOL_SOCKET, SO_KEEPALIVE, _on ? 1 : 0);
+	set(IPPROTO_TCP, TCP_KEEPIDLE, kProbeSeconds);
+	set(IPPROTO_TCP, TCP_KEEPINTVL, kProbeSeconds);
+	set(IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+	set(IPPROTO_TCP, TCP_USER_TIMEOUT, _on ? kUnacknowledgedMs : 0);
+}
+
 class Call final : public HttpCall, public std::enable_shared_from_this<Call>
 {
 public:
@@ -237,6 +257,7 @@
 	void write()
 	{
 		this->sent = true;
+		setProbes(*this->socket, this->spec.noticeSilence);
 		http::async_write(*this->socket, this->request,
 						  [self = this->shared_from_this()](const Error& _error, std::size_t _bytes)
 						  { self->written(_error, _bytes); });
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -51,6 +51,9 @@
 	HttpRequest request;
 	std::int64_t timeout = 0;        ///< Microseconds from now to the end of the response.
 	std::int64_t connectTimeout = 0; ///< Microseconds for opening a connection, 0 for no limit of its own.
+	/// End the call within about 3 s when the other machine is gone or the connection has fallen silent. For calls that
+	/// may be made again: what is merely cut off for a while would still answer.
+	bool noticeSilence = false;
 	bool fresh = false;          ///< Use a connection of its own, so that a kept one that has gone stale cannot cut it.
 	std::size_t keepAtMost = 64; ///< Idle connections to this address, this call's own included, that are kept.
 	std::size_t responseLimit = 64 * 1024 * 1024;
--- a/src/piece_runner.cpp
+++ b/src/piece_runner.cpp
@@ -176,6 +176,7 @@
 	spec.timeout =
 		_batch.giveUpAt - now + kConnectTimeout; // The scheduler gives up first; this is for when it does not.
 	spec.connectTimeout = kConnectTimeout;
+	spec.noticeSilence = true;
 	CallHandlers calls;
 	calls.onEnd = [this, batch = _batch.batch, size = _batch.orders.size(), endpoint = _batch.endpoint.id,
 				   pool = _batch.pool, now](const CallEnd& _end)
