--- a/include/roadferry/parts/endpoints.h
+++ b/include/roadferry/parts/endpoints.h
@@ -157,6 +157,7 @@
 														   std::uint64_t _position) const;
 	void dropUpTo(const UnlistedEndpoint& _gone);
 	void startOver();
+	void advanceTo(std::uint64_t _position, Micros _now);
 	void noteKnown(Micros _knownAt, Micros _now);
 	void listedHere(const ListedEndpoint& _listed, Micros _now);
 	bool adoptEarlierStarts(Micros _now);
@@ -174,6 +175,7 @@
 	Micros lastRead = 0;
 	Micros knownAt = 0;         ///< Time point at which this directory was complete, 0 for never.
 	std::uint64_t readUpTo = 0; ///< Position up to which this directory is complete.
+	Micros advancedAt = 0;      ///< When that position was reached.
 	Micros doubtUntil = 0;      ///< Until then a missing entry may be one that lapsed while the listing was away.
 };
 
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -123,7 +123,7 @@
 			this->dropUpTo(gone);
 		}
 	}
-	this->readUpTo = std::max(this->readUpTo, _changes.position);
+	this->advanceTo(_changes.position, _now);
 }
 
 /// Drops an entry, unless a later one is held.
@@ -165,6 +165,15 @@
 	return absent;
 }
 
+void EndpointDirectory::advanceTo(std::uint64_t _position, Micros _now)
+{
+	if (_position > this->readUpTo)
+	{
+		this->readUpTo = _position;
+		this->advancedAt = _now;
+	}
+}
+
 /// The platform's log has begun anew: what is held is older than all that it has.
 void EndpointDirectory::startOver()
 {
@@ -193,7 +202,9 @@
 	const std::uint64_t before = this->revision;
 	this->noteKnown(_read.begunAt, _now);
 	this->lastRead = _read.begunAt;
-	if (_read.whole && _read.position < this->readUpTo)
+	// A reading that was begun before more was heard from another node is merged like any other.
+	const bool beganAnew = _read.whole && _read.position < this->readUpTo && _read.begunAt > this->advancedAt;
+	if (beganAnew)
 	{
 		this->startOver();
 	}
@@ -224,7 +235,7 @@
 			this->unlisted(gone, _now);
 		}
 	}
-	this->readUpTo = std::max(this->readUpTo, _read.position);
+	this->advanceTo(_read.position, _now);
 	this->expire(_now);
 	return this->revision != before;
 }
--- a/tests/test_feed_exchange.cpp
+++ b/tests/test_feed_exchange.cpp
@@ -108,6 +108,38 @@
 				 static_cast<std::size_t>(behind.position()), static_cast<std::size_t>(log.end()));
 }
 
+/// Guards against a reading that was under way while news came from a node that has read more: it is no newer log.
+Test(feed_exchange, reading_that_was_overtaken_by_news_is_merged)
+{
+	ListingLog log;
+	log.put(endpoint("goes"));
+	const ListingRead overtaken = log.whole(kSecond);
+	log.remove("goes");
+	log.put(endpoint("comes"));
+	EndpointDirectory other(DirectoryConfig{});
+	other.read(log.whole(2 * kSecond), 2 * kSecond);
+	EndpointDirectory directory(DirectoryConfig{});
+	directory.take(other.changesSince(0), 2 * kSecond, 2 * kSecond);
+	directory.read(overtaken, 3 * kSecond);
+	cr_assert(directory.endpoints() == std::vector<Endpoint>{endpoint("comes")});
+	cr_assert_eq(directory.position(), log.end());
+}
+
+/// Guards against a directory that takes nothing any more when the platform's log has begun anew.
+Test(feed_exchange, log_that_begins_anew_replaces_what_was_held)
+{
+	ListingLog before;
+	before.put(endpoint("first"));
+	before.put(endpoint("second"));
+	EndpointDirectory directory(DirectoryConfig{});
+	directory.read(before.whole(kSecond), kSecond);
+	ListingLog anew;
+	anew.put(endpoint("third"));
+	directory.read(anew.whole(2 * kSecond), 2 * kSecond);
+	cr_assert(directory.endpoints() == std::vector<Endpoint>{endpoint("third")});
+	cr_assert_eq(directory.position(), anew.end());
+}
+
 /// Guards against an older listing in any order of readings and news, between three directories and against the log.
 Test(feed_exchange, older_listing_never_replaces_a_newer_one)
 {
