--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -194,7 +194,7 @@
 /// Times and bounds of a BatchMaker.
 struct BatchConfig
 {
-	double lateShare = 0.25;                 ///< Part of each call that pieces past their due time may take.
+	double lateShare = 0.1;                  ///< Part of each call that pieces past their due time may take.
 	double slowest = 4.0;                    ///< A call that takes so many times as long as told is given up.
 	Micros slack = 400 * kMillisecond;       ///< Added to that, for transfers.
 	Micros fetchTime = 100 * kMillisecond;   ///< In which a call has fetched its inputs: 15 MB take 12 ms on a link.
