--- a/tests/test_feed_exchange.cpp
+++ b/tests/test_feed_exchange.cpp
@@ -29,6 +29,16 @@
 	return std::any_of(all.begin(), all.end(), [&](const Endpoint& _endpoint) { return _endpoint.id == _id; });
 }
 
+/// Fails when a node lacks a change that was published longer ago than changes may take.
+void assertInForce(const FeedWorld& _world, int _change)
+{
+	for (const FeedWorld::Node& node : _world.nodes)
+	{
+		cr_assert_geq(node.exchange.routes().version, _world.versionBefore(kInForceWithin), "%s, change %d",
+					  node.name.c_str(), _change);
+	}
+}
+
 } // namespace
 
 /// Guards against changes of routes that are late because each version queues whole behind the ones before it.
@@ -40,11 +50,7 @@
 	{
 		world.publishRoutes();
 		world.runFor(300 * kMillisecond);
-		for (const FeedWorld::Node& node : world.nodes)
-		{
-			cr_assert_geq(node.exchange.routes().version, world.versionBefore(kInForceWithin), "%s, change %d",
-						  node.name.c_str(), change);
-		}
+		assertInForce(world, change);
 	}
 }
 
@@ -84,11 +90,7 @@
 		}
 		world.publishRoutes();
 		world.runFor(200 * kMillisecond);
-		for (const FeedWorld::Node& node : world.nodes)
-		{
-			cr_assert_geq(node.exchange.routes().version, world.versionBefore(kInForceWithin), "%s, change %d",
-						  node.name.c_str(), change);
-		}
+		assertInForce(world, change);
 	}
 }
 
