--- a/include/roadferry/parts/endpoints.h
+++ b/include/roadferry/parts/endpoints.h
@@ -139,6 +139,9 @@
 	/// @returns When the last reading of the listing was begun, 0 for never.
 	[[nodiscard]] Micros readAt() const;
 
+	/// @returns Time point at which this directory was complete, by readings and by news; 0 for never.
+	[[nodiscard]] Micros knownUpTo() const;
+
 	/// @returns Position in the platform's log up to which this directory is complete.
 	[[nodiscard]] std::uint64_t position() const;
 
--- a/include/roadferry/parts/feed_exchange.h
+++ b/include/roadferry/parts/feed_exchange.h
@@ -24,6 +24,16 @@
 	bool operator==(const HeldRoutes&) const = default;
 };
 
+/// How current a node's knowledge of the platform's topics is.
+struct FeedKnowledge
+{
+	Micros routesAt = 0;  ///< Every change of the routes that was made before this time is known; 0 for never.
+	Micros listingAt = 0; ///< The same of the endpoints.
+	std::string source;   ///< Node that told, empty when they are read here.
+	bool away = false;    ///< The platform does not answer here.
+	bool operator==(const FeedKnowledge&) const = default;
+};
+
 /// Begin to read both topics.
 struct StartReading
 {
@@ -136,6 +146,9 @@
 	/// @returns The node that this one asks, empty for none.
 	[[nodiscard]] const std::string& source() const;
 
+	/// @returns How current the knowledge of both topics is.
+	[[nodiscard]] FeedKnowledge knowledge() const;
+
 private:
 	/// A node that has asked this one.
 	struct Follower
@@ -165,6 +178,7 @@
 	bool routesLost = false;
 	bool listingLost = false;
 	Micros routesReadAt = 0;
+	Micros routesKnownAt = 0;                  ///< By own readings and by news.
 	std::map<std::string, Follower> followers; ///< By address.
 	std::uint64_t sourceId = 0;                ///< Directory that was followed last,
 	std::uint64_t sourceRevision = 0;          ///< and how far.
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -310,6 +310,11 @@
 	return this->lastRead;
 }
 
+Micros EndpointDirectory::knownUpTo() const
+{
+	return this->knownAt;
+}
+
 std::uint64_t EndpointDirectory::latestRevision() const
 {
 	return this->revision;
--- a/src/feed_exchange.cpp
+++ b/src/feed_exchange.cpp
@@ -170,6 +170,7 @@
 	this->relay.heard(_from, knownAt);
 	if (knownAt)
 	{
+		this->routesKnownAt = std::max(this->routesKnownAt, *knownAt);
 		this->takeEndpoints(_news, *knownAt, _now, actions);
 	}
 	actions.emplace_back(AskNext{});
@@ -201,6 +202,7 @@
 {
 	this->routesLost = false;
 	this->routesReadAt = _begunAt;
+	this->routesKnownAt = std::max(this->routesKnownAt, _begunAt);
 }
 
 FeedActions FeedExchange::endpointsRead(const ListingRead& _read, Micros _now)
@@ -268,4 +270,9 @@
 	return this->relay.source();
 }
 
+FeedKnowledge FeedExchange::knowledge() const
+{
+	return FeedKnowledge{this->routesKnownAt, this->directory.knownUpTo(), this->relay.source(), this->away()};
+}
+
 } // namespace roadferry
--- a/src/forward_control.cpp
+++ b/src/forward_control.cpp
@@ -20,6 +20,7 @@
 {
 
 constexpr int kTickMs = 200;
+constexpr Micros kLateWorthALine = 300 * kMillisecond; ///< Of a tick of this thread.
 constexpr Micros kAskEvery = 400 * kMillisecond; ///< Between two questions to other nodes while the platform is away.
 constexpr std::int64_t kNanosPerMicro = 1'000;
 /// Part of the retries that all nodes together are allowed: views of who is alive differ for seconds.
@@ -75,6 +76,17 @@
 	}
 }
 
+/// Tells the traffic how current what it was handed is; called when all of it was handed over.
+void ForwardControl::publishKnowledge()
+{
+	const FeedKnowledge current = this->exchange.knowledge();
+	if (current != this->knowledge)
+	{
+		this->knowledge = current;
+		this->traffic.setKnowledge(current);
+	}
+}
+
 void ForwardControl::startReading()
 {
 	logEvent("feed", "reads_itself", {{"peer", this->exchange.source()}, {"members", this->members.size()}});
@@ -103,6 +115,7 @@
 		}
 	}
 	this->exchange.routesRead(_reading.begunAt);
+	this->publishKnowledge();
 }
 
 void ForwardControl::takePlan(const RoutesRead& _read, const std::string& _source)
@@ -166,6 +179,7 @@
 		logEvent("control", "more_endpoints_unreadable", {{"entries", unreadable - kUnreadableLogged}});
 	}
 	this->perform(this->exchange.endpointsRead(read, monotonicNow()));
+	this->publishKnowledge();
 }
 
 void ForwardControl::publishEndpoints()
@@ -190,12 +204,25 @@
 	logEvent("control", "members", {{"alive", alive.size()}, {"retry_burst_of", static_cast<std::int64_t>(nodes)}});
 }
 
+/// Says so when this thread does not get a processor, or has too much to do.
+void ForwardControl::noteLateness(Micros _now)
+{
+	const Micros late = this->tickedAt == 0 ? 0 : _now - this->tickedAt - kTickMs * kMillisecond;
+	this->tickedAt = _now;
+	if (late >= kLateWorthALine)
+	{
+		logEvent("control", "thread_late", {{"late_ms", late / kMillisecond}});
+	}
+}
+
 void ForwardControl::tick()
 {
 	const Micros now = monotonicNow();
+	this->noteLateness(now);
 	this->carry(this->membership.tick(now));
 	this->publishMembers();
 	this->perform(this->exchange.tick(now));
+	this->publishKnowledge();
 	this->routeLoop.setWait(this->exchange.routesWait());
 	this->askPeers(now);
 }
@@ -230,6 +257,7 @@
 	const Micros now = monotonicNow();
 	this->logNews(_peer, _news, now);
 	this->perform(this->exchange.onNews(_peer, _news, now));
+	this->publishKnowledge();
 }
 
 /// While the platform is away, or has not answered yet, other nodes may know more.
--- a/src/forward_control.h
+++ b/src/forward_control.h
@@ -63,6 +63,8 @@
 	void takePlan(const RoutesRead& _read, const std::string& _source);
 	void publishEndpoints();
 	void publishMembers();
+	void publishKnowledge();
+	void noteLateness(Micros _now);
 	void tick();
 	void askPeers(Micros _now);
 	void carry(const std::vector<SendGossip>& _messages);
@@ -79,6 +81,8 @@
 	QTimer timer;
 	std::shared_ptr<const RoutePlan> plan;
 	std::vector<std::string> members;
+	FeedKnowledge knowledge; ///< As the traffic has it.
+	Micros tickedAt = 0;
 	Micros askAt = 0;
 	std::size_t askTurn = 0;
 };
--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -54,7 +54,8 @@
 	{ this->onPeerMessage(_peer, _bytes); };
 	handlers.onClosed = [this](const std::string& _peer) { this->traffic->peerClosed(_peer); };
 	this->link = std::make_unique<PeerLink>(this->pool, this->settings.peerSecret, handlers);
-	const std::string fault = this->link->listen(this->settings.ip, this->settings.peerPort);
+	const std::string fault =
+		this->link->listen(this->settings.ip, this->settings.peerPort, this->settings.peerAnnounce);
 	return fault.empty() ? absl::OkStatus() : absl::UnavailableError(fault);
 }
 
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -28,6 +28,7 @@
 constexpr Micros kDefaultPatience = 60 * kSecond;      ///< Of clients that do not say how long they wait.
 /// Until an endpoint that takes a request at once has fetched its inputs: 1 ms for each 800 kB, and the way there.
 constexpr Micros kFetchTime = 150 * kMillisecond;
+constexpr Micros kLateWorthALine = 300 * kMillisecond; ///< Of a tick of this thread.
 constexpr double kMicrosPerSecond = 1e6;
 constexpr double kIdleShare = 0.5; ///< Part of an endpoint's connections that may rest at all nodes together.
 /// Part of a client's patience after which a request whose stages are not done is refused: what is left must be enough
@@ -51,6 +52,17 @@
 	return hash;
 }
 
+/// @returns A gauge as Prometheus text, empty while the age is not known.
+std::string ageGauge(const char* _name, Micros _knownAt, Micros _now)
+{
+	if (_knownAt == 0)
+	{
+		return {};
+	}
+	const double seconds = static_cast<double>(_now - _knownAt) / kMicrosPerSecond;
+	return absl::StrCat("# TYPE ", _name, " gauge\n", _name, " ", seconds, "\n");
+}
+
 } // namespace
 
 ForwardTraffic::ForwardTraffic(IoPool& _pool, HttpClient& _client, const Wire& _wire, Metrics& _metrics,
@@ -92,6 +104,11 @@
 					});
 }
 
+void ForwardTraffic::setKnowledge(const FeedKnowledge& _knowledge)
+{
+	this->pool.post(0, [this, _knowledge] { this->knowledge = _knowledge; });
+}
+
 void ForwardTraffic::setMembers(const std::vector<std::string>& _members)
 {
 	this->pool.post(0,
@@ -162,7 +179,22 @@
 	DispatcherCounters counters;
 	counters.attempts = this->attemptCount;
 	counters.retries = this->retryCount;
-	return this->metrics.text(counters, this->activeCount);
+	const Micros now = monotonicNow();
+	return absl::StrCat(this->metrics.text(counters, this->activeCount),
+						ageGauge("roadferry_routes_age_seconds", this->knowledge.routesAt, now),
+						ageGauge("roadferry_listing_age_seconds", this->knowledge.listingAt, now));
+}
+
+/// Age of the routes that a request is handled by; -1 while it is not known.
+LogField ForwardTraffic::routesAge(Micros _now) const
+{
+	return {"routes_age_ms", this->knowledge.routesAt == 0 ? -1 : (_now - this->knowledge.routesAt) / kMillisecond};
+}
+
+/// Age of the listing that an endpoint is chosen from; -1 while it is not known.
+LogField ForwardTraffic::listingAge(Micros _now) const
+{
+	return {"listing_age_ms", this->knowledge.listingAt == 0 ? -1 : (_now - this->knowledge.listingAt) / kMillisecond};
 }
 
 void ForwardTraffic::refuse(const std::string& _id, const std::string& _target,
@@ -174,7 +206,8 @@
 			  {"status", _status},
 			  {"reason", _code},
 			  {"target", _target},
-			  {"routes_version", this->plan == nullptr ? 0 : this->plan->data().version}});
+			  {"routes_version", this->plan == nullptr ? 0 : this->plan->data().version},
+			  this->routesAge(monotonicNow())});
 	ForwardAnswer(this->wire, _reply, {}, false, false)
 		.refuse(_status, _status == kUnavailable ? kRetryElsewhere : 0, _code, _message);
 }
@@ -236,6 +269,7 @@
 			  {"route", _active->route.name},
 			  {"workspace", _active->workspace},
 			  {"routes_version", _active->plan->data().version},
+			  this->routesAge(_active->arrived),
 			  {"patience_ms", (_active->giveUpAt - _active->arrived) / kMillisecond}});
 	_active->pool = drawPool(_active->route, XXH3_64bits(_active->request.id.data(), _active->request.id.size()));
 	_active->prefix = sharedPrefix(_active->request.prompt);
@@ -364,6 +398,7 @@
 			  {"attempt", active->attempts},
 			  {"endpoint", _attempt.endpoint},
 			  {"listing", this->listing},
+			  this->listingAge(now),
 			  {"waited_ms", (now - active->arrived) / kMillisecond},
 			  {"left_ms", (active->giveUpAt - now) / kMillisecond}});
 	active->call = this->client.call(0, std::move(spec), std::move(handlers));
@@ -519,9 +554,21 @@
 	this->release(active, Outcome{Verdict::Unknown, Reason::Cancelled, false, 0, {}}, "client_left");
 }
 
+/// Says so when this thread does not get a processor.
+void ForwardTraffic::noteLateness(Micros _now)
+{
+	const Micros late = this->tickedAt == 0 ? 0 : _now - this->tickedAt - kTickPeriod;
+	this->tickedAt = _now;
+	if (late >= kLateWorthALine)
+	{
+		logEvent("request", "thread_late", {{"late_ms", late / kMillisecond}});
+	}
+}
+
 void ForwardTraffic::tick()
 {
 	const Micros now = monotonicNow();
+	this->noteLateness(now);
 	this->pieces.tick();
 	while (!this->deadlines.empty() && this->deadlines.begin()->first <= now)
 	{
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -10,6 +10,7 @@
 #define ROADFERRY_FORWARD_TRAFFIC_H_HEADER_GUARD
 
 #include "forward_answer.h"
+#include "logging.h"
 #include "metrics.h"
 #include "piece_runner.h"
 #include "stage_times.h"
@@ -54,6 +55,8 @@
 	void setPlan(const std::shared_ptr<const RoutePlan>& _plan);
 	/// @param[in] _position Position of the listing in the platform's log, for the logs.
 	void setEndpoints(const std::vector<Endpoint>& _endpoints, std::uint64_t _position);
+	/// Call after setPlan and setEndpoints, of which it tells how current they are.
+	void setKnowledge(const FeedKnowledge& _knowledge);
 	void setMembers(const std::vector<std::string>& _members);
 	void setRetryBounds(double _share, double _burst);
 	void receive(const std::string& _from, const PieceMessage& _message);
@@ -66,6 +69,7 @@
 	/// Refuses what was not sent to an endpoint of its own yet, at the end of a planned stop.
 	void refuseUnsent();
 	[[nodiscard]] std::size_t inFlight() const;
+	/// On thread 0.
 	[[nodiscard]] std::string metricsText() const;
 
 private:
@@ -99,6 +103,9 @@
 	void gone(std::uint64_t _id);
 	void refuse(const std::string& _id, const std::string& _target, const std::shared_ptr<HttpReply>& _reply,
 				unsigned _status, const std::string& _code, const std::string& _message);
+	[[nodiscard]] LogField routesAge(Micros _now) const;
+	[[nodiscard]] LogField listingAge(Micros _now) const;
+	void noteLateness(Micros _now);
 	void tick();
 
 	IoPool& pool;
@@ -117,6 +124,8 @@
 	Micros refuseFrom = 0;                         ///< Of a planned stop, 0 for none.
 	Micros stopEnd = 0;
 	std::uint64_t listing = 0; ///< Position of the listing in use.
+	FeedKnowledge knowledge;   ///< How current routes and endpoints are.
+	Micros tickedAt = 0;
 	std::uint64_t lastRequest = 0;
 	std::uint64_t lastOrder = 0;
 	std::atomic<std::size_t> activeCount{0};
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -201,11 +201,19 @@
 			{
 				if (!_error)
 				{
-					self->fail("timed out");
+					self->timedOut();
 				}
 			});
 	}
 
+	/// Says what the limit ran out on: an answer that was on its way, or a process that did not run itself.
+	void timedOut()
+	{
+		const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - this->timer.expiry());
+		this->fail("timed out after " + std::to_string(this->received) + " bytes, noticed " +
+				   std::to_string(late.count()) + " ms late");
+	}
+
 	void connect()
 	{
 		Tcp::endpoint endpoint;
@@ -283,8 +291,11 @@
 	void read()
 	{
 		http::async_read_some(*this->socket, this->buffer, *this->parser,
-							  [self = this->shared_from_this()](const Error& _error, std::size_t)
-							  { self->onRead(_error); });
+							  [self = this->shared_from_this()](const Error& _error, std::size_t _bytes)
+							  {
+								  self->received += _bytes;
+								  self->onRead(_error);
+							  });
 	}
 
 	void onRead(const Error& _error)
@@ -437,11 +448,12 @@
 	boost::optional<http::response_parser<http::string_body>> parser;
 	beast::flat_buffer buffer{kReadSize * 4};
 	int skipped = 0;
-	bool sent = false;     ///< Bytes of the request may have left.
-	bool writing = true;   ///< The request is not written whole yet.
-	bool broken = false;   ///< Writing failed.
-	bool headSeen = false; ///< The head of the response that is being read was looked at.
-	bool skipping = false; ///< The response that is being read belongs to another request.
+	std::size_t received = 0; ///< Bytes of responses.
+	bool sent = false;        ///< Bytes of the request may have left.
+	bool writing = true;      ///< The request is not written whole yet.
+	bool broken = false;      ///< Writing failed.
+	bool headSeen = false;    ///< The head of the response that is being read was looked at.
+	bool skipping = false;    ///< The response that is being read belongs to another request.
 	bool done = false;
 };
 
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -48,7 +48,8 @@
 	{ this->onPeerMessage(_peer, _bytes); };
 	handlers.onClosed = [this](const std::string& _peer) { this->relay->onPeerClosed(_peer); };
 	this->link = std::make_unique<PeerLink>(this->peerPool, this->settings.peerSecret, handlers);
-	const std::string peerFault = this->link->listen(this->settings.ip, this->settings.peerPort);
+	const std::string peerFault =
+		this->link->listen(this->settings.ip, this->settings.peerPort, this->settings.peerAnnounce);
 	if (!peerFault.empty())
 	{
 		return absl::UnavailableError(peerFault);
--- a/src/peer_link.cpp
+++ b/src/peer_link.cpp
@@ -353,7 +353,7 @@
 
 PeerLink::~PeerLink() = default;
 
-std::string PeerLink::listen(const std::string& _ip, std::uint16_t _port)
+std::string PeerLink::listen(const std::string& _ip, std::uint16_t _port, const std::string& _announced)
 {
 	Error error;
 	boost::system::error_code addressError;
@@ -369,7 +369,7 @@
 	}
 	boost::system::error_code ignored;
 	const auto endpoint = this->impl->server.get_local_endpoint(ignored);
-	this->impl->selfAddress = _ip + ":" + std::to_string(endpoint.port());
+	this->impl->selfAddress = _announced.empty() ? _ip + ":" + std::to_string(endpoint.port()) : _announced;
 	this->impl->server.start_accept(error);
 	this->impl->pool.every(0, kSilenceCheckPeriod, [impl = this->impl] { impl->checkSilence(); });
 	return error ? "peer listen: " + error.message() : std::string();
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -41,10 +41,11 @@
 	PeerLink(const PeerLink&) = delete;
 	PeerLink& operator=(const PeerLink&) = delete;
 
-	/// @param[in] _ip IP number to listen on and to announce to other nodes.
+	/// @param[in] _ip IP number to listen on.
 	/// @param[in] _port Port, or 0 for one that is free.
+	/// @param[in] _announced Address at which other nodes reach this one; empty for the one that it listens on.
 	/// @returns Empty on success, otherwise what went wrong.
-	std::string listen(const std::string& _ip, std::uint16_t _port);
+	std::string listen(const std::string& _ip, std::uint16_t _port, const std::string& _announced = {});
 
 	/// @returns Own address, as other nodes know it.
 	[[nodiscard]] const std::string& self() const;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -47,6 +47,8 @@
 DEFINE_string(settings, "", "file with further flags, one to a line; flags and environment win over it");
 DEFINE_string(listen, "", "IP:port for clients, in place of ip and port");
 DEFINE_string(peer_listen, "", "IP:port for other nodes, in place of ip and peer_port");
+DEFINE_string(peer_announce, "",
+			  "IP:port at which other nodes reach this one, where that is not the one it listens on");
 DEFINE_string(readiness_listen, "", "IP:port for readiness and metrics, of a node that forwards");
 DEFINE_string(feed_address, "", "IP:port of what tells of routes and endpoints, of a node that forwards");
 DEFINE_string(seeds, "", "IP:port of some other nodes, parted by commas, of a node that forwards");
@@ -101,6 +103,7 @@
 													 "settings",
 													 "listen",
 													 "peer_listen",
+													 "peer_announce",
 													 "readiness_listen",
 													 "feed_address",
 													 "seeds",
@@ -281,6 +284,10 @@
 	readListen(_checker, "listen", FLAGS_listen, _settings.ip, _settings.port);
 	readListen(_checker, "peer_listen", FLAGS_peer_listen, _settings.ip, _settings.peerPort);
 	readListen(_checker, "readiness_listen", FLAGS_readiness_listen, _settings.ip, _settings.readinessPort);
+	if (!FLAGS_peer_announce.empty())
+	{
+		_settings.peerAnnounce = _checker.address("peer_announce", FLAGS_peer_announce);
+	}
 	if (FLAGS_adapter.empty())
 	{
 		return;
--- a/src/settings.h
+++ b/src/settings.h
@@ -26,6 +26,7 @@
 	std::string ip;
 	std::uint16_t port = 0;
 	std::uint16_t peerPort = 0;
+	std::string peerAnnounce; ///< Address at which other nodes reach this one; empty for the one it listens on.
 	std::string failureDomain;
 	std::string logAddress;
 	std::string vmListAddress;
