--- a/include/roadferry/parts/feed_exchange.h
+++ b/include/roadferry/parts/feed_exchange.h
@@ -29,11 +29,16 @@
 {
 	Micros routesAt = 0;  ///< Every change of the routes that was made before this time is known; 0 for never.
 	Micros listingAt = 0; ///< The same of the endpoints.
+	Micros checkedAt = 0; ///< When this was found.
 	std::string source;   ///< Node that told, empty when they are read here.
 	bool away = false;    ///< The platform does not answer here.
 	bool operator==(const FeedKnowledge&) const = default;
 };
 
+/// Whether a request may be handled by what a node knows.
+/// @param[in] _lease How old routes and endpoints may be.
+bool mayHandle(const FeedKnowledge& _knowledge, Micros _now, Micros _lease);
+
 /// Begin to read both topics.
 struct StartReading
 {
@@ -147,7 +152,7 @@
 	[[nodiscard]] const std::string& source() const;
 
 	/// @returns How current the knowledge of both topics is.
-	[[nodiscard]] FeedKnowledge knowledge() const;
+	[[nodiscard]] FeedKnowledge knowledge(Micros _now) const;
 
 private:
 	/// A node that has asked this one.
--- a/src/feed_exchange.cpp
+++ b/src/feed_exchange.cpp
@@ -270,9 +270,14 @@
 	return this->relay.source();
 }
 
-FeedKnowledge FeedExchange::knowledge() const
+FeedKnowledge FeedExchange::knowledge(Micros _now) const
 {
-	return FeedKnowledge{this->routesKnownAt, this->directory.knownUpTo(), this->relay.source(), this->away()};
+	return FeedKnowledge{this->routesKnownAt, this->directory.knownUpTo(), _now, this->relay.source(), this->away()};
+}
+
+bool mayHandle(const FeedKnowledge&, Micros, Micros)
+{
+	return true;
 }
 
 } // namespace roadferry
--- a/src/forward_control.cpp
+++ b/src/forward_control.cpp
@@ -79,12 +79,7 @@
 /// Tells the traffic how current what it was handed is; called when all of it was handed over.
 void ForwardControl::publishKnowledge()
 {
-	const FeedKnowledge current = this->exchange.knowledge();
-	if (current != this->knowledge)
-	{
-		this->knowledge = current;
-		this->traffic.setKnowledge(current);
-	}
+	this->traffic.setKnowledge(this->exchange.knowledge(monotonicNow()));
 }
 
 void ForwardControl::startReading()
--- a/src/forward_control.h
+++ b/src/forward_control.h
@@ -81,7 +81,6 @@
 	QTimer timer;
 	std::shared_ptr<const RoutePlan> plan;
 	std::vector<std::string> members;
-	FeedKnowledge knowledge; ///< As the traffic has it.
 	Micros tickedAt = 0;
 	Micros askAt = 0;
 	std::size_t askTurn = 0;
--- a/tests/feed_world.h
+++ b/tests/feed_world.h
@@ -51,6 +51,8 @@
 		Micros extraDelay = 0;                       ///< Of everything that it sends to other nodes.
 		bool cutOff = false;                         ///< From the platform.
 		bool silent = false;                         ///< Nothing gets in or out.
+		Micros stoppedUntil = 0;                     ///< Until then its control does not run; its traffic does.
+		FeedKnowledge knowledge = {};                ///< As its traffic has it.
 		Micros troubledUntil = 0;                    ///< When its last trouble ended.
 		std::map<std::string, Micros> seenGone = {}; ///< Names whose end it has read itself, and when.
 	};
@@ -130,7 +132,7 @@
 		}
 		for (Node& each : this->nodes)
 		{
-			if (each.silent)
+			if (each.silent || this->now < each.stoppedUntil)
 			{
 				continue;
 			}
@@ -140,6 +142,7 @@
 				each.nextTick = this->now + kTick;
 				this->perform(each, each.exchange.tick(this->now));
 			}
+			each.knowledge = each.exchange.knowledge(this->now);
 		}
 	}
 
@@ -196,6 +199,11 @@
 		{
 			return;
 		}
+		if (this->now < to.stoppedUntil)
+		{
+			this->flying.emplace(to.stoppedUntil, _flight);
+			return;
+		}
 		if (const auto* ask = std::get_if<FeedAsk>(&_flight.message))
 		{
 			this->perform(to, to.exchange.onAsk(_flight.from, *ask, this->now));
--- a/tests/test_feed_exchange.cpp
+++ b/tests/test_feed_exchange.cpp
@@ -428,3 +428,100 @@
 				  });
 	cr_assert(holds);
 }
+
+/// Guards against requests that are handled by routes of any age while a node's control does not run (a starved
+/// processor, or more messages than it can take).
+Test(feed_exchange, node_whose_control_does_not_run_handles_nothing_by_old_routes)
+{
+	FeedWorld world(FeedWorldConfig{});
+	world.runFor(5 * kSecond);
+	world.nodes[3].stoppedUntil = world.now + 8 * kSecond;
+	world.node(world.readers().front()).stoppedUntil = world.now + 6 * kSecond;
+	for (int change = 0; change < 60; ++change)
+	{
+		world.publishRoutes();
+		world.runFor(200 * kMillisecond);
+		for (const FeedWorld::Node& node : world.nodes)
+		{
+			const bool handles = mayHandle(node.knowledge, world.now, kInForceWithin - 200 * kMillisecond);
+			cr_assert(!handles || node.exchange.routes().version >= world.versionBefore(kInForceWithin),
+					  "%s, change %d", node.name.c_str(), change);
+		}
+	}
+}
+
+/// Guards against a lease that ends although all goes well: nobody would be served.
+Test(feed_exchange, nodes_that_hear_in_time_handle_requests)
+{
+	FeedWorld world(FeedWorldConfig{});
+	world.runFor(5 * kSecond);
+	for (int step = 0; step < 100; ++step)
+	{
+		world.runFor(50 * kMillisecond);
+		for (const FeedWorld::Node& node : world.nodes)
+		{
+			cr_assert(mayHandle(node.knowledge, world.now, kInForceWithin - 200 * kMillisecond), "%s",
+					  node.name.c_str());
+		}
+	}
+}
+
+/// Guards against nodes that serve nobody while the platform is away: what they know holds then.
+Test(feed_exchange, nodes_handle_requests_while_the_platform_is_away)
+{
+	FeedWorld world(FeedWorldConfig{});
+	world.runFor(5 * kSecond);
+	for (FeedWorld::Node& node : world.nodes)
+	{
+		node.cutOff = true;
+	}
+	world.runFor(4 * kSecond);
+	for (int step = 0; step < 100; ++step)
+	{
+		world.runFor(50 * kMillisecond);
+		for (const FeedWorld::Node& node : world.nodes)
+		{
+			cr_assert(mayHandle(node.knowledge, world.now, kInForceWithin - 200 * kMillisecond), "%s",
+					  node.name.c_str());
+		}
+	}
+}
+
+/// Guards against endpoints that renew their entries all the time, and fill the links and the processors of the nodes
+/// that tell others with entries that say nothing new.
+Test(feed_exchange, renewals_that_change_nothing_are_not_told)
+{
+	FeedWorld world(FeedWorldConfig{});
+	for (int index = 0; index < 300; ++index)
+	{
+		world.list(endpoint("endpoint-" + std::to_string(index)));
+	}
+	world.runFor(5 * kSecond);
+	const double quietFrom = world.bytesSent;
+	world.runFor(5 * kSecond);
+	const double quiet = world.bytesSent - quietFrom;
+	const double busyFrom = world.bytesSent;
+	for (int round = 0; round < 5; ++round)
+	{
+		for (int index = 0; index < 300; ++index)
+		{
+			world.list(endpoint("endpoint-" + std::to_string(index)));
+		}
+		world.runFor(kSecond);
+	}
+	cr_assert_leq(world.bytesSent - busyFrom, 1.1 * quiet, "%.0f bytes, and %.0f without renewals",
+				  world.bytesSent - busyFrom, quiet);
+}
+
+/// Guards against a node that starts and serves by routes that another node gave it, however old they are.
+Test(feed_exchange, node_that_starts_does_not_handle_by_routes_of_unknown_age)
+{
+	FeedExchange exchange("10.0.1.1:1", FeedRelayConfig{}, DirectoryConfig{}, 1);
+	exchange.tick(kSecond);
+	exchange.holdRoutes(HeldRoutes{5, "from another node"});
+	exchange.learn({ListedEndpoint{"endpoint", 1, endpoint("endpoint"), 0}}, {}, kSecond);
+	cr_assert(exchange.ready());
+	cr_assert(!mayHandle(exchange.knowledge(kSecond), kSecond, kInForceWithin));
+	exchange.readingFailed(FeedTopic::Routes);
+	cr_assert(mayHandle(exchange.knowledge(kSecond), kSecond, kInForceWithin), "the platform is away");
+}
