--- a/include/roadferry/parts/endpoints.h
+++ b/include/roadferry/parts/endpoints.h
@@ -136,6 +136,9 @@
 	/// @returns Endpoints that were seen leaving or gone, for other nodes.
 	[[nodiscard]] const std::set<std::string>& leaving() const;
 
+	/// @returns Whether an entry says anything that is not held here; one that was merely renewed does not.
+	[[nodiscard]] bool differs(const ListedEndpoint& _listed) const;
+
 	/// @returns When the last reading of the listing was begun, 0 for never.
 	[[nodiscard]] Micros readAt() const;
 
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -59,11 +59,22 @@
 	}
 	ListedEndpoint updated = _listed;
 	updated.endpoint.leaving = this->left.count(_listed.endpoint.id) > 0;
-	if (isNewer || held->second != updated)
+	if (this->differs(updated))
 	{
 		this->entries[_listed.name] = std::move(updated);
 		this->changedAt[_listed.name] = ++this->revision;
 	}
+	else if (isNewer)
+	{
+		held->second.position = _listed.position; // Renewed.
+	}
+}
+
+bool EndpointDirectory::differs(const ListedEndpoint& _listed) const
+{
+	const auto held = this->entries.find(_listed.name);
+	return held == this->entries.end() || held->second.endpoint != _listed.endpoint ||
+		   held->second.startedAt != _listed.startedAt;
 }
 
 void EndpointDirectory::drop(const std::string& _name)
--- a/src/forward_control.cpp
+++ b/src/forward_control.cpp
@@ -133,6 +133,21 @@
 			  {"workspaces", this->plan->data().workspaces.size()}});
 }
 
+/// One line for an entry that says something new.
+void ForwardControl::logListed(const ListedEndpoint& _listed) const
+{
+	if (!this->exchange.endpoints().differs(_listed))
+	{
+		return;
+	}
+	logEvent("control", "endpoint_listed",
+			 {{"endpoint", _listed.endpoint.id},
+			  {"pool", _listed.endpoint.pool},
+			  {"address", _listed.endpoint.address},
+			  {"failure_domain", _listed.endpoint.failureDomain},
+			  {"leaving", _listed.endpoint.leaving}});
+}
+
 void ForwardControl::onEndpoints(const FeedReading& _reading)
 {
 	ListingRead read{_reading.page.next, _reading.whole, _reading.begunAt, {}};
@@ -145,12 +160,7 @@
 				[&](const ListedEndpoint& _listed)
 				{
 					read.changes.emplace_back(_listed);
-					logEvent("control", "endpoint_listed",
-							 {{"endpoint", _listed.endpoint.id},
-							  {"pool", _listed.endpoint.pool},
-							  {"address", _listed.endpoint.address},
-							  {"failure_domain", _listed.endpoint.failureDomain},
-							  {"leaving", _listed.endpoint.leaving}});
+					this->logListed(_listed);
 				},
 				[&](const UnlistedEndpoint& _gone)
 				{
--- a/src/forward_control.h
+++ b/src/forward_control.h
@@ -58,6 +58,7 @@
 	void stopReading();
 	void onRoutes(const FeedReading& _reading);
 	void onEndpoints(const FeedReading& _reading);
+	void logListed(const ListedEndpoint& _listed) const;
 	void logNews(const std::string& _peer, const FeedNews& _news, Micros _now) const;
 	void takeRecord(const std::string& _peer, const std::string& _record);
 	void takePlan(const RoutesRead& _read, const std::string& _source);
