--- a/include/roadferry/parts/feed_exchange.h
+++ b/include/roadferry/parts/feed_exchange.h
@@ -31,11 +31,12 @@
 	Micros listingAt = 0; ///< The same of the endpoints.
 	Micros checkedAt = 0; ///< When this was found.
 	std::string source;   ///< Node that told, empty when they are read here.
-	bool away = false;    ///< The platform does not answer here.
+	bool away = false;    ///< The platform does not answer here, or at the node that told.
 	bool operator==(const FeedKnowledge&) const = default;
 };
 
-/// Whether a request may be handled by what a node knows.
+/// Whether a request may be handled by what a node knows: a lease, which each reading and all news renew. While the
+/// platform does not answer, it does not run out, as long as the node goes on to look for what is new.
 /// @param[in] _lease How old routes and endpoints may be.
 bool mayHandle(const FeedKnowledge& _knowledge, Micros _now, Micros _lease);
 
@@ -120,8 +121,8 @@
 	FeedActions holdRoutes(HeldRoutes _routes);
 
 	/// A reading of the routes went well; holdRoutes was called with what it gave.
-	/// @param[in] _begunAt When it was begun.
-	void routesRead(Micros _begunAt);
+	/// @param[in] _knownAt All changes before this time are known with it.
+	void routesRead(Micros _knownAt);
 
 	/// A reading of the endpoints went well.
 	FeedActions endpointsRead(const ListingRead& _read, Micros _now);
--- a/include/roadferry/parts/feed_relay.h
+++ b/include/roadferry/parts/feed_relay.h
@@ -90,6 +90,9 @@
 	/// @returns Node to ask now, empty while an answer is due.
 	std::string dueAsk(Micros _now);
 
+	/// @returns Whether the node that this one hears from said last that it cannot read the topics.
+	[[nodiscard]] bool sourceAway() const;
+
 	/// @returns The node that this one hears from, empty while it reads by its own turn.
 	[[nodiscard]] const std::string& source() const;
 
@@ -105,6 +108,7 @@
 	std::optional<Micros> knownAt; ///< Time point up to which all is known from other nodes.
 	std::optional<Micros> askedAt;
 	bool answered = false; ///< The last question.
+	bool told = true;      ///< The source's last answer said of what time its knowledge is.
 };
 
 /// @returns The nodes that read the platform's topics for all: the same on all nodes that see the same members.
--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -330,7 +330,8 @@
 	TicketMismatch, ///< The ticket was used before with another request.
 	TicketExpired,
 	IssuerUnreachable,
-	Draining
+	Draining,
+	Stale ///< The node does not know the newest routes and endpoints.
 };
 
 /// Final state of a request.
--- a/src/adapter.h
+++ b/src/adapter.h
@@ -57,8 +57,9 @@
 	/// Reads what came after a position.
 	/// @param[in] _position Position that an earlier page gave.
 	/// @param[in] _wait How long to wait for something new, 0 for not at all.
+	/// @param[in] _limit How much later than that the answer may come.
 	/// @param[in] _done Called with OutOfRange when the platform does not hold these changes any more.
-	virtual void readFrom(FeedTopic _topic, std::uint64_t _position, Micros _wait, FeedDone _done) = 0;
+	virtual void readFrom(FeedTopic _topic, std::uint64_t _position, Micros _wait, Micros _limit, FeedDone _done) = 0;
 
 	/// Reads a record that another node has passed on.
 	[[nodiscard]] virtual absl::StatusOr<RoutesRead> readRecord(const std::string& _record) const = 0;
--- a/src/feed_exchange.cpp
+++ b/src/feed_exchange.cpp
@@ -198,11 +198,11 @@
 	return actions;
 }
 
-void FeedExchange::routesRead(Micros _begunAt)
+void FeedExchange::routesRead(Micros _knownAt)
 {
 	this->routesLost = false;
-	this->routesReadAt = _begunAt;
-	this->routesKnownAt = std::max(this->routesKnownAt, _begunAt);
+	this->routesReadAt = _knownAt;
+	this->routesKnownAt = std::max(this->routesKnownAt, _knownAt);
 }
 
 FeedActions FeedExchange::endpointsRead(const ListingRead& _read, Micros _now)
@@ -272,12 +272,18 @@
 
 FeedKnowledge FeedExchange::knowledge(Micros _now) const
 {
-	return FeedKnowledge{this->routesKnownAt, this->directory.knownUpTo(), _now, this->relay.source(), this->away()};
+	const bool away = this->away() || this->relay.sourceAway();
+	return FeedKnowledge{this->routesKnownAt, this->directory.knownUpTo(), _now, this->relay.source(), away};
 }
 
-bool mayHandle(const FeedKnowledge&, Micros, Micros)
+bool mayHandle(const FeedKnowledge& _knowledge, Micros _now, Micros _lease)
 {
-	return true;
+	if (_knowledge.away)
+	{
+		return _now - _knowledge.checkedAt <= _lease; // What is known holds, while somebody looks for more.
+	}
+	const Micros knownAt = std::min(_knowledge.routesAt, _knowledge.listingAt);
+	return knownAt > 0 && _now - knownAt <= _lease;
 }
 
 } // namespace roadferry
--- a/src/feed_loop.cpp
+++ b/src/feed_loop.cpp
@@ -18,7 +18,12 @@
 {
 
 constexpr Micros kFirstBackoff = 250 * kMillisecond;
-constexpr Micros kLongestBackoff = kSecond; ///< Bounds how late the platform's return is noticed.
+constexpr Micros kOldest = 1'500 * kMillisecond; ///< What is known gets about so old at most before the next answer.
+constexpr Micros kLeastWait = 200 * kMillisecond;
+/// Beyond the wait, until a platform that has answered so far counts as lost: less than a request's lease is left then.
+constexpr Micros kPromptLimit = 800 * kMillisecond;
+constexpr Micros kPatientLimit = 1'500 * kMillisecond; ///< Of a platform that is lost: it may merely be slow.
+constexpr Micros kLongestBackoff = kSecond;            ///< Bounds how late the platform's return is noticed.
 
 const char* nameOf(FeedTopic _topic)
 {
@@ -88,9 +93,19 @@
 		this->feed.readWhole(this->topic, whenDone(true));
 		return;
 	}
-	// After a failure an answer at once says sooner that the platform is back.
-	const Micros wait = this->lost() ? 0 : this->pace.wait;
-	this->feed.readFrom(this->topic, *this->position, wait, whenDone(false));
+	this->wait = this->waitNow();
+	const Micros limit = this->lost() ? kPatientLimit : kPromptLimit;
+	this->feed.readFrom(this->topic, *this->position, this->wait, limit, whenDone(false));
+}
+
+Micros FeedLoop::waitNow() const
+{
+	if (this->lost())
+	{
+		return 0; // An answer at once says sooner that the platform is back.
+	}
+	const Micros left = kOldest - (this->begunAt - this->knownAt);
+	return std::min(this->pace.wait, std::max(kLeastWait, left));
 }
 
 void FeedLoop::done(const absl::StatusOr<FeedPage>& _page, bool _whole)
@@ -106,8 +121,11 @@
 	}
 	this->backoff = 0;
 	this->everRead = true;
+	// Without anything new the platform answers only after the wait, and knows by then that there was nothing.
+	const bool nothingNew = !_whole && _page->next == this->position;
+	this->knownAt = this->begunAt + (nothingNew ? this->wait : 0);
 	this->position = _page->next;
-	this->handlers.onRead(FeedReading{*_page, _whole, this->begunAt});
+	this->handlers.onRead(FeedReading{*_page, _whole, this->knownAt});
 	this->timer.start(toMs(this->pace.pause));
 }
 
--- a/src/feed_loop.h
+++ b/src/feed_loop.h
@@ -29,7 +29,7 @@
 {
 	FeedPage page;
 	bool whole = false; ///< Whether the page has all entries there are.
-	Micros begunAt = 0;
+	Micros knownAt = 0; ///< All changes before this time are known with it.
 };
 
 /// What a loop tells. Called on the control thread.
@@ -63,6 +63,7 @@
 
 private:
 	void read();
+	[[nodiscard]] Micros waitNow() const;
 	void done(const absl::StatusOr<FeedPage>& _page, bool _whole);
 	void failed(const absl::Status& _status);
 
@@ -76,6 +77,8 @@
 	Micros backoff = 0;
 	bool everRead = false;
 	Micros begunAt = 0; ///< The reading under way.
+	Micros wait = 0;    ///< That it was asked to wait for something new.
+	Micros knownAt = 0; ///< Time point up to which everything was read, 0 for never.
 };
 
 } // namespace roadferry
--- a/src/feed_relay.cpp
+++ b/src/feed_relay.cpp
@@ -66,6 +66,7 @@
 		return; // Of a node that was asked before.
 	}
 	this->answered = true;
+	this->told = _knownAt.has_value();
 	if (_knownAt)
 	{
 		this->knownAt = std::max(this->knownAt.value_or(*_knownAt), *_knownAt);
@@ -84,6 +85,7 @@
 	if (chosen != this->from)
 	{
 		this->from = chosen;
+		this->told = true;
 		this->followedAt = _now;
 		this->askedAt.reset();
 	}
@@ -95,6 +97,7 @@
 	if (reads && !_lost)
 	{
 		this->from.clear();
+		this->told = true;
 		this->knownAt.reset();
 		return FeedRelayStep{true, {}};
 	}
@@ -119,6 +122,11 @@
 	return this->from;
 }
 
+bool FeedRelay::sourceAway() const
+{
+	return !this->from.empty() && !this->told;
+}
+
 const std::string& FeedRelay::source() const
 {
 	return this->from;
--- a/src/forward_control.cpp
+++ b/src/forward_control.cpp
@@ -109,7 +109,7 @@
 			logEvent("control", "routes_unreadable", {{"name", fault->name}, {"fault", fault->fault}});
 		}
 	}
-	this->exchange.routesRead(_reading.begunAt);
+	this->exchange.routesRead(_reading.knownAt);
 	this->publishKnowledge();
 }
 
@@ -150,7 +150,7 @@
 
 void ForwardControl::onEndpoints(const FeedReading& _reading)
 {
-	ListingRead read{_reading.page.next, _reading.whole, _reading.begunAt, {}};
+	ListingRead read{_reading.page.next, _reading.whole, _reading.knownAt, {}};
 	std::size_t unreadable = 0;
 	for (const FeedChange& change : _reading.page.changes)
 	{
--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -29,6 +29,7 @@
 constexpr Micros kFarewellTime = 100 * kMillisecond;   ///< For the last messages to leave.
 constexpr Micros kStopMargin = 800 * kMillisecond;     ///< Kept of the time for a planned stop, for its own end.
 constexpr Micros kRefuseMargin = 1'200 * kMillisecond; ///< Before the end of that time, for refusals to arrive.
+constexpr Micros kLeaseMargin = 50 * kMillisecond;     ///< For a request to reach its endpoint.
 constexpr Micros kBodyTime = 30 * kSecond;             ///< For a client to send a body.
 
 } // namespace
@@ -66,6 +67,7 @@
 	forward.dispatcher = this->settings.dispatcher;
 	forward.dispatcher.seed = randomNumber();
 	forward.pieces.shared = this->settings.sharedBatches;
+	forward.lease = std::min(this->settings.changesWithin, this->settings.leavingWithin) - kLeaseMargin;
 	this->traffic = std::make_unique<ForwardTraffic>(
 		this->pool, this->client, *this->wire, this->metrics, forward,
 		[this](const std::string& _to, const PieceMessage& _message)
@@ -166,7 +168,7 @@
 	response.contentType = "text/plain";
 	if (this->wire->asksReadiness(_request))
 	{
-		response.status = this->isReady && !this->leaving ? 200 : 503;
+		response.status = this->isReady && !this->leaving && this->traffic->mayHandleNow() ? 200 : 503;
 	}
 	else if (_request.target == "/metrics")
 	{
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -69,6 +69,7 @@
 							   const ForwardSettings& _settings,
 							   std::function<void(const std::string&, const PieceMessage&)> _send)
 	: pool(_pool), client(_client), wire(_wire), metrics(_metrics), dispatcher(_settings.dispatcher),
+	  lease(_settings.lease),
 	  pieces(_client, _wire, PieceScheduler(_settings.self, _settings.pieces),
 			 PieceHandlers{[this](const PieceStarted& _started) { this->pieceStarted(_started); },
 						   [this](const PieceMade& _made) { this->pieceMade(_made); },
@@ -212,6 +213,11 @@
 		.refuse(_status, _status == kUnavailable ? kRetryElsewhere : 0, _code, _message);
 }
 
+bool ForwardTraffic::mayHandleNow() const
+{
+	return mayHandle(this->knowledge, monotonicNow(), this->lease);
+}
+
 void ForwardTraffic::handle(HttpRequest _request, const std::shared_ptr<HttpReply>& _reply)
 {
 	if (this->plan == nullptr)
@@ -226,6 +232,12 @@
 		this->refuse({}, target, _reply, kBadRequest, "bad_request", std::string(decoded.status().message()));
 		return;
 	}
+	if (!this->mayHandleNow())
+	{
+		this->refuse(decoded->id, target, _reply, kUnavailable, std::string(nameOf(Reason::Stale)),
+					 "this node does not know of the newest routes");
+		return;
+	}
 	const Route* route = this->plan->match(decoded->host, decoded->target);
 	if (route == nullptr)
 	{
@@ -298,6 +310,11 @@
 
 void ForwardTraffic::submit(const ActivePointer& _active)
 {
+	if (!this->mayHandleNow())
+	{
+		this->giveUp(_active, Reason::Stale, kRetryElsewhere);
+		return;
+	}
 	_active->submitted = true;
 	this->deadlines.erase({_active->stagesUntil, _active->id});
 	const Route& route = _active->route;
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -26,6 +26,7 @@
 	std::string self; ///< Address of this node, as other nodes know it.
 	DispatcherConfig dispatcher;
 	PieceSchedulerConfig pieces;
+	Micros lease = 2 * kSecond; ///< How old routes and endpoints may be that decide about a request.
 };
 
 /// Endpoints reset connections beyond a number that all nodes share: what rests at one node must leave room for the
@@ -72,6 +73,10 @@
 	/// On thread 0.
 	[[nodiscard]] std::string metricsText() const;
 
+	/// On thread 0.
+	/// @returns Whether what is known here of routes and endpoints is recent enough to decide about requests.
+	[[nodiscard]] bool mayHandleNow() const;
+
 private:
 	struct Active;
 	using ActivePointer = std::shared_ptr<Active>;
@@ -113,6 +118,7 @@
 	const Wire& wire;
 	Metrics& metrics;
 	Dispatcher dispatcher;
+	Micros lease; ///< How old routes and endpoints may be that decide about a request.
 	PieceRunner pieces;
 	std::shared_ptr<const RoutePlan> plan;
 	std::unordered_map<std::uint64_t, ActivePointer> actives;
--- a/src/outcome.cpp
+++ b/src/outcome.cpp
@@ -18,7 +18,7 @@
 
 constexpr std::array<std::string_view, 3> kVerdictNames = {"answered", "not_run", "unknown"};
 
-constexpr std::array<std::string_view, 18> kReasonNames = {"none",
+constexpr std::array<std::string_view, 19> kReasonNames = {"none",
 														   "unknown_pipeline",
 														   "unknown_stage",
 														   "wrong_workspace",
@@ -35,7 +35,8 @@
 														   "ticket_mismatch",
 														   "ticket_expired",
 														   "issuer_unreachable",
-														   "draining"};
+														   "draining",
+														   "routes_stale"};
 
 } // namespace
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -52,6 +52,8 @@
 DEFINE_string(readiness_listen, "", "IP:port for readiness and metrics, of a node that forwards");
 DEFINE_string(feed_address, "", "IP:port of what tells of routes and endpoints, of a node that forwards");
 DEFINE_string(seeds, "", "IP:port of some other nodes, parted by commas, of a node that forwards");
+DEFINE_int32(changes_within_ms, 2000, "time in which a change of the routes has to be in force, in ms (500 to 60000)");
+DEFINE_int32(leaving_within_ms, 2000, "time in which no request goes to an endpoint that leaves, in ms (500 to 60000)");
 DEFINE_double(retry_slack, 20, "retries that all nodes together may make beyond retry_share (0 to 100000)");
 DEFINE_bool(shared_batches, true, "form batches of pieces together with the other nodes");
 DEFINE_string(placement, "affinity_gated", "placement policy");
@@ -107,6 +109,8 @@
 													 "readiness_listen",
 													 "feed_address",
 													 "seeds",
+													 "changes_within_ms",
+													 "leaving_within_ms",
 													 "retry_slack",
 													 "shared_batches"};
 	return s_names;
@@ -297,6 +301,8 @@
 	{
 		_settings.seeds.push_back(_checker.address("seeds", std::string(seed)));
 	}
+	_settings.changesWithin = _checker.whole("changes_within_ms", FLAGS_changes_within_ms, 500, 60'000) * kMillisecond;
+	_settings.leavingWithin = _checker.whole("leaving_within_ms", FLAGS_leaving_within_ms, 500, 60'000) * kMillisecond;
 	_settings.retrySlack = _checker.number("retry_slack", FLAGS_retry_slack, 0, 100'000);
 	_settings.sharedBatches = FLAGS_shared_batches;
 	_settings.dispatcher.spareConnects = kSpareConnects;
--- a/src/settings.h
+++ b/src/settings.h
@@ -45,11 +45,13 @@
 	// Of a node that forwards.
 	std::string adapter; ///< Name of the platform's adapter; empty for a node with tickets of its own.
 	std::uint16_t readinessPort = 0;
-	std::string feedAddress;        ///< What tells of routes and endpoints.
-	std::vector<std::string> seeds; ///< Addresses of some other nodes.
-	double retrySlack = 20;         ///< Retries that all nodes together may make beyond retry_share, in each window.
-	bool sharedBatches = true;      ///< Whether nodes form batches together.
-	std::string fileText;           ///< Text of the settings file, empty when there is none.
+	std::string feedAddress;            ///< What tells of routes and endpoints.
+	std::vector<std::string> seeds;     ///< Addresses of some other nodes.
+	Micros changesWithin = 2 * kSecond; ///< In which a change of the routes has to be in force.
+	Micros leavingWithin = 2 * kSecond; ///< In which requests to an endpoint that leaves have to end.
+	double retrySlack = 20;    ///< Retries that all nodes together may make beyond retry_share, in each window.
+	bool sharedBatches = true; ///< Whether nodes form batches together.
+	std::string fileText;      ///< Text of the settings file, empty when there is none.
 };
 
 /// Reads the settings file, if one is named, and the flags, which gflags has parsed, after taking each one that was not
--- a/tests/silent_proxy.h
+++ b/tests/silent_proxy.h
@@ -71,6 +71,12 @@
 		}
 	}
 
+	/// From now on nothing passes on any connection, new ones included.
+	void silenceForGood()
+	{
+		this->silent = true;
+	}
+
 	[[nodiscard]] std::size_t accepted() const
 	{
 		return this->acceptedCount;
@@ -130,7 +136,7 @@
 				waits.push_back({pair.inner, POLLIN, 0});
 			}
 			::poll(waits.data(), waits.size(), kPollMs);
-			if (this->silenceAsked)
+			if (this->silenceAsked || this->silent)
 			{
 				for (Pair& pair : this->pairs)
 				{
@@ -163,6 +169,7 @@
 	std::list<Pair> pairs;
 	std::atomic<bool> ended{false};
 	std::atomic<bool> silenceAsked{false};
+	std::atomic<bool> silent{false}; ///< All connections, for good.
 	std::atomic<std::size_t> acceptedCount{0};
 	std::thread thread;
 };
