--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -47,9 +47,11 @@
 
 using Clock = std::chrono::steady_clock;
 
-constexpr int kProbeSeconds = 1;              ///< Without a byte, and between two probes.
-constexpr int kProbes = 2;                    ///< Without an answer.
-constexpr int kUnacknowledgedMs = 2'500;      ///< That bytes may wait for the other machine.
+constexpr std::chrono::milliseconds kOwnPause{100}; ///< A timer that is later than this did not run in time.
+constexpr int kPausesMost = 3;                      ///< That one call outlasts.
+constexpr int kProbeSeconds = 1;                    ///< Without a byte, and between two probes.
+constexpr int kProbes = 2;                          ///< Without an answer.
+constexpr int kUnacknowledgedMs = 2'500;            ///< That bytes may wait for the other machine.
 constexpr int kSkippedMost = 4;               ///< Responses to other requests that are read past on one connection.
 constexpr std::chrono::seconds kIdleLife{30}; ///< For servers that do not say how long they keep connections.
 constexpr std::chrono::milliseconds kIdleMargin{300}; ///< Before the server's own limit, so that closes rarely cross.
@@ -210,6 +212,12 @@
 	void timedOut()
 	{
 		const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - this->timer.expiry());
+		if (this->spec.timeoutOnSilence && late >= kOwnPause && this->pauses < kPausesMost && !this->done)
+		{
+			this->pauses += 1;
+			this->armTimer();
+			return;
+		}
 		this->fail("timed out after " + std::to_string(this->received) + " bytes, noticed " +
 				   std::to_string(late.count()) + " ms late");
 	}
@@ -294,6 +302,10 @@
 							  [self = this->shared_from_this()](const Error& _error, std::size_t _bytes)
 							  {
 								  self->received += _bytes;
+								  if (_bytes > 0 && self->spec.timeoutOnSilence && !self->done)
+								  {
+									  self->armTimer();
+								  }
 								  self->onRead(_error);
 							  });
 	}
@@ -449,6 +461,7 @@
 	beast::flat_buffer buffer{kReadSize * 4};
 	int skipped = 0;
 	std::size_t received = 0; ///< Bytes of responses.
+	int pauses = 0;           ///< Of this process, in which a timeout ran out.
 	bool sent = false;        ///< Bytes of the request may have left.
 	bool writing = true;      ///< The request is not written whole yet.
 	bool broken = false;      ///< Writing failed.
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -54,6 +54,9 @@
 	/// End the call within about 3 s when the other machine is gone or the connection has fallen silent. For calls that
 	/// may be made again: what is merely cut off for a while would still answer.
 	bool noticeSilence = false;
+	/// The timeout bounds how long nothing comes while this process runs: bytes that come begin it anew, and so does
+	/// its end when it is noticed late, since then the process itself did not run.
+	bool timeoutOnSilence = false;
 	bool fresh = false;          ///< Use a connection of its own, so that a kept one that has gone stale cannot cut it.
 	std::size_t keepAtMost = 64; ///< Idle connections to this address, this call's own included, that are kept.
 	std::size_t responseLimit = 64 * 1024 * 1024;
