Admit by the pool's real queue and by due time, not by an open-loop backlog

Cause: StageAdmission drained its backlog by the clock at 0.75 of a nominal rate. It never learned that pieces had been computed, and put a request behind all others though pieces leave the queue by due time; so the kind with the shortest slack was refused first.

Change: the wait at the first pool is that of its real queue: pieces due earlier, in full calls, each to the slot that is free first (QueueForecast; the size of a full call is measured while pieces stay behind). Pieces of later stages are expected until they are ready, and the later pool works on its queue meanwhile. The field arrives_in is new between nodes; without it a stage counts as ready at once, and earlier nodes do not read it. AdmissionConfig::efficiency goes.

--- a/include/roadferry/parts/admission.h
+++ b/include/roadferry/parts/admission.h
@@ -25,6 +25,7 @@
 {
 	std::string pool;
 	std::int64_t pieces = 0;
+	Micros arrivesIn = 0; ///< Predicted time until the first of them are ready, without time in queues.
 	bool operator==(const PoolDemand&) const = default;
 };
 
@@ -45,49 +46,34 @@
 	bool operator==(const AdmissionVerdict&) const = default;
 };
 
-/// Settings of a StageAdmission.
-struct AdmissionConfig
-{
-	/// Fraction of its nominal rate that a pool reaches: calls are not always full, and results wait for space.
-	/// From replays of busy days of both users (docs/design/platform.md).
-	double efficiency = 0.75;
-	bool operator==(const AdmissionConfig&) const = default;
-};
-
-/// Admits requests as long as the pools of all their stages can compute their pieces in time. Each pool has a backlog:
-/// admitted pieces that, at the pool's rate, cannot have been computed yet. The load of a burst on later stages is
-/// thus predicted when its requests arrive, not when their pieces do. Runs on the batching node of a request's
-/// first stage.
+/// Admits requests as long as the pools of all their stages can compute their pieces in time. Pieces of later stages
+/// are expected from the admission of their request until they are ready, so the load of a burst on later stages is
+/// predicted when its requests arrive. From then on they count in the queue of their pool. Runs on the batching node
+/// of a request's first stage.
 class StageAdmission
 {
 public:
-	explicit StageAdmission(AdmissionConfig _config);
-
 	void setPools(const std::vector<PoolSpec>& _pools);
 	void setEndpoints(const std::vector<Endpoint>& _endpoints);
 
-	/// Decides on a request, and adds its pieces to the backlogs if it is admitted.
-	/// @param[in] _waits Time until a piece would be in a call according to the pools' queues, for pools where it is
-	/// known.
+	/// Decides on a request, and expects its pieces of later stages if it is admitted.
+	/// @param[in] _waits Time until a piece that is ready now would be in a call, for pools where it is known.
 	AdmissionVerdict admit(const AdmissionTerms& _terms, const std::map<std::string, Micros>& _waits, Micros _now);
 
-	/// @returns Predicted time that a piece waits for a call in a pool, from the backlog; 0 for an unknown rate.
-	[[nodiscard]] Micros backlogTime(const std::string& _pool, Micros _now) const;
+	/// @returns Pieces of admitted requests that are not ready yet.
+	[[nodiscard]] std::int64_t expectedPieces(const std::string& _pool, Micros _now) const;
 
 private:
 	struct Pool
 	{
 		BatchLimits limits;
 		std::int64_t endpoints = 0;
-		double backlog = 0; ///< Pieces, as of backlogAt.
-		Micros backlogAt = 0;
+		std::multimap<Micros, std::int64_t> expected; ///< By the time point at which they are ready: number of pieces.
 	};
 
-	/// @returns Pieces that the pool computes per microsecond.
-	[[nodiscard]] double rateOf(const Pool& _pool) const;
-	[[nodiscard]] double backlogOf(const Pool& _pool, Micros _now) const;
+	[[nodiscard]] static Micros timeFor(const Pool& _pool, std::int64_t _pieces);
+	[[nodiscard]] Micros waitAt(const PoolDemand& _demand, Micros _queued, Micros _now) const;
 
-	AdmissionConfig config;
 	std::map<std::string, Pool> pools;
 };
 
--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -14,6 +14,7 @@
 
 #include <roadferry/parts/admission.h>
 #include <roadferry/parts/endpoints.h>
+#include <roadferry/parts/queue_forecast.h>
 #include <roadferry/parts/routes.h>
 
 #include <cstdint>
@@ -241,10 +242,14 @@
 	/// Releases the space that a result uses at its endpoint.
 	void freeResult(const std::string& _handle);
 
-	/// @returns Predicted time until a piece that is added now is in a call; nothing for a pool without batches.
-	[[nodiscard]] std::optional<Micros> waitTime(const std::string& _pool, Micros _now) const;
+	/// Predicts the wait of pieces that are added now: behind all that are due earlier, and before the others.
+	/// @param[in] _due Time point at which they are due.
+	/// @param[in] _pieces Number of pieces added.
+	/// @returns Time until the last of them is in a call; nothing for a pool without batches.
+	[[nodiscard]] std::optional<Micros> waitTime(const std::string& _pool, Micros _due, std::int64_t _pieces,
+												 Micros _now) const;
 
-	/// @returns waitTime() of each pool with batches.
+	/// @returns For each pool with batches, the wait of a piece behind all queued pieces that can be in time.
 	[[nodiscard]] std::map<std::string, Micros> waitTimes(Micros _now) const;
 
 	/// @returns Number of pieces in the queue of a pool.
@@ -286,8 +291,7 @@
 	{
 		BatchLimits limits;
 		std::vector<QueuedPiece> queue; ///< Most urgent first.
-		double rate = 0;                ///< Completed pieces per second, smoothed.
-		Micros rateUpdatedAt = 0;
+		FullCallSize fullCallSize;
 	};
 
 	/// A result that an endpoint keeps.
@@ -319,7 +323,7 @@
 	void reportStarted(Micros _now, BatchActions& _actions);
 	void expireCalls(Micros _now, BatchActions& _actions);
 	Call endCall(std::uint64_t _batch);
-	static void updateRate(Pool& _pool, std::size_t _pieces, Micros _now);
+	[[nodiscard]] std::vector<CallSlot> callSlots(const std::string& _name, const Pool& _pool, Micros _now) const;
 	[[nodiscard]] Micros predictedCallTime(const BatchLimits& _limits, const EndpointStatus& _status,
 										   std::size_t _pieces) const;
 
@@ -410,7 +414,6 @@
 struct PieceSchedulerConfig
 {
 	BatchConfig batches;
-	AdmissionConfig admission;
 	Micros keepalivePeriod = 250 * kMillisecond; ///< Between updates to a node that has pieces submitted here.
 	/// A batching node that sends no update for this time is excluded: 3 keepalive periods and a margin of 50 ms.
 	Micros silenceTimeout = 800 * kMillisecond;
--- a/src/batcher.cpp
+++ b/src/batcher.cpp
@@ -17,6 +17,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace roadferry
@@ -40,9 +41,7 @@
 /// A piece that is due within this number of call times is selected before pieces that are local to the endpoint.
 constexpr Micros kUrgentCalls = 3;
 constexpr double kMaxSlowness = 8.0;
-constexpr Micros kRateSmoothingTime = 1'500 * kMillisecond; ///< A few calls.
-constexpr double kMinNominalShare = 0.4; ///< Part of its nominal rate that a pool reaches with small batches.
-constexpr double kSlowThreshold = 1.7;   ///< Slowness above which an endpoint is used last.
+constexpr double kSlowThreshold = 1.7; ///< Slowness above which an endpoint is used last.
 constexpr Micros kExpiryPeriod = 100 * kMillisecond;
 
 } // namespace
@@ -254,6 +253,8 @@
 		call.pieces.back().attempts += 1;
 		_status.usedBytes += action.orders.back().resultBytes;
 	}
+	const Micros lateBefore = _now + _pool.limits.callTime;
+	const auto inTime = [lateBefore](const QueuedPiece& _piece) { return _piece.order.due >= lateBefore; };
 	std::vector<QueuedPiece> rest;
 	rest.reserve(_pool.queue.size() - _chosen.size());
 	auto next = _chosen.begin(); // The positions are sorted.
@@ -267,6 +268,10 @@
 		rest.push_back(std::move(_pool.queue[index]));
 	}
 	_pool.queue = std::move(rest);
+	if (std::any_of(_pool.queue.begin(), _pool.queue.end(), inTime))
+	{
+		_pool.fullCallSize.record(std::count_if(call.pieces.begin(), call.pieces.end(), inTime));
+	}
 	_status.calls += 1;
 	_status.freeAt = _now + this->predictedCallTime(_pool.limits, _status, _chosen.size());
 	this->calls.emplace(action.batch, std::move(call));
@@ -313,14 +318,6 @@
 	}
 }
 
-void Batcher::updateRate(Pool& _pool, std::size_t _pieces, Micros _now)
-{
-	const double passed = static_cast<double>(_now - _pool.rateUpdatedAt) / static_cast<double>(kRateSmoothingTime);
-	_pool.rate = _pool.rate * std::exp(-passed) +
-				 static_cast<double>(_pieces) * static_cast<double>(kSecond) / static_cast<double>(kRateSmoothingTime);
-	_pool.rateUpdatedAt = _now;
-}
-
 void Batcher::freeResult(const std::string& _handle)
 {
 	const auto found = this->storedResults.find(_handle);
@@ -383,7 +380,6 @@
 
 void Batcher::handleResults(const Call& _call, const BatchAnswered& _answer, Micros _now, BatchActions& _actions)
 {
-	updateRate(this->pools[_call.pool], _call.pieces.size(), _now);
 	for (std::size_t index = 0; index < _call.pieces.size(); ++index)
 	{
 		const QueuedPiece& piece = _call.pieces[index];
@@ -531,38 +527,45 @@
 	return actions;
 }
 
-std::optional<Micros> Batcher::waitTime(const std::string& _pool, Micros _now) const
+std::vector<CallSlot> Batcher::callSlots(const std::string& _name, const Pool& _pool, Micros _now) const
 {
-	const auto found = this->pools.find(_pool);
-	if (found == this->pools.end() || found->second.limits.callTime <= 0)
-	{
-		return std::nullopt;
-	}
-	const BatchLimits& limits = found->second.limits;
-	std::vector<Micros> freeTimes;
+	const auto fullCall = static_cast<std::size_t>(_pool.fullCallSize.pieces(_pool.limits.maxPieces));
+	std::vector<CallSlot> slots;
 	for (const auto& entry : this->endpoints)
 	{
 		const EndpointStatus& status = entry.second;
-		if (status.listed && !status.endpoint.leaving && status.endpoint.pool == _pool)
+		if (!status.listed || status.endpoint.leaving || status.endpoint.pool != _name)
 		{
-			const Micros slotFreeAt = status.calls >= limits.slots ? std::max(_now, status.freeAt) : _now;
-			freeTimes.push_back(std::max(slotFreeAt, status.pausedUntil));
+			continue;
 		}
+		const Micros callTime = this->predictedCallTime(_pool.limits, status, fullCall);
+		for (std::int64_t slot = 0; slot < _pool.limits.slots; ++slot)
+		{
+			const Micros freeAt = slot < status.calls ? status.freeAt : _now;
+			slots.push_back(CallSlot{std::max(freeAt, status.pausedUntil), callTime});
+		}
+	}
+	return slots;
+}
+
+std::optional<Micros> Batcher::waitTime(const std::string& _pool, Micros _due, std::int64_t _pieces, Micros _now) const
+{
+	const auto found = this->pools.find(_pool);
+	if (found == this->pools.end() || found->second.limits.callTime <= 0)
+	{
+		return std::nullopt;
 	}
-	if (freeTimes.empty())
+	const Pool& pool = found->second;
+	const QueueForecast forecast{this->callSlots(_pool, pool, _now), pool.fullCallSize.pieces(pool.limits.maxPieces)};
+	if (forecast.slots.empty())
 	{
 		return kSecond;
 	}
-	std::sort(freeTimes.begin(), freeTimes.end());
-	// Pieces per second: the measured rate, but at least the share of the nominal rate that small batches reach.
-	const Micros fullCallTime = limits.callTime + limits.pieceTime * limits.maxPieces;
-	const double nominalRate = static_cast<double>(limits.maxPieces) * static_cast<double>(freeTimes.size()) *
-							   static_cast<double>(kSecond) / static_cast<double>(fullCallTime);
-	const double rate = std::max(found->second.rate, kMinNominalShare * nominalRate);
-	const auto inTime = std::count_if(found->second.queue.begin(), found->second.queue.end(),
-									  [&](const QueuedPiece& _piece) { return _piece.order.due > _now; });
-	const auto wait = static_cast<Micros>(static_cast<double>(inTime) / rate * static_cast<double>(kSecond));
-	return std::max(freeTimes.front() - _now, wait);
+	const Micros lateBefore = _now + pool.limits.callTime;
+	const auto ahead = std::count_if(pool.queue.begin(), pool.queue.end(),
+									 [&](const QueuedPiece& _piece)
+									 { return _piece.order.due >= lateBefore && _piece.order.due <= _due; });
+	return forecast.waitTime(ahead + std::max<std::int64_t>(1, _pieces) - 1, _now);
 }
 
 std::map<std::string, Micros> Batcher::waitTimes(Micros _now) const
@@ -570,7 +573,7 @@
 	std::map<std::string, Micros> waits;
 	for (const auto& entry : this->pools)
 	{
-		if (const auto wait = this->waitTime(entry.first, _now))
+		if (const auto wait = this->waitTime(entry.first, std::numeric_limits<Micros>::max(), 1, _now))
 		{
 			waits[entry.first] = *wait;
 		}
--- a/src/piece_messages.cpp
+++ b/src/piece_messages.cpp
@@ -73,6 +73,15 @@
 	{
 		terms.demand.push_back(PoolDemand{fields.at(0).toString().toStdString(), fields.at(1).toInteger()});
 	}
+	if (!_reader.value("arrives_in").isUndefined()) // Nodes of an earlier version do not send it.
+	{
+		const std::map<std::string, Micros> arrivesIn = _reader.integerMap("arrives_in");
+		for (PoolDemand& demand : terms.demand)
+		{
+			const auto found = arrivesIn.find(demand.pool);
+			demand.arrivesIn = found == arrivesIn.end() ? 0 : found->second;
+		}
+	}
 	return terms;
 }
 
@@ -89,13 +98,16 @@
 	if (_message.admission)
 	{
 		QCborArray demand;
+		QCborMap arrivesIn;
 		for (const PoolDemand& pool : _message.admission->demand)
 		{
+			arrivesIn.insert(toQString(pool.pool), static_cast<qint64>(pool.arrivesIn));
 			demand.append(QCborArray{toQString(pool.pool), static_cast<qint64>(pool.pieces)});
 		}
 		map.insert(QStringLiteral("wait_most"), static_cast<qint64>(_message.admission->maxWait));
 		map.insert(QStringLiteral("refusable"), _message.admission->refusable);
 		map.insert(QStringLiteral("demand"), demand);
+		map.insert(QStringLiteral("arrives_in"), arrivesIn);
 	}
 	return map;
 }
--- a/src/piece_scheduler.cpp
+++ b/src/piece_scheduler.cpp
@@ -15,7 +15,7 @@
 {
 
 PieceScheduler::PieceScheduler(std::string _self, PieceSchedulerConfig _config)
-	: self(std::move(_self)), config(_config), batcher(_config.batches), admission(_config.admission), members({self})
+	: self(std::move(_self)), config(_config), batcher(_config.batches), members({self})
 {
 }
 
@@ -74,7 +74,8 @@
 	_actions.emplace_back(SendPieceMessage{_to, std::move(_message)});
 }
 
-/// Decides on the admission of a request; only its first submission has admission terms.
+/// Decides on the admission of a request; only its first submission has admission terms. The orders have absolute
+/// times.
 bool PieceScheduler::admit(const std::string& _from, const PieceSubmit& _submit, Micros _now, PieceActions& _actions)
 {
 	if (!_submit.admission)
@@ -86,6 +87,12 @@
 	{
 		waits[demand.pool] = this->waitTime(demand.pool, _now);
 	}
+	if (!_submit.orders.empty())
+	{
+		const auto pieces = static_cast<std::int64_t>(_submit.orders.size());
+		const Micros due = _submit.orders.front().due;
+		waits[_submit.pool] = this->batcher.waitTime(_submit.pool, due, pieces, _now).value_or(0);
+	}
 	const AdmissionVerdict verdict = this->admission.admit(*_submit.admission, waits, _now);
 	if (!verdict.admitted)
 	{
@@ -219,10 +226,16 @@
 
 void PieceScheduler::onSubmit(const std::string& _from, const PieceSubmit& _submit, Micros _now, PieceActions& _actions)
 {
-	if (!this->admit(_from, _submit, _now, _actions))
+	PieceSubmit submit = _submit;
+	for (PieceOrder& order : submit.orders)
+	{
+		order.deadline += _now;
+		order.due += _now;
+	}
+	if (!this->admit(_from, submit, _now, _actions))
 	{
 		PieceUpdate refusal;
-		for (const PieceOrder& order : _submit.orders)
+		for (const PieceOrder& order : submit.orders)
 		{
 			refusal.failed.push_back(PieceFailed{order.orderId, PieceFault::NotAdmitted});
 		}
@@ -230,12 +243,9 @@
 		return;
 	}
 	this->lastUpdateAt.try_emplace(_from, _now);
-	for (const PieceOrder& received : _submit.orders)
+	for (const PieceOrder& order : submit.orders)
 	{
-		PieceOrder order = received;
-		order.deadline += _now;
-		order.due += _now;
-		this->addLocal(_submit.pool, _from, order, _now);
+		this->addLocal(submit.pool, _from, order, _now);
 	}
 }
 
@@ -476,7 +486,9 @@
 	const bool remote = this->nodeOf(_pool, _now) != this->self;
 	if (!remote)
 	{
-		return this->batcher.waitTime(_pool, _now).value_or(0);
+		const auto waits = this->batcher.waitTimes(_now);
+		const auto wait = waits.find(_pool);
+		return wait == waits.end() ? 0 : wait->second;
 	}
 	// Without a recent prediction by the batching node the wait counts as 0, so that no request is refused for it.
 	const bool fresh =
--- a/src/stage_admission.cpp
+++ b/src/stage_admission.cpp
@@ -13,10 +13,6 @@
 namespace roadferry
 {
 
-StageAdmission::StageAdmission(AdmissionConfig _config) : config(_config)
-{
-}
-
 void StageAdmission::setPools(const std::vector<PoolSpec>& _pools)
 {
 	for (const PoolSpec& spec : _pools)
@@ -38,30 +34,42 @@
 	}
 }
 
-double StageAdmission::rateOf(const Pool& _pool) const
+/// Returns the time in which all endpoints of a pool together compute a number of pieces; 0 for an unknown rate.
+Micros StageAdmission::timeFor(const Pool& _pool, std::int64_t _pieces)
 {
-	const Micros callTime = _pool.limits.callTime + _pool.limits.pieceTime * _pool.limits.maxPieces;
-	if (callTime <= 0)
+	const std::int64_t concurrentPieces = _pool.endpoints * _pool.limits.slots * _pool.limits.maxPieces;
+	if (concurrentPieces <= 0)
 	{
 		return 0;
 	}
-	const std::int64_t concurrentPieces = _pool.endpoints * _pool.limits.slots * _pool.limits.maxPieces;
-	return this->config.efficiency * static_cast<double>(concurrentPieces) / static_cast<double>(callTime);
+	const Micros callTime = _pool.limits.callTime + _pool.limits.pieceTime * _pool.limits.maxPieces;
+	return callTime * _pieces / concurrentPieces;
 }
 
-double StageAdmission::backlogOf(const Pool& _pool, Micros _now) const
+std::int64_t StageAdmission::expectedPieces(const std::string& _pool, Micros _now) const
 {
-	return std::max(0.0, _pool.backlog - this->rateOf(_pool) * static_cast<double>(_now - _pool.backlogAt));
+	const auto found = this->pools.find(_pool);
+	std::int64_t pieces = 0;
+	if (found != this->pools.end())
+	{
+		const auto& expected = found->second.expected;
+		std::for_each(expected.upper_bound(_now), expected.end(),
+					  [&pieces](const auto& _entry) { pieces += _entry.second; });
+	}
+	return pieces;
 }
 
-Micros StageAdmission::backlogTime(const std::string& _pool, Micros _now) const
+/// Returns the predicted wait of a request's pieces at a pool. Until they are ready the pool computes pieces of its
+/// queue and those that are expected before them.
+Micros StageAdmission::waitAt(const PoolDemand& _demand, Micros _queued, Micros _now) const
 {
-	const auto found = this->pools.find(_pool);
-	if (found == this->pools.end() || this->rateOf(found->second) <= 0)
+	const auto found = this->pools.find(_demand.pool);
+	if (_demand.arrivesIn <= 0 || found == this->pools.end())
 	{
-		return 0; // The rate is unknown, for instance because the pool has no endpoint.
+		return _queued;
 	}
-	return static_cast<Micros>(this->backlogOf(found->second, _now) / this->rateOf(found->second));
+	const Micros expectedTime = timeFor(found->second, this->expectedPieces(_demand.pool, _now));
+	return std::max<Micros>(0, _queued + expectedTime - _demand.arrivesIn);
 }
 
 AdmissionVerdict StageAdmission::admit(const AdmissionTerms& _terms, const std::map<std::string, Micros>& _waits,
@@ -71,9 +79,8 @@
 	Micros totalWait = 0;
 	for (const PoolDemand& demand : _terms.demand)
 	{
-		const auto queueWait = _waits.find(demand.pool);
-		const Micros queued = queueWait == _waits.end() ? 0 : queueWait->second;
-		const Micros wait = std::max(queued, this->backlogTime(demand.pool, _now));
+		const auto queued = _waits.find(demand.pool);
+		const Micros wait = this->waitAt(demand, queued == _waits.end() ? 0 : queued->second, _now);
 		verdict.waits[demand.pool] = wait;
 		totalWait += wait;
 	}
@@ -84,9 +91,12 @@
 	}
 	for (const PoolDemand& demand : _terms.demand)
 	{
-		Pool& pool = this->pools[demand.pool];
-		pool.backlog = this->backlogOf(pool, _now) + static_cast<double>(demand.pieces);
-		pool.backlogAt = _now;
+		if (demand.arrivesIn > 0)
+		{
+			auto& expected = this->pools[demand.pool].expected;
+			expected.erase(expected.begin(), expected.upper_bound(_now));
+			expected.emplace(_now + demand.arrivesIn, demand.pieces);
+		}
 	}
 	return verdict;
 }
--- a/src/stage_times.cpp
+++ b/src/stage_times.cpp
@@ -51,6 +51,16 @@
 	return longest;
 }
 
+Micros StagedRoute::timeBefore(std::size_t _stage) const
+{
+	Micros longest = 0;
+	for (const std::size_t before : this->route.stages[_stage].after)
+	{
+		longest = std::max(longest, this->timeBefore(before) + this->callTime(before));
+	}
+	return longest;
+}
+
 Micros StagedRoute::totalTime() const
 {
 	Micros longest = 0;
@@ -72,10 +82,11 @@
 		if (known != demand.end())
 		{
 			known->pieces += this->piecesOf(stage);
+			known->arrivesIn = std::min(known->arrivesIn, this->timeBefore(stage));
 		}
 		else if (this->piecesOf(stage) > 0)
 		{
-			demand.push_back(PoolDemand{pool, this->piecesOf(stage)});
+			demand.push_back(PoolDemand{pool, this->piecesOf(stage), this->timeBefore(stage)});
 		}
 	}
 	return demand;
--- a/src/stage_times.h
+++ b/src/stage_times.h
@@ -29,7 +29,10 @@
 	/// @returns Predicted time of all stages, without time in queues.
 	[[nodiscard]] Micros totalTime() const;
 
-	/// @returns Number of pieces of the request by pool.
+	/// @returns Predicted time until a stage can begin, without time in queues.
+	[[nodiscard]] Micros timeBefore(std::size_t _stage) const;
+
+	/// @returns Number of pieces of the request by pool, in the order of its stages.
 	[[nodiscard]] std::vector<PoolDemand> demand() const;
 
 private:
