Form batches on large VMs and on processes that have run longest

Cause, from the logs: 55 of the 61 VMs have 0.12 of a core and 10 Mbit/s, 6 have 0.5 and 200. The batching node of a pool handles the pieces of all nodes, and was one of the small ones: its link and processor were full in each burst. And the batching node lost power at second 5.9 and came back at 10: from 10 to 15.5 two nodes formed batches for the catalogue pool, so that calls waited at the endpoints (600 ms for a call of 330) and its new account of results sent whole batches to full endpoints.

Change: members tell the processor time of their VM (--processor_share, from the deployment's settings; field processors in the gossip, kept when an earlier version passes an update on without it). Batching nodes are those with at least half of the largest one's, and of these the processes that started within 10 s of the earliest. Predicted waits are computed once for all updates.

Ruled out: the decisions themselves (0.5 s of a core for 14 s of that load in a profile).

--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -249,7 +249,10 @@
 	[[nodiscard]] std::optional<Micros> waitTime(const std::string& _pool, Micros _due, std::int64_t _pieces,
 												 Micros _now) const;
 
-	/// @returns For each pool with batches, the wait of a piece behind all queued pieces that can be in time.
+	/// @returns The wait of a piece behind all queued pieces that can be in time; nothing for a pool without batches.
+	[[nodiscard]] std::optional<Micros> queueWaitTime(const std::string& _pool, Micros _now) const;
+
+	/// @returns queueWaitTime() of each pool with batches.
 	[[nodiscard]] std::map<std::string, Micros> waitTimes(Micros _now) const;
 
 	/// @returns Number of pieces in the queue of a pool.
@@ -437,7 +440,9 @@
 	void setEndpoints(const std::vector<Endpoint>& _endpoints);
 
 	/// @param[in] _members Live nodes, this one among them.
-	void setMembers(const std::vector<std::string>& _members, Micros _now);
+	/// @param[in] _batchingNodes Those of them that may be batching nodes, at least one.
+	void setMembers(const std::vector<std::string>& _members, const std::vector<std::string>& _batchingNodes,
+					Micros _now);
 
 	/// Submits pieces of one pool.
 	/// @param[in] _admission Set with the first pieces of a request, which may then fail with PieceFault::NotAdmitted.
@@ -487,6 +492,7 @@
 	void handleBatchActions(const BatchActions& _batch, Micros _now, PieceActions& _actions);
 	void onSubmit(const std::string& _from, const PieceSubmit& _submit, Micros _now, PieceActions& _actions);
 	void onUpdate(const std::string& _from, const PieceUpdate& _update, Micros _now, PieceActions& _actions);
+	[[nodiscard]] std::vector<std::string> withoutExcluded(const std::vector<std::string>& _nodes, Micros _now) const;
 	[[nodiscard]] std::map<std::string, Micros> localWaits(Micros _now) const;
 	[[nodiscard]] Micros waitTime(const std::string& _pool, Micros _now) const;
 	void onCancel(const std::string& _from, const PieceCancel& _cancel);
@@ -496,6 +502,7 @@
 	void sendKeepalives(Micros _now, PieceActions& _actions);
 
 	std::string self;
+	[[nodiscard]] Micros waitOf(const PieceSubmit& _submit, Micros _now) const;
 	PieceSchedulerConfig config;
 	Batcher batcher;
 	StageAdmission admission;
@@ -507,6 +514,7 @@
 	std::map<std::uint64_t, RemoteOrder> remoteOrders; ///< By order id.
 	std::map<std::string, Micros> lastHeardAt;         ///< Of the nodes that hold remote orders.
 	/// By pool: wait predicted by its batching node, and time of receipt.
+	std::vector<std::string> batchingNodes;                    ///< Members that may be batching nodes.
 	std::map<std::string, std::pair<Micros, Micros>> peerWaits;
 	std::unordered_map<std::string, std::string> nodeOfHandle; ///< By handle of a result: node that batched its piece.
 	std::map<std::string, Micros> lastUpdateAt; ///< Time of the last update to each node with local orders.
--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -537,10 +537,18 @@
 	std::string address;
 	std::uint64_t version = 0; ///< Grows with each start of the process and each refutation of a false suspicion.
 	MemberState state = MemberState::Alive;
-	std::uint64_t tableOffset = 0; ///< Offset of the table in force on that node.
+	std::uint64_t tableOffset = 0;     ///< Offset of the table in force on that node.
+	std::int64_t processorPercent = 0; ///< Share of a core that its VM provides; 0 if unknown.
 	bool operator==(const Member&) const = default;
 };
 
+/// Selects the nodes that may form batches for all nodes: VMs with much processor time, since a batching node handles
+/// the pieces of all of them, and among these the processes that have run longest, so that a node that has just
+/// restarted does not take over queues and the account of results from one that works.
+/// @param[in] _alive Live members, with versions that start at the wall clock, in microseconds.
+/// @returns Sorted addresses, at least one unless @p _alive is empty.
+std::vector<std::string> batchingNodes(const std::vector<Member>& _alive);
+
 enum class GossipKind
 {
 	Ping,
@@ -597,6 +605,9 @@
 	/// further.
 	void setTableOffset(std::uint64_t _offset);
 
+	/// Sets the share of a core that this node's VM provides. Call it before the first tick, so that it spreads.
+	void setProcessorPercent(std::int64_t _percent);
+
 	std::vector<SendGossip> receive(const std::string& _from, const Gossip& _message, Micros _now);
 	std::vector<SendGossip> tick(Micros _now);
 
@@ -609,6 +620,9 @@
 	/// @returns Sorted addresses of the nodes that count as alive, including this one.
 	[[nodiscard]] std::vector<std::string> alive() const;
 
+	/// @returns The members that count as alive, including this node, sorted by address.
+	[[nodiscard]] std::vector<Member> aliveMembers() const;
+
 private:
 	struct Probe
 	{
--- a/src/batcher.cpp
+++ b/src/batcher.cpp
@@ -569,11 +569,16 @@
 }
 
 std::map<std::string, Micros> Batcher::waitTimes(Micros _now) const
+std::optional<Micros> Batcher::queueWaitTime(const std::string& _pool, Micros _now) const
+{
+	return this->waitTime(_pool, std::numeric_limits<Micros>::max(), 1, _now);
+}
+
 {
 	std::map<std::string, Micros> waits;
 	for (const auto& entry : this->pools)
 	{
-		if (const auto wait = this->waitTime(entry.first, std::numeric_limits<Micros>::max(), 1, _now))
+		if (const auto wait = this->queueWaitTime(entry.first, _now))
 		{
 			waits[entry.first] = *wait;
 		}
--- a/src/forward_control.cpp
+++ b/src/forward_control.cpp
@@ -53,6 +53,7 @@
 void ForwardControl::start()
 {
 	this->membership.setSeeds(this->settings.seeds);
+	this->membership.setProcessorPercent(this->settings.processorPercent);
 	this->publishMembers();
 	this->perform(this->exchange.tick(monotonicNow()));
 	this->timer.start(kTickMs);
@@ -198,17 +199,22 @@
 void ForwardControl::publishMembers()
 {
 	const std::vector<std::string> alive = this->membership.alive();
-	if (alive == this->members)
+	const std::vector<std::string> batchingNodes = roadferry::batchingNodes(this->membership.aliveMembers());
+	if (alive == this->members && batchingNodes == this->batchingNodes)
 	{
 		return;
 	}
 	this->members = alive;
+	this->batchingNodes = batchingNodes;
 	this->exchange.setMembers(alive);
 	const auto nodes = static_cast<double>(std::max(kMinNodes, alive.size()));
-	this->traffic.setMembers(alive);
+	this->traffic.setMembers(alive, batchingNodes);
 	this->traffic.setRetryBounds(this->settings.retryShare * kRetrySafetyFactor,
 								 this->settings.retrySlack * kRetrySafetyFactor / nodes);
-	logEvent("control", "members", {{"alive", alive.size()}, {"retry_burst_of", static_cast<std::int64_t>(nodes)}});
+	logEvent("control", "members",
+			 {{"alive", alive.size()},
+			  {"batching", batchingNodes.size()},
+			  {"retry_burst_of", static_cast<std::int64_t>(nodes)}});
 }
 
 /// Logs a late tick: this thread got no CPU time or is overloaded.
--- a/src/forward_control.h
+++ b/src/forward_control.h
@@ -19,10 +19,11 @@
 /// Settings of ForwardControl.
 struct ForwardControlSettings
 {
-	std::string self;               ///< Address of this node as used by other nodes.
-	std::vector<std::string> seeds; ///< Addresses of some other nodes; they may be out of date.
-	double retryShare = 0.2;        ///< Retries per request, over all nodes together.
-	double retrySlack = 20;         ///< Additional retries in each window, over all nodes together.
+	std::string self;                  ///< Address of this node as used by other nodes.
+	std::int64_t processorPercent = 0; ///< Share of a core that the VM provides; 0 if unknown.
+	std::vector<std::string> seeds;    ///< Addresses of some other nodes; they may be out of date.
+	double retryShare = 0.2;           ///< Retries per request, over all nodes together.
+	double retrySlack = 20;            ///< Additional retries in each window, over all nodes together.
 	DirectoryConfig directory;
 	FeedRelayConfig relay;
 	FeedPollTiming endpoints{0, 600 * kMillisecond};
@@ -83,9 +84,10 @@
 	QTimer timer;
 	std::shared_ptr<const RoutePlan> plan;
 	std::vector<std::string> members;
-	Micros lastTickAt = 0;          ///< Time point, 0 before the first tick.
-	Micros nextPeerQueryAt = 0;     ///< Time point.
-	std::size_t peerQueryCount = 0; ///< Selects the next node to query.
+	std::vector<std::string> batchingNodes; ///< As published last.
+	Micros lastTickAt = 0;                  ///< Time point, 0 before the first tick.
+	Micros nextPeerQueryAt = 0;             ///< Time point.
+	std::size_t peerQueryCount = 0;         ///< Selects the next node to query.
 };
 
 } // namespace roadferry
--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -85,6 +85,7 @@
 	ForwardControlSettings control;
 	control.self = this->link->self();
 	control.seeds = this->settings.seeds;
+	control.processorPercent = this->settings.processorPercent;
 	control.retryShare = this->settings.dispatcher.retryShare;
 	control.retrySlack = this->settings.retrySlack;
 	this->control = std::make_unique<ForwardControl>(
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -113,14 +113,15 @@
 	this->pool.post(0, [this, _freshness] { this->freshness = _freshness; });
 }
 
-void ForwardTraffic::setMembers(const std::vector<std::string>& _members)
+void ForwardTraffic::setMembers(const std::vector<std::string>& _members,
+								const std::vector<std::string>& _batchingNodes)
 {
 	this->pool.post(0,
-					[this, _members]
+					[this, _members, _batchingNodes]
 					{
 						this->liveNodes = std::max<std::size_t>(1, _members.size());
 						this->dispatcher.setNodeCount(_members.size());
-						this->pieces.setMembers(_members);
+						this->pieces.setMembers(_members, _batchingNodes);
 					});
 }
 
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -59,7 +59,7 @@
 	void setEndpoints(const std::vector<Endpoint>& _endpoints, std::uint64_t _position);
 	/// Sets how current routes and endpoints are. Called after setPlan() and setEndpoints().
 	void setFreshness(const FeedFreshness& _freshness);
-	void setMembers(const std::vector<std::string>& _members);
+	void setMembers(const std::vector<std::string>& _members, const std::vector<std::string>& _batchingNodes);
 	void setRetryBounds(double _share, double _burst);
 	void receive(const std::string& _from, const PieceMessage& _message);
 	void peerClosed(const std::string& _peer);
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -53,7 +53,7 @@
 Membership::Membership(std::string _address, std::uint64_t _version, MembershipConfig _config, std::uint64_t _seed)
 	: self(std::move(_address)), config(_config), random(static_cast<std::minstd_rand::result_type>(_seed))
 {
-	this->knownMembers[this->self] = Member{this->self, _version, MemberState::Alive, 0};
+	this->knownMembers[this->self] = Member{this->self, _version, MemberState::Alive, 0, 0};
 	this->pendingUpdates[this->self] = PendingUpdate{};
 }
 
@@ -68,6 +68,11 @@
 	this->knownMembers.at(this->self).tableOffset = _offset;
 }
 
+void Membership::setProcessorPercent(std::int64_t _percent)
+{
+	this->knownMembers.at(this->self).processorPercent = _percent;
+}
+
 std::size_t Membership::log2OfMembers() const
 {
 	std::size_t result = 1;
@@ -140,7 +145,12 @@
 	const auto found = this->knownMembers.find(_update.address);
 	const bool stateChanged = found == this->knownMembers.end() || found->second.state != _update.state;
 	const bool versionChanged = found == this->knownMembers.end() || found->second.version != _update.version;
-	this->knownMembers[_update.address] = _update;
+	// Nodes of an earlier version pass updates on without the processor time.
+	const bool lacksPercent = _update.processorPercent == 0 && !versionChanged;
+	const std::int64_t percent = lacksPercent ? found->second.processorPercent : _update.processorPercent;
+	Member& member = this->knownMembers[_update.address];
+	member = _update;
+	member.processorPercent = percent;
 	if ((stateChanged || versionChanged) && _spread)
 	{
 		// A new table offset alone is not disseminated: each edit would queue an update of every node and delay changes
@@ -411,6 +421,19 @@
 	return this->knownMembers;
 }
 
+std::vector<Member> Membership::aliveMembers() const
+{
+	std::vector<Member> result;
+	for (const auto& entry : this->knownMembers)
+	{
+		if (isAlive(entry.second))
+		{
+			result.push_back(entry.second);
+		}
+	}
+	return result;
+}
+
 std::vector<std::string> Membership::alive() const
 {
 	std::vector<std::string> result;
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -93,8 +93,10 @@
 QCborMap toCbor(const Gossip& _message)
 {
 	QCborArray updates;
+	QCborMap processors;
 	for (const Member& member : _message.updates)
 	{
+		processors.insert(toQString(member.address), static_cast<qint64>(member.processorPercent));
 		updates.append(QCborArray{toQString(member.address), static_cast<qint64>(member.version),
 								  static_cast<qint64>(member.state), static_cast<qint64>(member.tableOffset)});
 	}
@@ -102,7 +104,8 @@
 					{"kind", static_cast<qint64>(_message.kind)},
 					{"sequence", static_cast<qint64>(_message.sequence)},
 					{"target", toQString(_message.target)},
-					{"news", updates}};
+					{"news", updates},
+					{"processors", processors}};
 }
 
 QCborMap toCbor(const std::map<std::string, std::int64_t>& _numbers)
@@ -261,6 +264,15 @@
 		member.tableOffset = static_cast<std::uint64_t>(entry.at(3).toInteger());
 		message.updates.push_back(member);
 	}
+	if (!_reader.value("processors").isUndefined()) // Nodes of an earlier version do not send it.
+	{
+		const std::map<std::string, std::int64_t> processors = _reader.integerMap("processors");
+		for (Member& member : message.updates)
+		{
+			const auto found = processors.find(member.address);
+			member.processorPercent = found == processors.end() ? 0 : found->second;
+		}
+	}
 	return message;
 }
 
--- a/src/piece_runner.cpp
+++ b/src/piece_runner.cpp
@@ -98,9 +98,9 @@
 	this->tick();
 }
 
-void PieceRunner::setMembers(const std::vector<std::string>& _members)
+void PieceRunner::setMembers(const std::vector<std::string>& _members, const std::vector<std::string>& _batchingNodes)
 {
-	this->scheduler.setMembers(_members, monotonicNow());
+	this->scheduler.setMembers(_members, _batchingNodes, monotonicNow());
 }
 
 void PieceRunner::submit(const std::string& _pool, const std::vector<PieceOrder>& _orders,
--- a/src/piece_runner.h
+++ b/src/piece_runner.h
@@ -32,7 +32,7 @@
 	void setPlan(const RoutePlan& _plan);
 	/// @param[in] _position Position of the listing in the platform's log, which is added to log lines.
 	void setEndpoints(const std::vector<Endpoint>& _endpoints, std::uint64_t _position);
-	void setMembers(const std::vector<std::string>& _members);
+	void setMembers(const std::vector<std::string>& _members, const std::vector<std::string>& _batchingNodes);
 
 	void submit(const std::string& _pool, const std::vector<PieceOrder>& _orders,
 				const std::optional<AdmissionTerms>& _admission);
--- a/src/piece_scheduler.cpp
+++ b/src/piece_scheduler.cpp
@@ -15,7 +15,7 @@
 {
 
 PieceScheduler::PieceScheduler(std::string _self, PieceSchedulerConfig _config)
-	: self(std::move(_self)), config(_config), batcher(_config.batches), members({self})
+	: self(std::move(_self)), config(_config), batcher(_config.batches), members({self}), batchingNodes({self})
 {
 }
 
@@ -31,10 +31,26 @@
 	this->admission.setEndpoints(_endpoints);
 }
 
-void PieceScheduler::setMembers(const std::vector<std::string>& _members, Micros _now)
+void PieceScheduler::setMembers(const std::vector<std::string>& _members,
+								const std::vector<std::string>& _batchingNodes, Micros _now)
 {
 	this->batcher.expectOtherBatchersUntil(_now + this->config.handoverTime);
 	this->members = _members;
+	this->batchingNodes = _batchingNodes;
+}
+
+std::vector<std::string> PieceScheduler::withoutExcluded(const std::vector<std::string>& _nodes, Micros _now) const
+{
+	std::vector<std::string> result;
+	for (const std::string& node : _nodes)
+	{
+		const auto excluded = this->excludedUntil.find(node);
+		if (excluded == this->excludedUntil.end() || excluded->second <= _now)
+		{
+			result.push_back(node);
+		}
+	}
+	return result;
 }
 
 std::string PieceScheduler::nodeOf(const std::string& _pool, Micros _now) const
@@ -43,14 +59,10 @@
 	{
 		return this->self;
 	}
-	std::vector<std::string> candidates;
-	for (const std::string& member : this->members)
+	std::vector<std::string> candidates = this->withoutExcluded(this->batchingNodes, _now);
+	if (candidates.empty())
 	{
-		const auto silent = this->excludedUntil.find(member);
-		if (silent == this->excludedUntil.end() || silent->second <= _now)
-		{
-			candidates.push_back(member);
-		}
+		candidates = this->withoutExcluded(this->members, _now);
 	}
 	return candidates.empty() ? this->self : batchNodeOf(_pool, candidates);
 }
@@ -74,6 +86,17 @@
 	_actions.emplace_back(SendPieceMessage{_to, std::move(_message)});
 }
 
+/// Predicted time until the last of the submitted pieces is in a call. The orders have absolute times.
+Micros PieceScheduler::waitOf(const PieceSubmit& _submit, Micros _now) const
+{
+	if (_submit.orders.empty())
+	{
+		return 0;
+	}
+	const auto pieces = static_cast<std::int64_t>(_submit.orders.size());
+	return this->batcher.waitTime(_submit.pool, _submit.orders.front().due, pieces, _now).value_or(0);
+}
+
 /// Decides on the admission of a request; only its first submission has admission terms. The orders have absolute
 /// times.
 bool PieceScheduler::admit(const std::string& _from, const PieceSubmit& _submit, Micros _now, PieceActions& _actions)
@@ -85,13 +108,8 @@
 	std::map<std::string, Micros> waits;
 	for (const PoolDemand& demand : _submit.admission->demand)
 	{
-		waits[demand.pool] = this->waitTime(demand.pool, _now);
-	}
-	if (!_submit.orders.empty())
-	{
-		const auto pieces = static_cast<std::int64_t>(_submit.orders.size());
-		const Micros due = _submit.orders.front().due;
-		waits[_submit.pool] = this->batcher.waitTime(_submit.pool, due, pieces, _now).value_or(0);
+		waits[demand.pool] =
+			demand.pool == _submit.pool ? this->waitOf(_submit, _now) : this->waitTime(demand.pool, _now);
 	}
 	const AdmissionVerdict verdict = this->admission.admit(*_submit.admission, waits, _now);
 	if (!verdict.admitted)
@@ -407,10 +425,12 @@
 			},
 			action);
 	}
+	const std::map<std::string, Micros> waits =
+		updates.empty() ? std::map<std::string, Micros>() : this->localWaits(_now);
 	for (auto& entry : updates)
 	{
 		this->lastUpdateAt[entry.first] = _now;
-		entry.second.waits = this->localWaits(_now);
+		entry.second.waits = waits;
 		this->send(entry.first, std::move(entry.second), _actions);
 	}
 }
@@ -460,12 +480,14 @@
 		peers.insert(entry.first.first);
 	}
 	std::erase_if(this->lastUpdateAt, [&](const auto& _entry) { return peers.count(_entry.first) == 0; });
+	std::optional<std::map<std::string, Micros>> waits;
 	for (auto& entry : this->lastUpdateAt)
 	{
 		if (_now - entry.second >= this->config.keepalivePeriod)
 		{
 			entry.second = _now;
-			this->send(entry.first, PieceUpdate{{}, {}, {}, this->localWaits(_now)}, _actions);
+			waits = waits ? waits : this->localWaits(_now);
+			this->send(entry.first, PieceUpdate{{}, {}, {}, *waits}, _actions);
 		}
 	}
 }
@@ -486,9 +508,7 @@
 	const bool remote = this->nodeOf(_pool, _now) != this->self;
 	if (!remote)
 	{
-		const auto waits = this->batcher.waitTimes(_now);
-		const auto wait = waits.find(_pool);
-		return wait == waits.end() ? 0 : wait->second;
+		return this->batcher.queueWaitTime(_pool, _now).value_or(0);
 	}
 	// Without a recent prediction by the batching node the wait counts as 0, so that no request is refused for it.
 	const bool fresh =
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -19,6 +19,7 @@
 #include <QHostAddress>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -54,6 +55,9 @@
 DEFINE_string(feed_address, "", "IP:port of the service that publishes routes and endpoints to a forwarding node");
 DEFINE_string(seeds, "", "comma-separated IP:port of other nodes that a forwarding node joins");
 DEFINE_int32(changes_within_ms, 2000, "maximum time until a change of the routes takes effect, in ms (500 to 60000)");
+DEFINE_double(
+	processor_share, 0,
+	"processor time that this VM provides, in cores; VMs with more of it form batches (0 to 1000, 0: unknown)");
 DEFINE_int32(leaving_within_ms, 2000,
 			 "maximum time until no more requests are sent to an endpoint that leaves, in ms (500 to 60000)");
 DEFINE_double(retry_slack, 20,
@@ -77,6 +81,7 @@
 constexpr std::int64_t kMaxPort = 65'535;
 /// Failed connects per stage that do not count as attempts.
 constexpr std::int64_t kMaxExtraConnects = 3;
+constexpr double kPercent = 100;
 
 /// Names of the daemon's settings. gflags also registers flags of its own, which are not settings.
 const std::vector<std::string>& flagNames()
@@ -114,6 +119,7 @@
 													 "seeds",
 													 "changes_within_ms",
 													 "leaving_within_ms",
+													 "processor_share",
 													 "retry_slack",
 													 "shared_batches"};
 	return s_names;
@@ -311,6 +317,8 @@
 		_checker.integer("leaving_within_ms", FLAGS_leaving_within_ms, 500, 60'000) * kMillisecond;
 	_settings.retrySlack = _checker.number("retry_slack", FLAGS_retry_slack, 0, 100'000);
 	_settings.sharedBatches = FLAGS_shared_batches;
+	const double processorShare = _checker.number("processor_share", FLAGS_processor_share, 0, 1'000);
+	_settings.processorPercent = std::llround(processorShare * kPercent);
 	_settings.dispatcher.maxExtraConnects = kMaxExtraConnects;
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -46,6 +46,7 @@
 	std::string adapter; ///< Name of the platform adapter; empty for a node that issues tickets.
 	std::uint16_t readinessPort = 0;
 	std::string feedAddress;                  ///< Address of the service that publishes routes and endpoints.
+	std::int64_t processorPercent = 0;        ///< Share of a core that the VM provides; 0 if unknown.
 	std::vector<std::string> seeds;           ///< Addresses of other nodes, used to join the cluster.
 	Micros maxRouteUpdateDelay = 2 * kSecond; ///< Maximum time until a change of the routes takes effect.
 	/// Maximum time until no more requests are sent to an endpoint that leaves.
--- a/tests/test_admission.cpp
+++ b/tests/test_admission.cpp
@@ -192,7 +192,7 @@
 		PieceScheduler& node = nodes.try_emplace(name, name, PieceSchedulerConfig{}).first->second;
 		node.setPools({pool("first"), pool("second")});
 		node.setEndpoints({endpoint("first", 1), endpoint("second", 2)});
-		node.setMembers(members, 0);
+		node.setMembers(members, members, 0);
 	}
 	const PieceActions asked = nodes.at(other).submit("first", {order(7, kSecond)}, terms(-1), kSecond);
 	cr_assert_eq(asked.size(), 1);
@@ -217,14 +217,14 @@
 	const std::string holder = batchingNode == members[0] ? members[1] : members[0];
 	PieceScheduler node(holder, PieceSchedulerConfig{});
 	node.setPools({pool("first")});
-	node.setMembers(members, 0);
+	node.setMembers(members, members, 0);
 	node.submit("first", {order(1, kSecond), order(2, kSecond)}, std::nullopt, kSecond);
 	node.receive(batchingNode,
 				 PieceUpdate{{}, {PieceCompleted{1, "h-1", "north"}, PieceCompleted{2, "h-2", "north"}}, {}, {}},
 				 kSecond);
 	const PieceActions forwarded = node.free({"h-1"}, kSecond);
 	cr_assert(std::get<SendPieceMessage>(forwarded.front()).to == batchingNode);
-	node.setMembers({holder}, kSecond);
+	node.setMembers({holder}, {holder}, kSecond);
 	const PieceActions freed = node.free({"h-2"}, kSecond);
 	cr_assert(std::get<FreeResult>(freed.front()) == FreeResult{"h-2"});
 }
--- a/tests/test_membership.cpp
+++ b/tests/test_membership.cpp
@@ -143,3 +143,38 @@
 					   RC_ASSERT(world.runUntil([&] { return world.agree(running); }, 60 * kSecond).has_value());
 				   });
 }
+
+// Pattern: a deployment of many small VMs and few large ones. Guards against a small VM that handles the pieces of all
+// nodes and is out of processor time in a burst.
+Test(membership, large_vms_form_batches_while_one_is_alive)
+{
+	const std::vector<Member> members = {{"large", 100, MemberState::Alive, 0, 50},
+										 {"medium", 100, MemberState::Alive, 0, 25},
+										 {"small", 100, MemberState::Alive, 0, 12},
+										 {"unknown", 100, MemberState::Alive, 0, 0}};
+	cr_assert(batchingNodes(members) == (std::vector<std::string>{"large", "medium"}));
+	cr_assert(batchingNodes({members[2], members[3]}) == std::vector<std::string>{"small"});
+	cr_assert(batchingNodes({members[3]}) == std::vector<std::string>{"unknown"});
+}
+
+// Pattern: a node loses power and returns while another one has taken over its pools. Guards against two nodes that
+// form batches for one pool until all views agree.
+Test(membership, restarted_node_does_not_take_over_batches)
+{
+	const std::uint64_t start = 1'000'000'000'000;
+	const std::vector<Member> members = {{"a", start + 20 * kSecond, MemberState::Alive, 0, 0},
+										 {"b", start, MemberState::Alive, 0, 0},
+										 {"c", start + 2 * kSecond, MemberState::Alive, 0, 0}};
+	cr_assert(batchingNodes(members) == (std::vector<std::string>{"b", "c"}));
+	cr_assert(batchingNodes({members[0]}) == std::vector<std::string>{"a"});
+}
+
+// Guards the processor time of a VM against updates by nodes of an earlier version, which pass it on as unknown.
+Test(membership, processor_time_survives_an_update_without_it)
+{
+	Membership membership("a", 1, MembershipConfig{}, 1);
+	membership.receive("b", Gossip{GossipKind::Ping, 1, {}, {{"b", 7, MemberState::Alive, 0, 50}}}, kSecond);
+	membership.receive("c", Gossip{GossipKind::Ping, 1, {}, {{"b", 7, MemberState::Alive, 9, 0}}}, kSecond);
+	cr_assert_eq(membership.members().at("b").tableOffset, 9);
+	cr_assert_eq(membership.members().at("b").processorPercent, 50);
+}
--- a/tests/test_messages.cpp
+++ b/tests/test_messages.cpp
@@ -27,7 +27,7 @@
 	Gossip gossip;
 	gossip.kind = GossipKind::Join;
 	gossip.sequence = 7;
-	gossip.updates = {Member{"10.0.0.2:8500", 9, MemberState::Suspect, 12}};
+	gossip.updates = {Member{"10.0.0.2:8500", 9, MemberState::Suspect, 12, 25}};
 	return {RelayRequest{1, RelayKind::Cancel, "t", "hall", "mark", std::string("\0\xff{", 3), "00-a-b-01"},
 			RelayToken{1, 2, "token"},
 			RelayResult{1, 503, 200'000, "{}"},
--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -328,7 +328,7 @@
 		PieceScheduler scheduler(_name, PieceSchedulerConfig{});
 		scheduler.setPools({pool()});
 		scheduler.setEndpoints({endpoint(1), endpoint(2), endpoint(3)});
-		scheduler.setMembers(this->names, this->now);
+		scheduler.setMembers(this->names, this->names, this->now);
 		this->schedulers.insert_or_assign(_name, std::move(scheduler));
 		this->openOrders[_name].clear();
 	}
