Start short parallel branches when the long one is about to end

What was seen: half of the previews make a large result (1.5 MB) at the catalogue at once, and it lies there while their other branch passes three stages, about a second. An endpoint of the catalogue has space for 12 such results, and a full call makes up to 8: pieces found no space, and calls went out with 4 to 6 pieces of 8 while all endpoints were busy.

Change: backward scheduling. A stage whose inputs are complete starts when the rest of its branch, with one call time to spare, takes as long as the longest rest of the other branches. Decided in StagedRoute, at each completion; no timer.

--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -19,6 +19,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -47,9 +48,10 @@
 	/// @param[in] _pieceCounts Number of pieces of each stage; a stage without an entry, or with 0, is skipped.
 	StageGraph(std::vector<RouteStage> _stages, std::vector<std::int64_t> _pieceCounts);
 
+	/// @param[in] _mayStart Whether a stage whose inputs are complete may start now; by default each may.
 	/// @returns Pieces whose inputs are complete and that were not returned before. A piece that failed or whose result
 	/// was lost is returned again.
-	std::vector<PieceIndex> takeReady();
+	std::vector<PieceIndex> takeReady(const std::function<bool(std::size_t)>& _mayStart = {});
 
 	/// Records the result of a piece.
 	/// @param[in] _handle Handle by which later stages refer to the result.
@@ -70,6 +72,9 @@
 	/// @returns Handles of the results of a stage, empty for pieces without a result.
 	[[nodiscard]] std::vector<std::string> handlesOf(std::size_t _stage) const;
 
+	/// @returns Whether all pieces of a stage have a result; a skipped stage is complete.
+	[[nodiscard]] bool isStageCompleted(std::size_t _stage) const;
+
 	/// @returns Whether all results that the request itself needs are available.
 	[[nodiscard]] bool isComplete() const;
 
@@ -92,7 +97,6 @@
 		bool started = false;   ///< The endpoint has fetched its inputs.
 	};
 
-	[[nodiscard]] bool isStageCompleted(std::size_t _stage) const;
 	[[nodiscard]] bool isStageStarted(std::size_t _stage) const;
 	[[nodiscard]] bool hasDependents(std::size_t _stage) const;
 
--- a/src/forward_stages.cpp
+++ b/src/forward_stages.cpp
@@ -144,7 +144,9 @@
 	const bool first = !std::exchange(_active->admissionRequested, true);
 	std::optional<AdmissionTerms> terms = first ? std::optional(this->makeAdmissionTerms(*_active)) : std::nullopt;
 	std::map<std::string, std::vector<PieceOrder>> byPool;
-	for (const PieceIndex& piece : _active->graph.takeReady())
+	const StagedRoute staged{*_active->plan, _active->route, _active->request.pieceCounts};
+	const auto shouldStart = [&](std::size_t _stage) { return staged.shouldStart(_stage, _active->graph); };
+	for (const PieceIndex& piece : _active->graph.takeReady(shouldStart))
 	{
 		PieceOrder order = this->makeOrder(*_active, piece);
 		order.orderId = ++this->lastOrder;
--- a/src/stage_graph.cpp
+++ b/src/stage_graph.cpp
@@ -42,7 +42,7 @@
 					   [](const Piece& _piece) { return _piece.started || !_piece.handle.empty(); });
 }
 
-std::vector<PieceIndex> StageGraph::takeReady()
+std::vector<PieceIndex> StageGraph::takeReady(const std::function<bool(std::size_t)>& _mayStart)
 {
 	std::vector<PieceIndex> ready;
 	for (std::size_t stage = 0; stage < this->pieces.size(); ++stage)
@@ -53,6 +53,10 @@
 		{
 			continue;
 		}
+		if (_mayStart && !_mayStart(stage))
+		{
+			continue;
+		}
 		for (std::size_t piece = 0; piece < this->pieces[stage].size(); ++piece)
 		{
 			Piece& state = this->pieces[stage][piece];
--- a/src/stage_times.cpp
+++ b/src/stage_times.cpp
@@ -71,6 +71,20 @@
 	return longest;
 }
 
+bool StagedRoute::shouldStart(std::size_t _stage, const StageGraph& _graph) const
+{
+	Micros longestRest = 0;
+	for (std::size_t other = 0; other < this->route.stages.size(); ++other)
+	{
+		if (other != _stage && !_graph.isStageCompleted(other))
+		{
+			longestRest = std::max(longestRest, this->callTime(other) + this->timeAfter(other));
+		}
+	}
+	const Micros spare = this->callTime(_stage);
+	return this->callTime(_stage) + this->timeAfter(_stage) + spare >= longestRest;
+}
+
 std::vector<PoolDemand> StagedRoute::demand() const
 {
 	std::vector<PoolDemand> demand;
--- a/src/stage_times.h
+++ b/src/stage_times.h
@@ -32,6 +32,13 @@
 	/// @returns Predicted time until a stage can begin, without time in queues.
 	[[nodiscard]] Micros timeBefore(std::size_t _stage) const;
 
+	/// Backward scheduling of parallel branches: a stage starts when the rest of its branch, with one call time to
+	/// spare, takes as long as the longest rest of the other branches. Its results would lie unused until then, in
+	/// space that the endpoint lacks for others.
+	/// @param[in] _graph Progress of the request.
+	/// @returns Whether a stage whose inputs are complete should start now.
+	[[nodiscard]] bool shouldStart(std::size_t _stage, const StageGraph& _graph) const;
+
 	/// @returns Number of pieces of the request by pool, in the order of its stages.
 	[[nodiscard]] std::vector<PoolDemand> demand() const;
 
--- a/tests/test_bursts.cpp
+++ b/tests/test_bursts.cpp
@@ -6,6 +6,7 @@
 /// @file
 /// Bursts of the score engraver's requests on its catalogue pool, in virtual time: who is admitted, and who is in time.
 
+#include "stage_times.h"
 #include "stage_world.h"
 
 #include <criterion/criterion.h>
@@ -40,3 +41,49 @@
 	cr_assert_leq(world.counts(kFullScore).shareRefused(), world.counts(kPagePreview).shareRefused());
 	cr_assert_geq(world.counts(kFullScore).shareInTime(), world.counts(kPagePreview).shareInTime());
 }
+
+// Pattern: a preview whose short branch makes a large result at the catalogue, beside a branch of three stages. Guards
+// against results that lie unused and take the space of others.
+Test(bursts, short_branch_starts_when_the_long_one_is_about_to_end)
+{
+	RoutePlanData data;
+	for (const char* name : {"catalogue", "orders", "print"})
+	{
+		PoolSpec spec;
+		spec.name = name;
+		spec.batches = BatchLimits{1, 8, 200 * kMillisecond, 21 * kMillisecond, 4 * kSecond, 0};
+		data.pools.push_back(spec);
+	}
+	Route route;
+	route.stages = {
+		{"catalogue", {}, 1'500'000}, {"catalogue", {}, 8'000}, {"orders", {1}, 60'000}, {"print", {2}, 6'000}};
+	const RoutePlan plan(data);
+	const std::vector<std::int64_t> pieceCounts = {1, 1, 1, 1};
+	const StagedRoute staged{plan, route, pieceCounts};
+	StageGraph graph(route.stages, pieceCounts);
+	const auto takeReady = [&]
+	{ return graph.takeReady([&](std::size_t _stage) { return staged.shouldStart(_stage, graph); }); };
+	cr_assert(takeReady() == (std::vector<PieceIndex>{{1, 0}}));
+	graph.markCompleted({1, 0}, "long-1");
+	cr_assert(takeReady() == (std::vector<PieceIndex>{{0, 0}, {2, 0}}));
+	graph.markCompleted({0, 0}, "short");
+	graph.markCompleted({2, 0}, "long-2");
+	cr_assert(takeReady() == (std::vector<PieceIndex>{{3, 0}}));
+	graph.markCompleted({3, 0}, "long-3");
+	cr_assert(graph.isComplete());
+}
+
+// Pattern: parallel branches of the same length, and skipped stages. Guards against a branch that waits for another
+// one that never starts.
+Test(bursts, equal_branches_start_together_and_skipped_stages_hold_nothing_up)
+{
+	const RoutePlan plan(RoutePlanData{});
+	Route route;
+	route.stages = {{"a", {}, 10}, {"b", {}, 10}, {"c", {}, 10}};
+	const std::vector<std::int64_t> pieceCounts = {1, 1, 0};
+	const StagedRoute staged{plan, route, pieceCounts};
+	StageGraph graph(route.stages, pieceCounts);
+	const std::vector<PieceIndex> ready =
+		graph.takeReady([&](std::size_t _stage) { return staged.shouldStart(_stage, graph); });
+	cr_assert(ready == (std::vector<PieceIndex>{{0, 0}, {1, 0}}));
+}
