--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -213,7 +213,9 @@
 	std::int64_t maxAttempts = 4;              ///< Maximum calls per piece.
 	Micros fullPause = 60 * kMillisecond;      ///< How long an endpoint that reported no space counts as full.
 	/// How long a piece waits for an endpoint in its preferred failure domain, which only large pieces have.
-	Micros localityWait = 50 * kMillisecond;
+	Micros localityWait = 200 * kMillisecond;
+	/// A piece that is due within this multiple of the fixed time of a call waits for no failure domain.
+	Micros localityCalls = 5;
 	Micros refusedPause = 60 * kMillisecond; ///< How long an endpoint gets no calls after it refused one.
 	bool operator==(const BatchConfig&) const = default;
 };
@@ -316,7 +318,8 @@
 	EndpointStatus* chooseEndpoint(const std::string& _name, const Pool& _pool, Micros _now);
 	[[nodiscard]] static bool hasSpaceFor(const Pool& _pool, std::int64_t _used, const QueuedPiece& _piece);
 	[[nodiscard]] static bool isLocal(const QueuedPiece& _piece, const EndpointStatus& _status);
-	[[nodiscard]] bool mayRunOn(const QueuedPiece& _piece, const EndpointStatus& _status, Micros _now) const;
+	[[nodiscard]] bool mayRunOn(const Pool& _pool, const QueuedPiece& _piece, const EndpointStatus& _status,
+								Micros _now) const;
 	[[nodiscard]] std::vector<std::size_t> choosePieces(const Pool& _pool, const EndpointStatus& _status,
 														Micros _now) const;
 	void startBatch(const std::string& _name, Pool& _pool, EndpointStatus& _status,
@@ -489,6 +492,7 @@
 	};
 
 	[[nodiscard]] bool isMember(const std::string& _node) const;
+	[[nodiscard]] std::vector<std::string> withoutExcluded(const std::vector<std::string>& _nodes, Micros _now) const;
 	void addLocal(const std::string& _pool, const std::string& _peer, const PieceOrder& _order, Micros _now);
 	void send(const std::string& _to, PieceMessage _message, PieceActions& _actions);
 	void assign(const PieceSubmit& _submit, Micros _now, PieceActions& _actions);
@@ -496,9 +500,9 @@
 	void handleBatchActions(const BatchActions& _batch, Micros _now, PieceActions& _actions);
 	void onSubmit(const std::string& _from, const PieceSubmit& _submit, Micros _now, PieceActions& _actions);
 	void onUpdate(const std::string& _from, const PieceUpdate& _update, Micros _now, PieceActions& _actions);
-	[[nodiscard]] std::vector<std::string> withoutExcluded(const std::vector<std::string>& _nodes, Micros _now) const;
 	[[nodiscard]] std::map<std::string, Micros> localWaits(Micros _now) const;
 	[[nodiscard]] Micros waitTime(const std::string& _pool, Micros _now) const;
+	[[nodiscard]] Micros waitOf(const PieceSubmit& _submit, Micros _now) const;
 	void onCancel(const std::string& _from, const PieceCancel& _cancel);
 	void freeLocally(const std::vector<std::string>& _handles, PieceActions& _actions);
 	void reassignFrom(const std::string& _peer, Micros _now, PieceActions& _actions);
@@ -506,11 +510,11 @@
 	void sendKeepalives(Micros _now, PieceActions& _actions);
 
 	std::string self;
-	[[nodiscard]] Micros waitOf(const PieceSubmit& _submit, Micros _now) const;
 	PieceSchedulerConfig config;
 	Batcher batcher;
 	StageAdmission admission;
 	std::vector<std::string> members;
+	std::vector<std::string> batchingNodes;                    ///< Members that may be batching nodes.
 	std::map<std::string, Micros> excludedUntil;               ///< Silent nodes, which get no pieces.
 	std::unordered_map<std::uint64_t, LocalOrder> localOrders; ///< By local id, which the batcher uses.
 	/// Local id by submitting node and its order id.
@@ -518,7 +522,6 @@
 	std::map<std::uint64_t, RemoteOrder> remoteOrders; ///< By order id.
 	std::map<std::string, Micros> lastHeardAt;         ///< Of the nodes that hold remote orders.
 	/// By pool: wait predicted by its batching node, and time of receipt.
-	std::vector<std::string> batchingNodes;                    ///< Members that may be batching nodes.
 	std::map<std::string, std::pair<Micros, Micros>> peerWaits;
 	std::unordered_map<std::string, std::string> nodeOfHandle; ///< By handle of a result: node that batched its piece.
 	std::map<std::string, Micros> lastUpdateAt; ///< Time of the last update to each node with local orders.
--- a/src/batcher.cpp
+++ b/src/batcher.cpp
@@ -181,9 +181,10 @@
 }
 
 /// Whether a piece may go to an endpoint instead of waiting for one in its preferred failure domain.
-bool Batcher::mayRunOn(const QueuedPiece& _piece, const EndpointStatus& _status, Micros _now) const
+bool Batcher::mayRunOn(const Pool& _pool, const QueuedPiece& _piece, const EndpointStatus& _status, Micros _now) const
 {
-	return isLocal(_piece, _status) || _now - _piece.addedAt >= this->config.localityWait;
+	const bool dueSoon = _piece.order.due - _now < this->config.localityCalls * _pool.limits.callTime;
+	return dueSoon || isLocal(_piece, _status) || _now - _piece.addedAt >= this->config.localityWait;
 }
 
 bool Batcher::isLocal(const QueuedPiece& _piece, const EndpointStatus& _status)
@@ -215,7 +216,7 @@
 								 : _pass == SelectionPass::Local ? isLocal(piece, _status)
 																 : true;
 			if (!taken[index] && isLate == late && matches && hasSpaceFor(_pool, used, piece) &&
-				this->mayRunOn(piece, _status, _now))
+				this->mayRunOn(_pool, piece, _status, _now))
 			{
 				taken[index] = true;
 				chosen.push_back(index);
@@ -568,12 +569,12 @@
 	return forecast.waitTime(ahead + std::max<std::int64_t>(1, _pieces) - 1, _now);
 }
 
-std::map<std::string, Micros> Batcher::waitTimes(Micros _now) const
 std::optional<Micros> Batcher::queueWaitTime(const std::string& _pool, Micros _now) const
 {
 	return this->waitTime(_pool, std::numeric_limits<Micros>::max(), 1, _now);
 }
 
+std::map<std::string, Micros> Batcher::waitTimes(Micros _now) const
 {
 	std::map<std::string, Micros> waits;
 	for (const auto& entry : this->pools)
--- a/tests/test_bursts.cpp
+++ b/tests/test_bursts.cpp
@@ -87,3 +87,34 @@
 		graph.takeReady([&](std::size_t _stage) { return staged.shouldStart(_stage, graph); });
 	cr_assert(ready == (std::vector<PieceIndex>{{0, 0}, {1, 0}}));
 }
+
+// Pattern: large results that the next stage fetches, on pools spread over failure domains. Guards against results
+// that cross failure domains although the request has time to wait for a near endpoint.
+Test(bursts, piece_with_time_to_spare_waits_for_its_failure_domain_and_an_urgent_one_does_not)
+{
+	Batcher batcher(BatchConfig{});
+	PoolSpec spec;
+	spec.name = "orders";
+	spec.batches = BatchLimits{1, 8, 200 * kMillisecond, 21 * kMillisecond, 4 * kSecond, 0};
+	batcher.setPools({spec});
+	batcher.setEndpoints({Endpoint{"far", "10.0.0.1:80", "orders", "south", 1, false}});
+	PieceOrder patient;
+	patient.orderId = 1;
+	patient.request = "patient";
+	patient.preferredDomain = "north";
+	patient.deadline = 5 * kSecond;
+	patient.due = 2 * kSecond;
+	batcher.add("orders", patient, 0);
+	cr_assert(batcher.tick(0).empty());
+	cr_assert(batcher.tick(100 * kMillisecond).empty());
+	PieceOrder urgent = patient;
+	urgent.orderId = 2;
+	urgent.request = "urgent";
+	urgent.due = 900 * kMillisecond;
+	batcher.add("orders", urgent, 100 * kMillisecond);
+	const BatchActions first = batcher.tick(100 * kMillisecond);
+	cr_assert_eq(std::get<StartBatch>(first.at(0)).orders.size(), 1);
+	cr_assert(std::get<StartBatch>(first.at(0)).orders[0].request == "urgent");
+	const BatchActions second = batcher.batchEnded(1, BatchAnswered{{std::string("handle")}}, 300 * kMillisecond);
+	cr_assert(std::get<StartBatch>(second.at(1)).orders[0].request == "patient");
+}
