Count later stages in a backlog that drains at the measured rate, and wait for no domain in an overloaded pool

Cause: expected pieces were set against the nominal rate of the later pool, which it does not reach; and pieces waited for their failure domain while endpoints of a full pool idled.

Change: the batching node measures the share of its nominal rate that a pool reaches while pieces wait (PoolEfficiency; 0.75 until then, and more as soon as more is seen) and reports the rate with its wait (field rates, not read by earlier nodes, nominal without it). The backlog of later stages drains at it. A piece waits for its failure domain only while no piece in time had to wait that long.

--- a/include/roadferry/parts/admission.h
+++ b/include/roadferry/parts/admission.h
@@ -38,6 +38,14 @@
 	bool operator==(const AdmissionTerms&) const = default;
 };
 
+/// What the batching node of a pool knows of it.
+struct PoolForecast
+{
+	Micros wait = 0;       ///< Time until a piece that is ready now would be in a call.
+	std::int64_t rate = 0; ///< Pieces per second that it computes while pieces wait; 0 if unknown.
+	bool operator==(const PoolForecast&) const = default;
+};
+
 /// Decision on a request, with the waits behind it.
 struct AdmissionVerdict
 {
@@ -46,33 +54,36 @@
 	bool operator==(const AdmissionVerdict&) const = default;
 };
 
-/// Admits requests as long as the pools of all their stages can compute their pieces in time. Pieces of later stages
-/// are expected from the admission of their request until they are ready, so the load of a burst on later stages is
-/// predicted when its requests arrive. From then on they count in the queue of their pool. Runs on the batching node
-/// of a request's first stage.
+/// Admits requests as long as the pools of all their stages can compute their pieces in time. For pieces that are ready
+/// the queue of their pool tells the wait. Pieces of later stages count in a backlog of their pool from the admission
+/// of their request, which drains at the rate that the pool was measured to reach, so the load of a burst on later
+/// stages is predicted when its requests arrive. Runs on the batching node of a request's first stage.
 class StageAdmission
 {
 public:
 	void setPools(const std::vector<PoolSpec>& _pools);
 	void setEndpoints(const std::vector<Endpoint>& _endpoints);
 
-	/// Decides on a request, and expects its pieces of later stages if it is admitted.
-	/// @param[in] _waits Time until a piece that is ready now would be in a call, for pools where it is known.
-	AdmissionVerdict admit(const AdmissionTerms& _terms, const std::map<std::string, Micros>& _waits, Micros _now);
+	/// Decides on a request, and adds its pieces of later stages to the backlogs if it is admitted.
+	/// @param[in] _forecasts By pool, where it is known.
+	AdmissionVerdict admit(const AdmissionTerms& _terms, const std::map<std::string, PoolForecast>& _forecasts,
+						   Micros _now);
 
-	/// @returns Pieces of admitted requests that are not ready yet.
-	[[nodiscard]] std::int64_t expectedPieces(const std::string& _pool, Micros _now) const;
+	/// @returns Pieces of later stages that the pool cannot have computed yet.
+	[[nodiscard]] double backlog(const std::string& _pool, Micros _now) const;
 
 private:
 	struct Pool
 	{
 		BatchLimits limits;
 		std::int64_t endpoints = 0;
-		std::multimap<Micros, std::int64_t> expected; ///< By the time point at which they are ready: number of pieces.
+		std::int64_t measuredRate = 0; ///< As reported last, in pieces per second; 0 if unknown.
+		double backlog = 0;            ///< Pieces, as of backlogAt.
+		Micros backlogAt = 0;
 	};
 
-	[[nodiscard]] static Micros timeFor(const Pool& _pool, std::int64_t _pieces);
-	[[nodiscard]] Micros waitAt(const PoolDemand& _demand, Micros _queued, Micros _now) const;
+	[[nodiscard]] static double rateOf(const Pool& _pool);
+	[[nodiscard]] Micros waitAt(const PoolDemand& _demand, const PoolForecast& _forecast, Micros _now);
 
 	std::map<std::string, Pool> pools;
 };
--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -258,6 +258,12 @@
 	/// @returns The wait of a piece behind all queued pieces that can be in time; nothing for a pool without batches.
 	[[nodiscard]] std::optional<Micros> queueWaitTime(const std::string& _pool, Micros _now) const;
 
+	/// @returns Pieces per second that a pool computes while pieces wait; nothing for a pool without batches.
+	[[nodiscard]] std::optional<std::int64_t> rate(const std::string& _pool) const;
+
+	/// @returns rate() of each pool with batches.
+	[[nodiscard]] std::map<std::string, std::int64_t> rates() const;
+
 	/// @returns queueWaitTime() of each pool with batches.
 	[[nodiscard]] std::map<std::string, Micros> waitTimes(Micros _now) const;
 
@@ -301,6 +307,8 @@
 		BatchLimits limits;
 		std::vector<QueuedPiece> queue; ///< Most urgent first.
 		FullCallSize fullCallSize;
+		PoolEfficiency efficiency;
+		std::int64_t startedPieces = 0; ///< Pieces in calls that started since the last update of the efficiency.
 	};
 
 	/// A result that an endpoint keeps.
@@ -333,6 +341,8 @@
 	void reportStarted(Micros _now, BatchActions& _actions);
 	void expireCalls(Micros _now, BatchActions& _actions);
 	Call endCall(std::uint64_t _batch);
+	[[nodiscard]] double nominalRate(const std::string& _name, const Pool& _pool) const;
+	void updateEfficiency(const std::string& _name, Pool& _pool, Micros _now);
 	[[nodiscard]] std::vector<CallSlot> callSlots(const std::string& _name, const Pool& _pool, Micros _now) const;
 	[[nodiscard]] Micros predictedCallTime(const BatchLimits& _limits, const EndpointStatus& _status,
 										   std::size_t _pieces) const;
@@ -372,6 +382,7 @@
 	std::vector<PieceCompleted> completed;
 	std::vector<PieceFailed> failed;
 	std::map<std::string, Micros> waits; ///< Predicted wait of a piece, by pool whose batching node is the sender.
+	std::map<std::string, std::int64_t> rates; ///< Batcher::rate() of the same pools.
 	bool operator==(const PieceUpdate&) const = default;
 };
 
@@ -500,8 +511,8 @@
 	void handleBatchActions(const BatchActions& _batch, Micros _now, PieceActions& _actions);
 	void onSubmit(const std::string& _from, const PieceSubmit& _submit, Micros _now, PieceActions& _actions);
 	void onUpdate(const std::string& _from, const PieceUpdate& _update, Micros _now, PieceActions& _actions);
-	[[nodiscard]] std::map<std::string, Micros> localWaits(Micros _now) const;
-	[[nodiscard]] Micros waitTime(const std::string& _pool, Micros _now) const;
+	[[nodiscard]] PieceUpdate localForecast(Micros _now) const;
+	[[nodiscard]] PoolForecast forecastOf(const std::string& _pool, Micros _now) const;
 	[[nodiscard]] Micros waitOf(const PieceSubmit& _submit, Micros _now) const;
 	void onCancel(const std::string& _from, const PieceCancel& _cancel);
 	void freeLocally(const std::vector<std::string>& _handles, PieceActions& _actions);
@@ -521,8 +532,14 @@
 	std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> localIds;
 	std::map<std::uint64_t, RemoteOrder> remoteOrders; ///< By order id.
 	std::map<std::string, Micros> lastHeardAt;         ///< Of the nodes that hold remote orders.
-	/// By pool: wait predicted by its batching node, and time of receipt.
-	std::map<std::string, std::pair<Micros, Micros>> peerWaits;
+	/// Forecast of a pool by its batching node.
+	struct PeerForecast
+	{
+		PoolForecast forecast;
+		Micros receivedAt = 0;
+	};
+
+	std::map<std::string, PeerForecast> peerForecasts;         ///< By pool.
 	std::unordered_map<std::string, std::string> nodeOfHandle; ///< By handle of a result: node that batched its piece.
 	std::map<std::string, Micros> lastUpdateAt; ///< Time of the last update to each node with local orders.
 	std::uint64_t lastLocalId = 0;
--- a/include/roadferry/parts/queue_forecast.h
+++ b/include/roadferry/parts/queue_forecast.h
@@ -53,6 +53,33 @@
 	double mean = 0; ///< Smoothed; 0 until a call was recorded.
 };
 
+/// Share of its nominal rate that a pool reaches: calls that are not full, results that wait for space, and slow or
+/// lost endpoints reduce it. Measured while pieces wait; while none do, what the pool computes is only a lower bound.
+class PoolEfficiency
+{
+public:
+	/// Call it whenever calls may have started.
+	/// @param[in] _overloaded Whether pieces that can be in time have to wait for a call.
+	/// @param[in] _started Pieces in the calls that started since the last update.
+	/// @param[in] _nominalRate Pieces per second with full calls at all endpoints.
+	void update(bool _overloaded, std::int64_t _started, double _nominalRate, Micros _now);
+
+	/// @returns Whether pieces had to wait at the last update.
+	[[nodiscard]] bool isOverloaded() const;
+
+	/// @returns The measured share, at most 1.
+	[[nodiscard]] double share() const;
+
+private:
+	double mean = 0.75; ///< Assumed until it was measured.
+	bool overloaded = false;
+	Micros updatedAt = 0;
+	Micros sampleTime = 0;
+	Micros overloadedTime = 0; ///< Part of the sample.
+	double samplePieces = 0;
+	double nominalPieces = 0; ///< Pieces at the nominal rate in the time of the sample.
+};
+
 } // namespace roadferry
 
 #endif // ROADFERRY_PARTS_QUEUE_FORECAST_H_HEADER_GUARD
--- a/src/batcher.cpp
+++ b/src/batcher.cpp
@@ -184,7 +184,8 @@
 bool Batcher::mayRunOn(const Pool& _pool, const QueuedPiece& _piece, const EndpointStatus& _status, Micros _now) const
 {
 	const bool dueSoon = _piece.order.due - _now < this->config.localityCalls * _pool.limits.callTime;
-	return dueSoon || isLocal(_piece, _status) || _now - _piece.addedAt >= this->config.localityWait;
+	return dueSoon || _pool.efficiency.isOverloaded() || isLocal(_piece, _status) ||
+		   _now - _piece.addedAt >= this->config.localityWait;
 }
 
 bool Batcher::isLocal(const QueuedPiece& _piece, const EndpointStatus& _status)
@@ -269,6 +270,7 @@
 		rest.push_back(std::move(_pool.queue[index]));
 	}
 	_pool.queue = std::move(rest);
+	_pool.startedPieces += static_cast<std::int64_t>(_chosen.size());
 	if (std::any_of(_pool.queue.begin(), _pool.queue.end(), inTime))
 	{
 		_pool.fullCallSize.record(std::count_if(call.pieces.begin(), call.pieces.end(), inTime));
@@ -524,10 +526,63 @@
 			}
 			this->startBatch(entry.first, pool, *status, chosen, _now, actions);
 		}
+		this->updateEfficiency(entry.first, pool, _now);
 	}
 	return actions;
 }
 
+/// Returns the pieces per second with full calls at all listed endpoints.
+double Batcher::nominalRate(const std::string& _name, const Pool& _pool) const
+{
+	const Micros callTime = _pool.limits.callTime + _pool.limits.pieceTime * _pool.limits.maxPieces;
+	const auto endpointCount =
+		std::count_if(this->endpoints.begin(), this->endpoints.end(),
+					  [&](const auto& _entry)
+					  {
+						  const EndpointStatus& status = _entry.second;
+						  return status.listed && !status.endpoint.leaving && status.endpoint.pool == _name;
+					  });
+	const std::int64_t concurrentPieces = endpointCount * _pool.limits.slots * _pool.limits.maxPieces;
+	return callTime <= 0
+			   ? 0
+			   : static_cast<double>(concurrentPieces) * static_cast<double>(kSecond) / static_cast<double>(callTime);
+}
+
+/// Measures while pieces wait for longer than they would for a failure domain.
+void Batcher::updateEfficiency(const std::string& _name, Pool& _pool, Micros _now)
+{
+	const Micros lateBefore = _now + _pool.limits.callTime;
+	const Micros addedBefore = _now - this->config.localityWait;
+	const bool overloaded = std::any_of(_pool.queue.begin(), _pool.queue.end(),
+										[&](const QueuedPiece& _piece)
+										{ return _piece.order.due >= lateBefore && _piece.addedAt < addedBefore; });
+	const std::int64_t started = std::exchange(_pool.startedPieces, 0);
+	_pool.efficiency.update(overloaded, started, this->nominalRate(_name, _pool), _now);
+}
+
+std::optional<std::int64_t> Batcher::rate(const std::string& _pool) const
+{
+	const auto found = this->pools.find(_pool);
+	if (found == this->pools.end() || found->second.limits.callTime <= 0)
+	{
+		return std::nullopt;
+	}
+	return std::llround(this->nominalRate(_pool, found->second) * found->second.efficiency.share());
+}
+
+std::map<std::string, std::int64_t> Batcher::rates() const
+{
+	std::map<std::string, std::int64_t> rates;
+	for (const auto& entry : this->pools)
+	{
+		if (const auto rate = this->rate(entry.first))
+		{
+			rates[entry.first] = *rate;
+		}
+	}
+	return rates;
+}
+
 std::vector<CallSlot> Batcher::callSlots(const std::string& _name, const Pool& _pool, Micros _now) const
 {
 	const auto fullCall = static_cast<std::size_t>(_pool.fullCallSize.pieces(_pool.limits.maxPieces));
--- a/src/piece_messages.cpp
+++ b/src/piece_messages.cpp
@@ -135,8 +135,13 @@
 	{
 		waits.insert(toQString(entry.first), static_cast<qint64>(entry.second));
 	}
-	return QCborMap{
-		{"type", "piece_give"}, {"started", started}, {"made", completed}, {"failed", failed}, {"waits", waits}};
+	QCborMap rates;
+	for (const auto& entry : _message.rates)
+	{
+		rates.insert(toQString(entry.first), static_cast<qint64>(entry.second));
+	}
+	return QCborMap{{"type", "piece_give"}, {"started", started}, {"made", completed},
+					{"failed", failed},     {"waits", waits},     {"rates", rates}};
 }
 
 QCborMap toCbor(const PieceCancel& _message)
@@ -186,6 +191,10 @@
 						static_cast<PieceFault>(_reader.enumValue(fields.at(1), kFaultCount, "failed"))});
 	}
 	message.waits = _reader.integerMap("waits");
+	if (!_reader.value("rates").isUndefined()) // Nodes of an earlier version do not send it.
+	{
+		message.rates = _reader.integerMap("rates");
+	}
 	return message;
 }
 
--- a/src/piece_scheduler.cpp
+++ b/src/piece_scheduler.cpp
@@ -105,13 +105,13 @@
 	{
 		return true;
 	}
-	std::map<std::string, Micros> waits;
+	std::map<std::string, PoolForecast> forecasts;
 	for (const PoolDemand& demand : _submit.admission->demand)
 	{
-		waits[demand.pool] =
-			demand.pool == _submit.pool ? this->waitOf(_submit, _now) : this->waitTime(demand.pool, _now);
+		forecasts[demand.pool] = this->forecastOf(demand.pool, _now);
 	}
-	const AdmissionVerdict verdict = this->admission.admit(*_submit.admission, waits, _now);
+	forecasts[_submit.pool].wait = this->waitOf(_submit, _now);
+	const AdmissionVerdict verdict = this->admission.admit(*_submit.admission, forecasts, _now);
 	if (!verdict.admitted)
 	{
 		const std::string request = _submit.orders.empty() ? std::string() : _submit.orders.front().request;
@@ -296,7 +296,9 @@
 	}
 	for (const auto& entry : _update.waits)
 	{
-		this->peerWaits[entry.first] = {entry.second, _now};
+		const auto rate = _update.rates.find(entry.first);
+		const PoolForecast forecast{entry.second, rate == _update.rates.end() ? 0 : rate->second};
+		this->peerForecasts[entry.first] = PeerForecast{forecast, _now};
 	}
 	for (const PieceFailed& failed : _update.failed)
 	{
@@ -425,12 +427,12 @@
 			},
 			action);
 	}
-	const std::map<std::string, Micros> waits =
-		updates.empty() ? std::map<std::string, Micros>() : this->localWaits(_now);
+	const PieceUpdate forecast = updates.empty() ? PieceUpdate() : this->localForecast(_now);
 	for (auto& entry : updates)
 	{
 		this->lastUpdateAt[entry.first] = _now;
-		entry.second.waits = waits;
+		entry.second.waits = forecast.waits;
+		entry.second.rates = forecast.rates;
 		this->send(entry.first, std::move(entry.second), _actions);
 	}
 }
@@ -464,12 +466,14 @@
 	}
 }
 
-/// Predicted waits of the pools whose batching node is this one.
-std::map<std::string, Micros> PieceScheduler::localWaits(Micros _now) const
+/// Returns an update that only has the forecasts of the pools whose batching node is this one.
+PieceUpdate PieceScheduler::localForecast(Micros _now) const
 {
-	std::map<std::string, Micros> waits = this->batcher.waitTimes(_now);
-	std::erase_if(waits, [&](const auto& _entry) { return this->nodeOf(_entry.first, _now) != this->self; });
-	return waits;
+	PieceUpdate update{{}, {}, {}, this->batcher.waitTimes(_now), this->batcher.rates()};
+	const auto isRemote = [&](const auto& _entry) { return this->nodeOf(_entry.first, _now) != this->self; };
+	std::erase_if(update.waits, isRemote);
+	std::erase_if(update.rates, isRemote);
+	return update;
 }
 
 void PieceScheduler::sendKeepalives(Micros _now, PieceActions& _actions)
@@ -480,14 +484,14 @@
 		peers.insert(entry.first.first);
 	}
 	std::erase_if(this->lastUpdateAt, [&](const auto& _entry) { return peers.count(_entry.first) == 0; });
-	std::optional<std::map<std::string, Micros>> waits;
+	std::optional<PieceUpdate> keepalive;
 	for (auto& entry : this->lastUpdateAt)
 	{
 		if (_now - entry.second >= this->config.keepalivePeriod)
 		{
 			entry.second = _now;
-			waits = waits ? waits : this->localWaits(_now);
-			this->send(entry.first, PieceUpdate{{}, {}, {}, *waits}, _actions);
+			keepalive = keepalive ? keepalive : this->localForecast(_now);
+			this->send(entry.first, *keepalive, _actions);
 		}
 	}
 }
@@ -501,19 +505,19 @@
 	return actions;
 }
 
-/// Predicted time until a piece is in a call, or 0 if it is unknown.
-Micros PieceScheduler::waitTime(const std::string& _pool, Micros _now) const
+/// Returns the forecast of a pool by its batching node.
+PoolForecast PieceScheduler::forecastOf(const std::string& _pool, Micros _now) const
 {
-	const auto reported = this->peerWaits.find(_pool);
-	const bool remote = this->nodeOf(_pool, _now) != this->self;
-	if (!remote)
+	if (this->nodeOf(_pool, _now) == this->self)
 	{
-		return this->batcher.queueWaitTime(_pool, _now).value_or(0);
+		return PoolForecast{this->batcher.queueWaitTime(_pool, _now).value_or(0),
+							this->batcher.rate(_pool).value_or(0)};
 	}
-	// Without a recent prediction by the batching node the wait counts as 0, so that no request is refused for it.
+	// Without a recent forecast by the batching node the wait counts as 0, so that no request is refused for it.
+	const auto reported = this->peerForecasts.find(_pool);
 	const bool fresh =
-		reported != this->peerWaits.end() && _now - reported->second.second < this->config.peerWaitsMaxAge;
-	return fresh ? reported->second.first : 0;
+		reported != this->peerForecasts.end() && _now - reported->second.receivedAt < this->config.peerWaitsMaxAge;
+	return fresh ? reported->second.forecast : PoolForecast();
 }
 
 } // namespace roadferry
--- a/src/queue_forecast.cpp
+++ b/src/queue_forecast.cpp
@@ -18,6 +18,8 @@
 {
 
 constexpr double kCallSizeSmoothing = 0.1;
+constexpr double kEfficiencySmoothing = 0.3;
+constexpr Micros kEfficiencySampleTime = 500 * kMillisecond; ///< About two calls.
 
 } // namespace
 
@@ -55,4 +57,40 @@
 	return std::max<std::int64_t>(1, std::min(measured, _maxPieces));
 }
 
+void PoolEfficiency::update(bool _overloaded, std::int64_t _started, double _nominalRate, Micros _now)
+{
+	const Micros passed = this->updatedAt == 0 ? 0 : _now - this->updatedAt;
+	this->sampleTime += passed;
+	this->overloadedTime += this->overloaded ? passed : 0;
+	this->samplePieces += static_cast<double>(_started);
+	this->nominalPieces += _nominalRate * static_cast<double>(passed) / static_cast<double>(kSecond);
+	this->overloaded = _overloaded;
+	this->updatedAt = _now;
+	if (this->sampleTime < kEfficiencySampleTime)
+	{
+		return;
+	}
+	const bool wasOverloaded = 2 * this->overloadedTime > this->sampleTime;
+	if (this->nominalPieces > 0)
+	{
+		const double sample = std::min(1.0, this->samplePieces / this->nominalPieces);
+		const bool tellsCapacity = wasOverloaded || sample > this->mean;
+		this->mean += tellsCapacity ? kEfficiencySmoothing * (sample - this->mean) : 0;
+	}
+	this->sampleTime = 0;
+	this->overloadedTime = 0;
+	this->samplePieces = 0;
+	this->nominalPieces = 0;
+}
+
+bool PoolEfficiency::isOverloaded() const
+{
+	return this->overloaded;
+}
+
+double PoolEfficiency::share() const
+{
+	return this->mean;
+}
+
 } // namespace roadferry
--- a/src/stage_admission.cpp
+++ b/src/stage_admission.cpp
@@ -34,53 +34,55 @@
 	}
 }
 
-/// Returns the time in which all endpoints of a pool together compute a number of pieces; 0 for an unknown rate.
-Micros StageAdmission::timeFor(const Pool& _pool, std::int64_t _pieces)
+/// Returns pieces per microsecond, by the measured rate or else by full calls; 0 if neither is known.
+double StageAdmission::rateOf(const Pool& _pool)
 {
-	const std::int64_t concurrentPieces = _pool.endpoints * _pool.limits.slots * _pool.limits.maxPieces;
-	if (concurrentPieces <= 0)
+	if (_pool.measuredRate > 0)
 	{
-		return 0;
+		return static_cast<double>(_pool.measuredRate) / static_cast<double>(kSecond);
 	}
 	const Micros callTime = _pool.limits.callTime + _pool.limits.pieceTime * _pool.limits.maxPieces;
-	return callTime * _pieces / concurrentPieces;
+	const std::int64_t concurrentPieces = _pool.endpoints * _pool.limits.slots * _pool.limits.maxPieces;
+	return callTime <= 0 ? 0 : static_cast<double>(concurrentPieces) / static_cast<double>(callTime);
 }
 
-std::int64_t StageAdmission::expectedPieces(const std::string& _pool, Micros _now) const
+double StageAdmission::backlog(const std::string& _pool, Micros _now) const
 {
 	const auto found = this->pools.find(_pool);
-	std::int64_t pieces = 0;
-	if (found != this->pools.end())
+	if (found == this->pools.end())
 	{
-		const auto& expected = found->second.expected;
-		std::for_each(expected.upper_bound(_now), expected.end(),
-					  [&pieces](const auto& _entry) { pieces += _entry.second; });
+		return 0;
 	}
-	return pieces;
+	const Pool& pool = found->second;
+	return std::max(0.0, pool.backlog - rateOf(pool) * static_cast<double>(_now - pool.backlogAt));
 }
 
-/// Returns the predicted wait of a request's pieces at a pool. Until they are ready the pool computes pieces of its
-/// queue and those that are expected before them.
-Micros StageAdmission::waitAt(const PoolDemand& _demand, Micros _queued, Micros _now) const
+/// Returns the predicted wait of a request's pieces at a pool; no pieces are expected before those that are ready.
+Micros StageAdmission::waitAt(const PoolDemand& _demand, const PoolForecast& _forecast, Micros _now)
 {
-	const auto found = this->pools.find(_demand.pool);
-	if (_demand.arrivesIn <= 0 || found == this->pools.end())
+	if (_demand.arrivesIn <= 0)
 	{
-		return _queued;
+		return _forecast.wait;
 	}
-	const Micros expectedTime = timeFor(found->second, this->expectedPieces(_demand.pool, _now));
-	return std::max<Micros>(0, _queued + expectedTime - _demand.arrivesIn);
+	Pool& pool = this->pools[_demand.pool];
+	pool.backlog = this->backlog(_demand.pool, _now);
+	pool.backlogAt = _now;
+	pool.measuredRate = _forecast.rate;
+	const double rate = rateOf(pool);
+	const Micros backlogTime = rate <= 0 ? 0 : static_cast<Micros>(pool.backlog / rate);
+	return std::max(_forecast.wait, backlogTime);
 }
 
-AdmissionVerdict StageAdmission::admit(const AdmissionTerms& _terms, const std::map<std::string, Micros>& _waits,
-									   Micros _now)
+AdmissionVerdict StageAdmission::admit(const AdmissionTerms& _terms,
+									   const std::map<std::string, PoolForecast>& _forecasts, Micros _now)
 {
 	AdmissionVerdict verdict;
 	Micros totalWait = 0;
 	for (const PoolDemand& demand : _terms.demand)
 	{
-		const auto queued = _waits.find(demand.pool);
-		const Micros wait = this->waitAt(demand, queued == _waits.end() ? 0 : queued->second, _now);
+		const auto forecast = _forecasts.find(demand.pool);
+		const Micros wait =
+			this->waitAt(demand, forecast == _forecasts.end() ? PoolForecast() : forecast->second, _now);
 		verdict.waits[demand.pool] = wait;
 		totalWait += wait;
 	}
@@ -93,9 +95,7 @@
 	{
 		if (demand.arrivesIn > 0)
 		{
-			auto& expected = this->pools[demand.pool].expected;
-			expected.erase(expected.begin(), expected.upper_bound(_now));
-			expected.emplace(_now + demand.arrivesIn, demand.pieces);
+			this->pools[demand.pool].backlog += static_cast<double>(demand.pieces);
 		}
 	}
 	return verdict;
--- a/tests/test_bursts.cpp
+++ b/tests/test_bursts.cpp
@@ -118,3 +118,34 @@
 	const BatchActions second = batcher.batchEnded(1, BatchAnswered{{std::string("handle")}}, 300 * kMillisecond);
 	cr_assert(std::get<StartBatch>(second.at(1)).orders[0].request == "patient");
 }
+
+// Pattern: a burst on a pool that has no endpoint to spare. Guards against endpoints that idle while pieces wait for
+// another failure domain.
+Test(bursts, pieces_wait_for_no_failure_domain_in_an_overloaded_pool)
+{
+	Batcher batcher(BatchConfig{});
+	PoolSpec spec;
+	spec.name = "orders";
+	spec.batches = BatchLimits{1, 2, 200 * kMillisecond, 21 * kMillisecond, 4 * kSecond, 0};
+	batcher.setPools({spec});
+	batcher.setEndpoints({Endpoint{"far", "10.0.0.1:80", "orders", "south", 1, false}});
+	PieceOrder order;
+	order.request = "r";
+	order.deadline = 9 * kSecond;
+	order.due = 5 * kSecond;
+	for (order.orderId = 1; order.orderId <= 6; ++order.orderId)
+	{
+		order.preferredDomain = order.orderId <= 4 ? "south" : "north";
+		batcher.add("orders", order, 0);
+	}
+	cr_assert_eq(std::get<StartBatch>(batcher.tick(0).at(0)).orders.size(), 2);
+	const BatchAnswered answered{{std::string("h-1"), std::string("h-2")}};
+	cr_assert_eq(std::get<StartBatch>(batcher.batchEnded(1, answered, 242 * kMillisecond).at(2)).orders.size(), 2);
+	order.orderId = 7; // The pool is overloaded by now: pieces have waited longer than for a failure domain.
+	order.preferredDomain = "north";
+	batcher.add("orders", order, 300 * kMillisecond);
+	cr_assert(batcher.tick(300 * kMillisecond).empty());
+	cr_assert_eq(std::get<StartBatch>(batcher.batchEnded(2, answered, 484 * kMillisecond).at(2)).orders.size(), 2);
+	const BatchActions last = batcher.batchEnded(3, answered, 726 * kMillisecond);
+	cr_assert_eq(std::get<StartBatch>(last.at(2)).orders.front().orderId, 7);
+}
