--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -319,6 +319,9 @@
 		Micros expiresAt = 0; ///< Time point at which the endpoint drops it unless it is freed earlier.
 	};
 
+	/// @returns Whether a call that starts now computes a piece before it is due.
+	[[nodiscard]] static bool canBeInTime(const Pool& _pool, const QueuedPiece& _piece, Micros _now);
+	[[nodiscard]] static bool isUsableFor(const std::string& _pool, const EndpointStatus& _status);
 	[[nodiscard]] static bool isMoreUrgent(const QueuedPiece& _left, const QueuedPiece& _right);
 	void enqueue(Pool& _pool, QueuedPiece _piece);
 	void dropLate(Pool& _pool, Micros _now, BatchActions& _actions);
--- a/src/batcher.cpp
+++ b/src/batcher.cpp
@@ -17,7 +17,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <limits>
 #include <utility>
 
 namespace roadferry
@@ -92,6 +91,16 @@
 	return std::tie(_left.order.due, _left.order.orderId) < std::tie(_right.order.due, _right.order.orderId);
 }
 
+bool Batcher::canBeInTime(const Pool& _pool, const QueuedPiece& _piece, Micros _now)
+{
+	return _piece.order.due >= _now + _pool.limits.callTime;
+}
+
+bool Batcher::isUsableFor(const std::string& _pool, const EndpointStatus& _status)
+{
+	return _status.listed && !_status.endpoint.leaving && _status.endpoint.pool == _pool;
+}
+
 void Batcher::enqueue(Pool& _pool, QueuedPiece _piece)
 {
 	const auto position = std::upper_bound(_pool.queue.begin(), _pool.queue.end(), _piece, &Batcher::isMoreUrgent);
@@ -150,8 +159,7 @@
 	for (auto& entry : this->endpoints)
 	{
 		EndpointStatus& status = entry.second;
-		const bool usable = status.listed && !status.endpoint.leaving && status.endpoint.pool == _name;
-		if (!usable || status.calls >= _pool.limits.slots || _now < status.pausedUntil)
+		if (!isUsableFor(_name, status) || status.calls >= _pool.limits.slots || _now < status.pausedUntil)
 		{
 			continue;
 		}
@@ -212,7 +220,7 @@
 			// Among late pieces the most overdue come last: their inputs or their clients may be gone.
 			const std::size_t index = late ? size - 1 - step : step;
 			const QueuedPiece& piece = _pool.queue[index];
-			const bool isLate = piece.order.due < _now + _pool.limits.callTime;
+			const bool isLate = !canBeInTime(_pool, piece, _now);
 			const bool matches = _pass == SelectionPass::Urgent  ? piece.order.due < urgentBefore
 								 : _pass == SelectionPass::Local ? isLocal(piece, _status)
 																 : true;
@@ -255,8 +263,7 @@
 		call.pieces.back().attempts += 1;
 		_status.usedBytes += action.orders.back().resultBytes;
 	}
-	const Micros lateBefore = _now + _pool.limits.callTime;
-	const auto inTime = [lateBefore](const QueuedPiece& _piece) { return _piece.order.due >= lateBefore; };
+	const auto inTime = [&](const QueuedPiece& _piece) { return canBeInTime(_pool, _piece, _now); };
 	std::vector<QueuedPiece> rest;
 	rest.reserve(_pool.queue.size() - _chosen.size());
 	auto next = _chosen.begin(); // The positions are sorted.
@@ -531,117 +538,6 @@
 	return actions;
 }
 
-/// Returns the pieces per second with full calls at all listed endpoints.
-double Batcher::nominalRate(const std::string& _name, const Pool& _pool) const
-{
-	const Micros callTime = _pool.limits.callTime + _pool.limits.pieceTime * _pool.limits.maxPieces;
-	const auto endpointCount =
-		std::count_if(this->endpoints.begin(), this->endpoints.end(),
-					  [&](const auto& _entry)
-					  {
-						  const EndpointStatus& status = _entry.second;
-						  return status.listed && !status.endpoint.leaving && status.endpoint.pool == _name;
-					  });
-	const std::int64_t concurrentPieces = endpointCount * _pool.limits.slots * _pool.limits.maxPieces;
-	return callTime <= 0
-			   ? 0
-			   : static_cast<double>(concurrentPieces) * static_cast<double>(kSecond) / static_cast<double>(callTime);
-}
-
-/// Measures while pieces wait for longer than they would for a failure domain.
-void Batcher::updateEfficiency(const std::string& _name, Pool& _pool, Micros _now)
-{
-	const Micros lateBefore = _now + _pool.limits.callTime;
-	const Micros addedBefore = _now - this->config.localityWait;
-	const bool overloaded = std::any_of(_pool.queue.begin(), _pool.queue.end(),
-										[&](const QueuedPiece& _piece)
-										{ return _piece.order.due >= lateBefore && _piece.addedAt < addedBefore; });
-	const std::int64_t started = std::exchange(_pool.startedPieces, 0);
-	_pool.efficiency.update(overloaded, started, this->nominalRate(_name, _pool), _now);
-}
-
-std::optional<std::int64_t> Batcher::rate(const std::string& _pool) const
-{
-	const auto found = this->pools.find(_pool);
-	if (found == this->pools.end() || found->second.limits.callTime <= 0)
-	{
-		return std::nullopt;
-	}
-	return std::llround(this->nominalRate(_pool, found->second) * found->second.efficiency.share());
-}
-
-std::map<std::string, std::int64_t> Batcher::rates() const
-{
-	std::map<std::string, std::int64_t> rates;
-	for (const auto& entry : this->pools)
-	{
-		if (const auto rate = this->rate(entry.first))
-		{
-			rates[entry.first] = *rate;
-		}
-	}
-	return rates;
-}
-
-std::vector<CallSlot> Batcher::callSlots(const std::string& _name, const Pool& _pool, Micros _now) const
-{
-	const auto fullCall = static_cast<std::size_t>(_pool.fullCallSize.pieces(_pool.limits.maxPieces));
-	std::vector<CallSlot> slots;
-	for (const auto& entry : this->endpoints)
-	{
-		const EndpointStatus& status = entry.second;
-		if (!status.listed || status.endpoint.leaving || status.endpoint.pool != _name)
-		{
-			continue;
-		}
-		const Micros callTime = this->predictedCallTime(_pool.limits, status, fullCall);
-		for (std::int64_t slot = 0; slot < _pool.limits.slots; ++slot)
-		{
-			const Micros freeAt = slot < status.calls ? status.freeAt : _now;
-			slots.push_back(CallSlot{std::max(freeAt, status.pausedUntil), callTime});
-		}
-	}
-	return slots;
-}
-
-std::optional<Micros> Batcher::waitTime(const std::string& _pool, Micros _due, std::int64_t _pieces, Micros _now) const
-{
-	const auto found = this->pools.find(_pool);
-	if (found == this->pools.end() || found->second.limits.callTime <= 0)
-	{
-		return std::nullopt;
-	}
-	const Pool& pool = found->second;
-	const QueueForecast forecast{this->callSlots(_pool, pool, _now), pool.fullCallSize.pieces(pool.limits.maxPieces)};
-	if (forecast.slots.empty())
-	{
-		return kSecond;
-	}
-	const Micros lateBefore = _now + pool.limits.callTime;
-	const auto ahead = std::count_if(pool.queue.begin(), pool.queue.end(),
-									 [&](const QueuedPiece& _piece)
-									 { return _piece.order.due >= lateBefore && _piece.order.due <= _due; });
-	return forecast.waitTime(ahead + std::max<std::int64_t>(1, _pieces) - 1, _now);
-}
-
-std::optional<Micros> Batcher::queueWaitTime(const std::string& _pool, Micros _now) const
-{
-	return this->waitTime(_pool, std::numeric_limits<Micros>::max(), 1, _now);
-}
-
-std::map<std::string, Micros> Batcher::waitTimes(Micros _now) const
-{
-	std::map<std::string, Micros> waits;
-	for (const auto& entry : this->pools)
-	{
-		if (const auto wait = this->queueWaitTime(entry.first, _now))
-		{
-			waits[entry.first] = *wait;
-		}
-	}
-	return waits;
-}
-
 std::size_t Batcher::queuedPieces(const std::string& _pool) const
 {
 	const auto found = this->pools.find(_pool);
