--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -443,8 +443,8 @@
 	Micros silenceTimeout = 800 * kMillisecond;
 	/// Time after a change of members during which two nodes may form batches for one pool.
 	Micros handoverTime = 2 * kSecond;
-	Micros exclusionTime = 3 * kSecond;            ///< How long a silent node gets no pieces.
-	Micros peerWaitsMaxAge = 1'500 * kMillisecond; ///< How long a wait predicted by another node is used.
+	Micros exclusionTime = 3 * kSecond;               ///< How long a silent node gets no pieces.
+	Micros peerForecastMaxAge = 1'500 * kMillisecond; ///< How long the forecast of another node is used.
 	bool sharedBatches = true; ///< Whether a pool has one batching node, or each node batches its own pieces.
 	bool operator==(const PieceSchedulerConfig&) const = default;
 };
--- a/src/piece_scheduler.cpp
+++ b/src/piece_scheduler.cpp
@@ -516,7 +516,7 @@
 	// Without a recent forecast by the batching node the wait counts as 0, so that no request is refused for it.
 	const auto reported = this->peerForecasts.find(_pool);
 	const bool fresh =
-		reported != this->peerForecasts.end() && _now - reported->second.receivedAt < this->config.peerWaitsMaxAge;
+		reported != this->peerForecasts.end() && _now - reported->second.receivedAt < this->config.peerForecastMaxAge;
 	return fresh ? reported->second.forecast : PoolForecast();
 }
 
--- a/tests/test_messages.cpp
+++ b/tests/test_messages.cpp
@@ -13,6 +13,9 @@
 #include "row_csv.h"
 #include "traffic.h"
 
+#include <QCborMap>
+#include <QCborValue>
+
 namespace
 {
 
@@ -64,8 +67,35 @@
 			PieceCancel{{5, 6}}};
 }
 
+/// @returns A message as a node of an earlier version sends it: without one field.
+absl::StatusOr<PeerMessage> decodeWithout(const PeerMessage& _message, const char* _field)
+{
+	const std::string bytes = encode(_message);
+	QCborMap map = QCborValue::fromCbor(QByteArray(bytes.data(), static_cast<qsizetype>(bytes.size()))).toMap();
+	cr_assert(map.contains(QString(_field)), "field %s", _field);
+	map.remove(QString(_field));
+	return decode(map.toCborValue().toCbor().toStdString());
+}
+
 } // namespace
 
+// Guards a rolling upgrade: a node of an earlier version sends none of the fields that came later.
+Test(messages, messages_without_later_fields_are_understood)
+{
+	Gossip gossip;
+	gossip.updates = {Member{"10.0.0.2:8500", 9, MemberState::Alive, 12, 25}};
+	const auto members = decodeWithout(gossip, "processors");
+	cr_assert(members.ok());
+	cr_assert_eq(std::get<Gossip>(*members).updates.at(0).processorPercent, 0);
+	const auto update = decodeWithout(PieceUpdate{{}, {}, {}, {{"pool", 400'000}}, {{"pool", 230}}}, "rates");
+	cr_assert(update.ok());
+	cr_assert(std::get<PieceUpdate>(*update) == (PieceUpdate{{}, {}, {}, {{"pool", 400'000}}, {}}));
+	const AdmissionTerms terms{300'000, true, {PoolDemand{"pool", 3, 290'000}}};
+	const auto submit = decodeWithout(PieceSubmit{"pool", {}, terms}, "arrives_in");
+	cr_assert(submit.ok());
+	cr_assert_eq(std::get<PieceSubmit>(*submit).admission->demand.at(0).arrivesIn, 0);
+}
+
 Test(messages, every_type_survives_a_round_trip)
 {
 	for (const PeerMessage& message : samples())
