--- a/src/crash_monitor.cpp
+++ b/src/crash_monitor.cpp
@@ -211,6 +211,12 @@
 	{
 		EndpointCrash crash = reported;
 		crash.at = _now - reported.at;
+		logEvent("endpoint", "crash_reported",
+				 {{"endpoint", crash.endpoint},
+				  {"from", _from},
+				  {"age_ms", reported.at / kMillisecond},
+				  {"contents", joinDigests(crash.requests)},
+				  {"part_keys", joinDigests(crash.parts)}});
 		this->crashLedger.merge(crash);
 		this->logFatalRequests(crash, _from);
 		this->handlers.onCrash(crash, _from);
