--- a/include/roadferry/parts/membership.h
+++ b/include/roadferry/parts/membership.h
@@ -42,6 +42,7 @@
 	MemberState state = MemberState::Alive;
 	std::uint64_t tableOffset = 0;     ///< Offset of the table in force on that node.
 	std::int64_t processorPercent = 0; ///< Share of a core that its VM provides; 0 if unknown.
+	bool relaysCalls = false;          ///< It makes calls to endpoints for other nodes.
 	bool operator==(const Member&) const = default;
 };
 
@@ -111,6 +112,9 @@
 	/// Sets the share of a core that this node's VM provides. Call it before the first tick, so that it spreads.
 	void setProcessorPercent(std::int64_t _percent);
 
+	/// Sets whether this node makes calls to endpoints for other nodes. Call it before the first tick.
+	void setRelaysCalls(bool _relays);
+
 	std::vector<SendGossip> receive(const std::string& _from, const Gossip& _message, Micros _now);
 	std::vector<SendGossip> tick(Micros _now);
 
--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -26,6 +26,7 @@
 #include <roadferry/parts/membership.h>
 #include <roadferry/parts/placement.h>
 #include <roadferry/parts/queue_forecast.h>
+#include <roadferry/parts/reachability.h>
 #include <roadferry/parts/routes.h>
 #include <roadferry/parts/shares.h>
 #include <roadferry/parts/stream_origins.h>
--- /dev/null
+++ b/src/endpoint_calls.h
@@ -0,0 +1,60 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Calls to endpoints, made by this node or, where its path is lost, by another one.
+
+#ifndef ROADFERRY_ENDPOINT_CALLS_H_HEADER_GUARD
+#define ROADFERRY_ENDPOINT_CALLS_H_HEADER_GUARD
+
+#include "relayed_call.h"
+#include "relayed_call_server.h"
+
+namespace roadferry
+{
+
+/// Makes calls to endpoints. A call whose connection cannot be opened here is given to another node before it counts
+/// as not sent; no byte of it has left then. All functions run on thread 0 of the thread pool.
+class EndpointCalls
+{
+public:
+	EndpointCalls(IoPool& _pool, HttpClient& _client, CallMessageSender _send);
+
+	/// Starts a call. CallHandlers::onConnected is not called.
+	std::shared_ptr<HttpCall> call(EndpointCall _call, CallHandlers _handlers);
+
+	/// Starts a call to an address whose endpoint may not be listed any more. Its result is ignored.
+	void callAndForget(CallSpec _spec);
+
+	void setEndpoints(const std::vector<Endpoint>& _endpoints);
+	void setRelays(const std::vector<RelayNode>& _nodes);
+	void receive(const std::string& _from, const CallMessage& _message);
+	void peerClosed(const std::string& _peer);
+	void tick(Micros _now);
+
+	/// @returns Metrics in the Prometheus text format.
+	[[nodiscard]] std::string metricsText() const;
+
+private:
+	class RoutedCall;
+
+	void probeLostPaths(Micros _now);
+	void onConnected(const std::string& _endpoint);
+	void onReachedThrough(const std::string& _endpoint, const std::string& _node);
+	void logReach(ReachChange _change, const std::string& _endpoint, const std::string& _node) const;
+
+	IoPool& pool;
+	HttpClient& client;
+	Reachability reach;
+	std::map<std::string, std::string> addresses;   ///< Of the listed endpoints, by id.
+	std::map<std::string, std::string> idByAddress; ///< Of the listed endpoints.
+	RelayedCalls relayed;
+	RelayedCallServer server;
+	std::uint64_t relayedCount = 0; ///< Calls that other nodes made for this one.
+};
+
+} // namespace roadferry
+
+#endif // ROADFERRY_ENDPOINT_CALLS_H_HEADER_GUARD
--- a/src/forward_attempts.cpp
+++ b/src/forward_attempts.cpp
@@ -99,7 +99,8 @@
 			  this->listingAgeField(now),
 			  {"waited_ms", (now - active->arrivedAt) / kMillisecond},
 			  {"left_ms", (active->deadline - now) / kMillisecond}});
-	active->call = this->client.call(0, std::move(spec), std::move(handlers));
+	EndpointCall call{std::move(spec), _attempt.endpoint, active->request.id};
+	active->call = this->endpointCalls.call(std::move(call), std::move(handlers));
 	if (!attempt.inputs.empty())
 	{
 		this->pool.runAfter(0, kInputFetchTime,
--- a/src/forward_control.cpp
+++ b/src/forward_control.cpp
@@ -54,6 +54,7 @@
 {
 	this->membership.setSeeds(this->settings.seeds);
 	this->membership.setProcessorPercent(this->settings.processorPercent);
+	this->membership.setRelaysCalls(true);
 	this->publishMembers();
 	this->perform(this->exchange.tick(monotonicNow()));
 	this->timer.start(kTickMs);
@@ -197,8 +198,27 @@
 	this->traffic.setEndpoints(directory.endpoints(), directory.position());
 }
 
+/// Tells ForwardTraffic which other nodes make calls for this one.
+void ForwardControl::publishRelays()
+{
+	std::vector<RelayNode> nodes;
+	for (const Member& member : this->membership.aliveMembers())
+	{
+		if (member.relaysCalls && member.address != this->settings.self)
+		{
+			nodes.push_back(RelayNode{member.address, member.processorPercent});
+		}
+	}
+	if (nodes != this->relays)
+	{
+		this->relays = nodes;
+		this->traffic.setRelays(nodes);
+	}
+}
+
 void ForwardControl::publishMembers()
 {
+	this->publishRelays();
 	const std::vector<std::string> alive = this->membership.alive();
 	const std::vector<std::string> batchingNodes = roadferry::batchingNodes(this->membership.aliveMembers());
 	if (alive == this->members && batchingNodes == this->batchingNodes)
--- a/src/forward_control.h
+++ b/src/forward_control.h
@@ -66,6 +66,7 @@
 	void applyPlan(const RoutesUpdate& _read, const std::string& _source);
 	void publishEndpoints();
 	void publishMembers();
+	void publishRelays();
 	void publishFreshness();
 	void logLateTick(Micros _now);
 	void tick();
@@ -85,6 +86,7 @@
 	std::shared_ptr<const RoutePlan> plan;
 	std::vector<std::string> members;
 	std::vector<std::string> batchingNodes; ///< As published last.
+	std::vector<RelayNode> relays;          ///< Other live nodes that make calls for this one.
 	Micros lastTickAt = 0;                  ///< Time point, 0 before the first tick.
 	Micros nextPeerQueryAt = 0;             ///< Time point.
 	std::size_t peerQueryCount = 0;         ///< Selects the next node to query.
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -64,14 +64,15 @@
 
 ForwardTraffic::ForwardTraffic(IoPool& _pool, HttpClient& _client, const WireFormat& _wire, Metrics& _metrics,
 							   const ForwardSettings& _settings, const ForwardSends& _sends)
-	: pool(_pool), client(_client), wire(_wire), metrics(_metrics), dispatcher(_settings.dispatcher),
-	  maxResponseBytes(_settings.maxResponseBytes), self(_settings.self), lease(_settings.lease),
+	: pool(_pool), endpointCalls(_pool, _client, _sends.call), wire(_wire), metrics(_metrics),
+	  dispatcher(_settings.dispatcher), maxResponseBytes(_settings.maxResponseBytes), self(_settings.self),
+	  lease(_settings.lease),
 	  crashes(_client, _settings.crashes,
 			  CrashMonitorHandlers{_sends.crash, [this](const EndpointCrash& _crash, const std::string& _from)
 								   { this->onEndpointCrash(_crash, _from); }}),
 	  parts(_settings.self, _settings.parts), sendPart(_sends.part), origins(_settings.self, StreamOriginsConfig{}),
 	  sendOrigin(_sends.origin),
-	  pieces(_client, _wire, crashes, PieceScheduler(_settings.self, _settings.pieces),
+	  pieces(this->endpointCalls, _wire, crashes, PieceScheduler(_settings.self, _settings.pieces),
 			 PieceHandlers{[this](const PieceStarted& _started) { this->onPieceStarted(_started); },
 						   [this](const PieceCompleted& _completed) { this->onPieceCompleted(_completed); },
 						   [this](const PieceFailed& _failed) { this->onPieceFailed(_failed); }, _sends.piece})
@@ -103,6 +104,7 @@
 						this->listingPosition = _position;
 						this->dispatcher.setEndpoints(_endpoints);
 						this->pieces.setEndpoints(_endpoints, _position);
+						this->endpointCalls.setEndpoints(_endpoints);
 						this->crashes.setEndpoints(_endpoints);
 						this->perform(this->origins.setEndpoints(_endpoints, monotonicNow()));
 					});
@@ -135,6 +137,16 @@
 	this->pool.post(0, [this, _share, _burst] { this->dispatcher.setRetryBounds(_share, _burst); });
 }
 
+void ForwardTraffic::setRelays(const std::vector<RelayNode>& _nodes)
+{
+	this->pool.post(0, [this, _nodes] { this->endpointCalls.setRelays(_nodes); });
+}
+
+void ForwardTraffic::receive(const std::string& _from, const CallMessage& _message)
+{
+	this->pool.post(0, [this, _from, _message] { this->endpointCalls.receive(_from, _message); });
+}
+
 void ForwardTraffic::receive(const std::string& _from, const PieceMessage& _message)
 {
 	this->pool.post(0, [this, _from, _message] { this->pieces.receive(_from, _message); });
@@ -168,6 +180,7 @@
 	this->pool.post(0,
 					[this, _peer]
 					{
+						this->endpointCalls.peerClosed(_peer);
 						this->pieces.peerClosed(_peer);
 						this->perform(this->origins.peerClosed(_peer, monotonicNow()));
 					});
@@ -219,6 +232,7 @@
 	counters.retries = this->retryCount;
 	const Micros now = monotonicNow();
 	return absl::StrCat(this->metrics.toPrometheus(counters, this->activeCount), this->crashes.metricsText(),
+						this->endpointCalls.metricsText(),
 						"# TYPE roadferry_blocked_parts gauge\nroadferry_blocked_parts ", this->parts.blockedCount(),
 						"\n", "# TYPE roadferry_live_nodes gauge\nroadferry_live_nodes ", this->liveNodes, "\n",
 						ageGauge("roadferry_routes_age_seconds", this->freshness.routesAsOf, now),
@@ -537,6 +551,7 @@
 {
 	const Micros now = monotonicNow();
 	this->logLateTick(now);
+	this->endpointCalls.tick(now);
 	this->crashes.tick(now);
 	this->perform(this->parts.tick(now));
 	this->perform(this->origins.tick(now));
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -40,6 +40,7 @@
 	std::function<void(const std::string& _to, const CrashMessage&)> crash;
 	std::function<void(const std::string& _to, const OriginMessage&)> origin;
 	std::function<void(const std::string& _to, const PartMessage&)> part;
+	CallMessageSender call;
 };
 
 /// Limits the idle connections to an endpoint. An endpoint resets connections beyond a limit that all nodes share, and
@@ -72,11 +73,14 @@
 	/// Sets how current routes and endpoints are. Called after setPlan() and setEndpoints().
 	void setFreshness(const FeedFreshness& _freshness);
 	void setMembers(const std::vector<std::string>& _members, const std::vector<std::string>& _batchingNodes);
+	/// @param[in] _nodes The other live nodes that make calls to endpoints for this one.
+	void setRelays(const std::vector<RelayNode>& _nodes);
 	void setRetryBounds(double _share, double _burst);
 	void receive(const std::string& _from, const PieceMessage& _message);
 	void receive(const std::string& _from, const CrashMessage& _message);
 	void receive(const std::string& _from, const OriginMessage& _message);
 	void receive(const std::string& _from, const PartMessage& _message);
+	void receive(const std::string& _from, const CallMessage& _message);
 	/// Sets how long a crash of an endpoint counts against the requests that ran on it, see CrashLedger::setMemory().
 	void setCrashMemory(Micros _memory);
 	void peerClosed(const std::string& _peer);
@@ -149,7 +153,7 @@
 	void tick();
 
 	IoPool& pool;
-	HttpClient& client;
+	EndpointCalls endpointCalls;
 	const WireFormat& wire;
 	Metrics& metrics;
 	Dispatcher dispatcher;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -265,6 +265,10 @@
 										}
 										Error ignored;
 										self->socket->set_option(Tcp::no_delay(true), ignored);
+										if (self->handlers.onConnected)
+										{
+											self->handlers.onConnected();
+										}
 										self->write();
 									});
 	}
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -80,6 +80,9 @@
 /// Callbacks of a call, invoked on the thread of the call.
 struct CallHandlers
 {
+	/// Called when a new connection is open; not for a call on an idle one.
+	std::function<void()> onConnected;
+
 	/// Receives the head of a final response. If not set, every response is accepted.
 	std::function<HeadVerdict(unsigned _status, const HttpHeaders& _headers)> onHead;
 
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -73,6 +73,11 @@
 	this->knownMembers.at(this->self).processorPercent = _percent;
 }
 
+void Membership::setRelaysCalls(bool _relays)
+{
+	this->knownMembers.at(this->self).relaysCalls = _relays;
+}
+
 std::size_t Membership::log2OfMembers() const
 {
 	std::size_t result = 1;
@@ -145,12 +150,14 @@
 	const auto found = this->knownMembers.find(_update.address);
 	const bool stateChanged = found == this->knownMembers.end() || found->second.state != _update.state;
 	const bool versionChanged = found == this->knownMembers.end() || found->second.version != _update.version;
-	// Nodes of an earlier version pass updates on without the processor time.
+	// Nodes of an earlier version pass updates on without the processor time, and without whether it relays calls.
 	const bool lacksPercent = _update.processorPercent == 0 && !versionChanged;
 	const std::int64_t percent = lacksPercent ? found->second.processorPercent : _update.processorPercent;
+	const bool relaysCalls = _update.relaysCalls || (!versionChanged && found->second.relaysCalls);
 	Member& member = this->knownMembers[_update.address];
 	member = _update;
 	member.processorPercent = percent;
+	member.relaysCalls = relaysCalls;
 	if ((stateChanged || versionChanged) && _spread)
 	{
 		// A new table offset alone is not disseminated: each edit would queue an update of every node and delay changes
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -96,9 +96,14 @@
 QCborMap toCbor(const Gossip& _message)
 {
 	QCborArray updates;
+	QCborArray relays;
 	QCborMap processors;
 	for (const Member& member : _message.updates)
 	{
+		if (member.relaysCalls)
+		{
+			relays.append(toQString(member.address));
+		}
 		processors.insert(toQString(member.address), static_cast<qint64>(member.processorPercent));
 		updates.append(QCborArray{toQString(member.address), static_cast<qint64>(member.version),
 								  static_cast<qint64>(member.state), static_cast<qint64>(member.tableOffset)});
@@ -108,7 +113,8 @@
 					{"sequence", static_cast<qint64>(_message.sequence)},
 					{"target", toQString(_message.target)},
 					{"news", updates},
-					{"processors", processors}};
+					{"processors", processors},
+					{"relays", relays}};
 }
 
 QCborMap toCbor(const std::map<std::string, std::int64_t>& _numbers)
@@ -369,6 +375,11 @@
 			member.processorPercent = found == processors.end() ? 0 : found->second;
 		}
 	}
+	const QCborArray relays = _reader.value("relays").toArray(); // Nodes of an earlier version do not send it.
+	for (Member& member : message.updates)
+	{
+		member.relaysCalls = relays.contains(toQString(member.address));
+	}
 	return message;
 }
 
@@ -488,6 +499,10 @@
 	{
 		return readOriginAnswer(_reader);
 	}
+	if (const std::optional<CallMessage> message = readCallMessage(_reader, _type))
+	{
+		return *message;
+	}
 	_reader.setError(kTypeField, "a known message type");
 	return TableRequest{};
 }
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -9,6 +9,8 @@
 #ifndef ROADFERRY_PEER_MESSAGES_H_HEADER_GUARD
 #define ROADFERRY_PEER_MESSAGES_H_HEADER_GUARD
 
+#include "call_messages.h"
+
 #include <roadferry/roadferry.h>
 
 namespace roadferry
@@ -110,7 +112,7 @@
 	std::variant<RelayRequest, RelayToken, RelayResult, TableRequest, TableResponse, LeavingNotice, ShutdownReport,
 				 Gossip, DemandReport, ShareGrant, RoutesRequest, RoutesResponse, FeedRequest, FeedResponse,
 				 PieceSubmit, PieceUpdate, PieceCancel, PieceFree, CrashReport, CrashReportRequest, OriginRecords,
-				 OriginQuery, OriginAnswer, PartQuery, PartAnswer, PartVerdicts>;
+				 OriginQuery, OriginAnswer, PartQuery, PartAnswer, PartVerdicts, CallMessage>;
 
 /// @returns The message encoded as CBOR.
 std::string encode(const PeerMessage& _message);
--- a/src/piece_runner.cpp
+++ b/src/piece_runner.cpp
@@ -84,9 +84,10 @@
 
 } // namespace
 
-PieceRunner::PieceRunner(HttpClient& _client, const WireFormat& _wire, CrashMonitor& _crashes,
+PieceRunner::PieceRunner(EndpointCalls& _endpointCalls, const WireFormat& _wire, CrashMonitor& _crashes,
 						 PieceScheduler _scheduler, PieceHandlers _handlers)
-	: client(_client), wire(_wire), crashes(_crashes), scheduler(std::move(_scheduler)), handlers(std::move(_handlers))
+	: endpointCalls(_endpointCalls), wire(_wire), crashes(_crashes), scheduler(std::move(_scheduler)),
+	  handlers(std::move(_handlers))
 {
 }
 
@@ -187,7 +188,8 @@
 	spec.detectDeadConnection = true;
 	CallHandlers calls;
 	calls.onEnd = [this, _batch, now](const CallEnd& _end) { this->onCallEnded(_batch, now, _end); };
-	this->calls[_batch.batch] = this->client.call(0, std::move(spec), std::move(calls));
+	EndpointCall call{std::move(spec), _batch.endpoint.id, absl::StrCat("batch ", _batch.batch)};
+	this->calls[_batch.batch] = this->endpointCalls.call(std::move(call), std::move(calls));
 }
 
 void PieceRunner::onCallEnded(const StartBatch& _batch, Micros _startedAt, const CallEnd& _end)
@@ -260,7 +262,7 @@
 		spec.connectTimeout = kConnectTimeout;
 		spec.maxResponseBytes = kMaxFreeResponseBytes;
 		// The answer is ignored: results that are not freed expire.
-		this->client.call(0, std::move(spec), CallHandlers{});
+		this->endpointCalls.callAndForget(std::move(spec));
 	}
 }
 
--- a/src/piece_runner.h
+++ b/src/piece_runner.h
@@ -11,6 +11,7 @@
 
 #include "adapter.h"
 #include "crash_monitor.h"
+#include "endpoint_calls.h"
 
 namespace roadferry
 {
@@ -28,8 +29,8 @@
 class PieceRunner
 {
 public:
-	PieceRunner(HttpClient& _client, const WireFormat& _wire, CrashMonitor& _crashes, PieceScheduler _scheduler,
-				PieceHandlers _handlers);
+	PieceRunner(EndpointCalls& _endpointCalls, const WireFormat& _wire, CrashMonitor& _crashes,
+				PieceScheduler _scheduler, PieceHandlers _handlers);
 
 	void setPlan(const RoutePlan& _plan);
 	/// @param[in] _position Position of the listing in the platform's log, which is added to log lines.
@@ -57,7 +58,7 @@
 	void queueFree(const std::string& _handle);
 	void sendFrees();
 
-	HttpClient& client;
+	EndpointCalls& endpointCalls;
 	const WireFormat& wire;
 	CrashMonitor& crashes;
 	PieceScheduler scheduler;
--- a/tests/test_messages.cpp
+++ b/tests/test_messages.cpp
@@ -30,7 +30,7 @@
 	Gossip gossip;
 	gossip.kind = GossipKind::Join;
 	gossip.sequence = 7;
-	gossip.updates = {Member{"10.0.0.2:8500", 9, MemberState::Suspect, 12, 25}};
+	gossip.updates = {Member{"10.0.0.2:8500", 9, MemberState::Suspect, 12, 25, true}};
 	return {
 		RelayRequest{1, RelayKind::Cancel, "t", "hall", "mark", std::string("\0\xff{", 3), "00-a-b-01"},
 		RelayToken{1, 2, "token"},
@@ -78,7 +78,14 @@
 		OriginRecords{{StreamRecord{"abc", StreamOrigin{"pool", "v1.1"}, 900'000}}},
 		OriginQuery{3, "abc", "pool", 20'000'000},
 		OriginAnswer{3, StreamOrigin{"pool", "v1.1"}, {"v1", "v1.1"}},
-		OriginAnswer{3, std::nullopt, {}}};
+		OriginAnswer{3, std::nullopt, {}},
+		CallMessage(RelayedCallStart{9, "abc", "e-1", 900'000, true, "POST", "/a?b=\xff", {{"X-A", "\xfe"}}, 3}),
+		CallMessage(RelayedCallBody{9, std::string("\0{\xff", 3)}),
+		CallMessage(RelayedCallCancel{9}),
+		CallMessage(RelayedCallConnected{9}),
+		CallMessage(RelayedCallHead{9, 200, {{"X-A", "b"}, {"x-a", ""}}}),
+		CallMessage(RelayedCallData{9, 70'000, std::string("\0{", 2)}),
+		CallMessage(RelayedCallEnd{9, CallResult::Interrupted, true, 5, true, true, "reset"})};
 }
 
 /// @returns A message as a node of an earlier version sends it: without one field.
@@ -97,7 +104,10 @@
 Test(messages, messages_without_later_fields_are_understood)
 {
 	Gossip gossip;
-	gossip.updates = {Member{"10.0.0.2:8500", 9, MemberState::Alive, 12, 25}};
+	gossip.updates = {Member{"10.0.0.2:8500", 9, MemberState::Alive, 12, 25, true}};
+	const auto withoutRelays = decodeWithout(gossip, "relays");
+	cr_assert(withoutRelays.ok());
+	cr_assert(!std::get<Gossip>(*withoutRelays).updates.at(0).relaysCalls);
 	const auto members = decodeWithout(gossip, "processors");
 	cr_assert(members.ok());
 	cr_assert_eq(std::get<Gossip>(*members).updates.at(0).processorPercent, 0);
