--- a/include/roadferry/parts/reachability.h
+++ b/include/roadferry/parts/reachability.h
@@ -109,7 +109,7 @@
 	void recordNotReachedThrough(const std::string& _endpoint, const std::string& _node, bool _cutOff, Micros _now);
 
 	/// Records that neither this node nor those that were asked reached an endpoint. It gets no calls until a probe
-	/// reaches it.
+	/// reaches it, or until the next round of probes if this node has lost its own path.
 	void recordUnreachable(const std::string& _endpoint);
 
 	/// Records that the link to a node was lost.
--- a/src/endpoint_calls.cpp
+++ b/src/endpoint_calls.cpp
@@ -19,7 +19,7 @@
 namespace
 {
 
-constexpr std::size_t kMaxRelays = 2; ///< Nodes that are asked to make one call.
+constexpr std::size_t kMaxRelays = 2; ///< Nodes that try to open a connection for one call.
 /// A call whose connection did not open within this time is given to one other node only, so that it does not wait for
 /// several timeouts.
 constexpr Micros kQuickFailure = 100 * kMillisecond;
@@ -103,14 +103,14 @@
 	{
 		const Micros now = monotonicNow();
 		const bool mayAsk =
-			this->asked.empty() || (this->asked.size() < kMaxRelays && now - this->startedAt < kQuickFailure);
+			this->failedRelays == 0 || (this->failedRelays < kMaxRelays && now - this->startedAt < kQuickFailure);
 		const std::optional<std::string> node = mayAsk ? this->calls.reach.chooseRelay(this->asked, now) : std::nullopt;
 		if (node)
 		{
 			this->callThrough(*node);
 			return;
 		}
-		if (!this->asked.empty())
+		if (this->failedRelays > 0)
 		{
 			this->calls.reach.recordUnreachable(this->call.endpoint);
 		}
@@ -142,6 +142,7 @@
 		if (_end.result == CallResult::NotSent)
 		{
 			this->calls.reach.recordNotReachedThrough(this->call.endpoint, this->relay, _cutOff, monotonicNow());
+			this->failedRelays += _cutOff ? 0 : 1;
 			this->tryNextRelay(_end);
 			return;
 		}
@@ -185,6 +186,7 @@
 	std::shared_ptr<HttpCall> direct; ///< Null unless this node makes the call.
 	std::set<std::string> asked;      ///< Nodes that were asked to make the call.
 	std::string relay;                ///< The last of them.
+	std::size_t failedRelays = 0;     ///< How many of them tried to open a connection and could not.
 	std::uint64_t relayId = 0;        ///< Number of the call that it makes, 0 for none.
 	bool done = false;
 };
--- a/src/reachability.cpp
+++ b/src/reachability.cpp
@@ -239,6 +239,8 @@
 		return {};
 	}
 	this->nextProbeAt = _now + this->config.probePeriod;
+	// Own probes do not tell whether another node reaches an endpoint by now.
+	std::erase_if(this->unreachable, [this](const std::string& _id) { return this->isPathLost(_id); });
 	std::vector<std::string> probed =
 		nextInTurn(this->endpointsWithLostPath(), this->config.lostProbes, this->lastLostProbed);
 	const std::vector<std::string> more = nextInTurn({this->unreachable.begin(), this->unreachable.end()},
--- a/tests/test_reachability.cpp
+++ b/tests/test_reachability.cpp
@@ -104,6 +104,20 @@
 	cr_assert(isDirect(reach, "e-0", kStart + kSecond));
 }
 
+/// Guards against a cut node keeping calls from an endpoint for good: its own probes cannot find the endpoint back.
+Test(reachability, cut_node_asks_again_for_an_endpoint_that_was_not_reached)
+{
+	Reachability reach = makeReach(8, 2);
+	for (int index = 0; index < 3; ++index)
+	{
+		reach.recordReachedThrough(endpointName(index), "10.0.0.1:8500", kStart);
+	}
+	reach.recordUnreachable("e-5");
+	cr_assert(isNowhere(reach, "e-5", kStart));
+	reach.tick(kStart + kSecond);
+	cr_assert(std::holds_alternative<CallThrough>(reach.pathTo("e-5", kStart + kSecond)));
+}
+
 Test(reachability, one_connection_restores_all_paths)
 {
 	Reachability reach = makeReach(8, 2);
