--- a/include/roadferry/parts/endpoint_state.h
+++ b/include/roadferry/parts/endpoint_state.h
@@ -40,8 +40,9 @@
 	std::int64_t consecutiveFailures = 0; ///< Failed calls since the last success.
 	Micros ejectedUntil = 0;              ///< Time point; gets no calls until then, and afterwards one probe at a time.
 	bool probing = false;
-	double slowness = 1; ///< Smoothed ratio of measured to predicted service time, 1 for as predicted.
-	bool listed = true;  ///< Whether it is on the newest VM list.
+	bool reportedEnded = false; ///< Ejected since its process was reported to have ended.
+	double slowness = 1;        ///< Smoothed ratio of measured to predicted service time, 1 for as predicted.
+	bool listed = true;         ///< Whether it is on the newest VM list.
 
 	/// @returns Calls in flight from all nodes, as a multiple of the endpoint's slots.
 	[[nodiscard]] double load() const;
--- a/src/call_messages.cpp
+++ b/src/call_messages.cpp
@@ -16,6 +16,7 @@
 
 constexpr qsizetype kHeaderFieldCount = 2;
 constexpr std::int64_t kCallResultCount = 3;
+constexpr std::int64_t kProbeResultCount = 3;
 
 /// Header values are byte strings, since they need not be valid UTF-8.
 QCborArray headersToCbor(const HttpHeaders& _headers)
@@ -82,6 +83,13 @@
 	return message;
 }
 
+EndpointProbeAnswer readEndpointProbeAnswer(CborReader& _reader)
+{
+	return EndpointProbeAnswer{
+		_reader.unsignedInteger("probe"),
+		static_cast<ProbeResult>(_reader.enumValue(_reader.value("result"), kProbeResultCount, "result"))};
+}
+
 QCborMap toCbor(const RelayedCallStart& _message)
 {
 	return QCborMap{{"type", "call_start"},
@@ -141,6 +149,20 @@
 					{"error", toQString(_message.error)}};
 }
 
+QCborMap toCbor(const EndpointProbeRequest& _message)
+{
+	return QCborMap{{"type", "endpoint_probe"},
+					{"probe", static_cast<qint64>(_message.probe)},
+					{"endpoint", toQString(_message.endpoint)}};
+}
+
+QCborMap toCbor(const EndpointProbeAnswer& _message)
+{
+	return QCborMap{{"type", "endpoint_probed"},
+					{"probe", static_cast<qint64>(_message.probe)},
+					{"result", static_cast<qint64>(_message.result)}};
+}
+
 } // namespace
 
 QCborMap toCbor(const CallMessage& _message)
@@ -178,6 +200,14 @@
 	{
 		return readRelayedCallEnd(_reader);
 	}
+	if (_type == "endpoint_probe")
+	{
+		return EndpointProbeRequest{_reader.unsignedInteger("probe"), _reader.text("endpoint")};
+	}
+	if (_type == "endpoint_probed")
+	{
+		return readEndpointProbeAnswer(_reader);
+	}
 	return std::nullopt;
 }
 
--- a/src/call_messages.h
+++ b/src/call_messages.h
@@ -87,9 +87,25 @@
 	bool operator==(const RelayedCallEnd&) const = default;
 };
 
+/// Asks whether a process listens at an endpoint's address, as seen from the receiver.
+struct EndpointProbeRequest
+{
+	std::uint64_t probe = 0; ///< Repeated in the answer.
+	std::string endpoint;
+	bool operator==(const EndpointProbeRequest&) const = default;
+};
+
+struct EndpointProbeAnswer
+{
+	std::uint64_t probe = 0;
+	ProbeResult result = ProbeResult::NoAnswer;
+	bool operator==(const EndpointProbeAnswer&) const = default;
+};
+
 /// Messages about calls that one node makes for another.
-using CallMessage = std::variant<RelayedCallStart, RelayedCallBody, RelayedCallCancel, RelayedCallConnected,
-								 RelayedCallHead, RelayedCallData, RelayedCallEnd>;
+using CallMessage =
+	std::variant<RelayedCallStart, RelayedCallBody, RelayedCallCancel, RelayedCallConnected, RelayedCallHead,
+				 RelayedCallData, RelayedCallEnd, EndpointProbeRequest, EndpointProbeAnswer>;
 
 /// Sends a message to a node.
 using CallMessageSender = std::function<void(const std::string& _to, const CallMessage&)>;
--- a/src/crash_monitor.cpp
+++ b/src/crash_monitor.cpp
@@ -21,8 +21,6 @@
 namespace
 {
 
-/// A probe is answered within a few milliseconds unless the host is down. Requests wait for it before they are retried.
-constexpr Micros kProbeTimeout = 100 * kMillisecond;
 constexpr Micros kSecondProbeDelay = 200 * kMillisecond; ///< For a process that ends to close its port.
 constexpr Micros kExpiryPeriod = kSecond;
 constexpr std::size_t kRequestedPeers = 3; ///< Nodes that a new process asks for the crashes that they know.
@@ -67,8 +65,8 @@
 
 } // namespace
 
-CrashMonitor::CrashMonitor(HttpClient& _client, CrashLedgerConfig _config, CrashMonitorHandlers _handlers)
-	: client(_client), crashLedger(_config), handlers(std::move(_handlers))
+CrashMonitor::CrashMonitor(EndpointCalls& _endpointCalls, CrashLedgerConfig _config, CrashMonitorHandlers _handlers)
+	: endpointCalls(_endpointCalls), crashLedger(_config), handlers(std::move(_handlers))
 {
 }
 
@@ -118,23 +116,23 @@
 
 void CrashMonitor::onConnectionEnded(const BrokenCall& _call, EndpointEndHandler _done)
 {
-	this->client.probe(0, _call.address, kProbeTimeout,
-					   [this, _call, done = std::move(_done)](ProbeResult _result)
-					   {
-						   if (_result == ProbeResult::Refused)
-						   {
-							   this->onCallBroken(_call, monotonicNow(), done);
-							   return;
-						   }
-						   done(false);
-					   });
+	this->endpointCalls.probe(_call.endpoint, _call.address,
+							  [this, _call, done = std::move(_done)](ProbeResult _result)
+							  {
+								  if (_result == ProbeResult::Refused)
+								  {
+									  this->onCallBroken(_call, monotonicNow(), done);
+									  return;
+								  }
+								  done(false);
+							  });
 }
 
 void CrashMonitor::probe(const std::string& _endpoint, const std::string& _address)
 {
-	this->client.probe(0, _address, kProbeTimeout,
-					   [this, _endpoint, _address](ProbeResult _result)
-					   { this->onProbed(_endpoint, _address, _result); });
+	this->endpointCalls.probe(_endpoint, _address,
+							  [this, _endpoint, _address](ProbeResult _result)
+							  { this->onProbed(_endpoint, _address, _result); });
 }
 
 void CrashMonitor::onProbed(const std::string& _endpoint, const std::string& _address, ProbeResult _result)
--- a/src/crash_monitor.h
+++ b/src/crash_monitor.h
@@ -9,7 +9,7 @@
 #ifndef ROADFERRY_CRASH_MONITOR_H_HEADER_GUARD
 #define ROADFERRY_CRASH_MONITOR_H_HEADER_GUARD
 
-#include "http_client.h"
+#include "endpoint_calls.h"
 #include "peer_messages.h"
 
 #include <deque>
@@ -47,7 +47,7 @@
 class CrashMonitor
 {
 public:
-	CrashMonitor(HttpClient& _client, CrashLedgerConfig _config, CrashMonitorHandlers _handlers);
+	CrashMonitor(EndpointCalls& _endpointCalls, CrashLedgerConfig _config, CrashMonitorHandlers _handlers);
 
 	/// @param[in] _others Addresses of the other live nodes.
 	void setPeers(const std::vector<std::string>& _others);
@@ -87,7 +87,7 @@
 		std::string address;
 	};
 
-	HttpClient& client;
+	EndpointCalls& endpointCalls;
 	CrashLedger crashLedger;
 	CrashMonitorHandlers handlers;
 	std::vector<std::string> peers; ///< Addresses of the other live nodes.
--- a/src/endpoint_calls.cpp
+++ b/src/endpoint_calls.cpp
@@ -19,6 +19,7 @@
 namespace
 {
 
+constexpr std::size_t kWitnesses = 3; ///< Nodes that are asked for their view of an endpoint.
 constexpr std::size_t kMaxRelays = 2; ///< Nodes that try to open a connection for one call.
 /// A call whose connection did not open within this time is given to one other node only, so that it does not wait for
 /// several timeouts.
@@ -202,7 +203,14 @@
 									return found == this->addresses.end() ? std::nullopt : std::optional(found->second);
 								},
 								[this](const std::string& _endpoint) { return this->reach.isPathLost(_endpoint); },
-								[this](const std::string& _endpoint) { this->onConnected(_endpoint); }})
+								[this](const std::string& _endpoint) { this->onConnected(_endpoint); }}),
+	  prober(_client,
+			 EndpointProberContext{_send, [this] { return this->reach.witnesses(kWitnesses, monotonicNow()); },
+								   [this](const std::string& _endpoint) { return this->reach.isPathLost(_endpoint); },
+								   [this] { return this->reach.lostPaths() > 0 || this->reach.isCutOff(); },
+								   [this](const std::string& _endpoint) { this->onConnected(_endpoint); },
+								   [this](const std::string& _endpoint, const std::string& _node)
+								   { this->onReachedThrough(_endpoint, _node); }})
 {
 }
 
@@ -224,6 +232,11 @@
 	this->call(EndpointCall{std::move(_spec), listed->second, {}}, CallHandlers{});
 }
 
+void EndpointCalls::probe(const std::string& _endpoint, const std::string& _address, ProbeHandler _done)
+{
+	this->prober.probe(_endpoint, _address, std::move(_done));
+}
+
 void EndpointCalls::setEndpoints(const std::vector<Endpoint>& _endpoints)
 {
 	this->addresses.clear();
@@ -246,6 +259,8 @@
 	std::visit(Overloaded{[&](const RelayedCallStart& _typed) { this->server.receive(_from, _typed); },
 						  [&](const RelayedCallBody& _typed) { this->server.receive(_from, _typed); },
 						  [&](const RelayedCallCancel& _typed) { this->server.receive(_from, _typed); },
+						  [&](const EndpointProbeRequest& _typed) { this->server.receive(_from, _typed); },
+						  [&](const EndpointProbeAnswer& _typed) { this->prober.receive(_from, _typed); },
 						  [&](const auto& _typed) { this->relayed.receive(_from, _typed); }},
 			   _message);
 }
@@ -260,6 +275,7 @@
 void EndpointCalls::tick(Micros _now)
 {
 	this->relayed.tick(_now);
+	this->prober.tick(_now);
 	this->probeLostPaths(_now);
 }
 
--- a/src/endpoint_calls.h
+++ b/src/endpoint_calls.h
@@ -9,6 +9,7 @@
 #ifndef ROADFERRY_ENDPOINT_CALLS_H_HEADER_GUARD
 #define ROADFERRY_ENDPOINT_CALLS_H_HEADER_GUARD
 
+#include "endpoint_prober.h"
 #include "relayed_call.h"
 #include "relayed_call_server.h"
 
@@ -28,6 +29,9 @@
 	/// Starts a call to an address whose endpoint may not be listed any more. Its result is ignored.
 	void callAndForget(CallSpec _spec);
 
+	/// Probes whether an endpoint's process listens, see EndpointProber.
+	void probe(const std::string& _endpoint, const std::string& _address, ProbeHandler _done);
+
 	void setEndpoints(const std::vector<Endpoint>& _endpoints);
 	void setRelays(const std::vector<RelayNode>& _nodes);
 	void receive(const std::string& _from, const CallMessage& _message);
@@ -52,6 +56,7 @@
 	std::map<std::string, std::string> idByAddress; ///< Of the listed endpoints.
 	RelayedCalls relayed;
 	RelayedCallServer server;
+	EndpointProber prober;
 	std::uint64_t relayedCount = 0; ///< Calls that other nodes made for this one.
 };
 
--- /dev/null
+++ b/src/endpoint_prober.cpp
@@ -0,0 +1,125 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Implementation of EndpointProber.
+
+#include "endpoint_prober.h"
+
+#include "clock.h"
+
+namespace roadferry
+{
+
+namespace
+{
+
+/// A probe is answered within a few milliseconds unless the host is down. Requests wait for it before they are retried.
+constexpr Micros kProbeTimeout = 100 * kMillisecond;
+
+} // namespace
+
+EndpointProber::EndpointProber(HttpClient& _client, EndpointProberContext _context)
+	: client(_client), context(std::move(_context))
+{
+}
+
+void EndpointProber::probe(const std::string& _endpoint, const std::string& _address, ProbeHandler _done)
+{
+	if (this->context.isPathLost(_endpoint))
+	{
+		this->askWitnesses(_endpoint, false, _done);
+		return;
+	}
+	this->client.probe(0, _address, kProbeTimeout,
+					   [this, _endpoint, _done](ProbeResult _result)
+					   { this->onProbedHere(_endpoint, _result, _done); });
+}
+
+void EndpointProber::onProbedHere(const std::string& _endpoint, ProbeResult _result, const ProbeHandler& _done)
+{
+	switch (_result)
+	{
+	case ProbeResult::Accepted:
+		this->context.onConnected(_endpoint);
+		_done(_result);
+		break;
+	case ProbeResult::NoAnswer:
+		_done(_result);
+		break;
+	case ProbeResult::Refused:
+		this->askWitnesses(_endpoint, true, _done);
+		break;
+	}
+}
+
+void EndpointProber::askWitnesses(const std::string& _endpoint, bool _refusedHere, const ProbeHandler& _done)
+{
+	const std::vector<std::string> witnesses = this->context.witnesses();
+	const Micros deadline = monotonicNow() + kProbeTimeout;
+	const Round round{_endpoint, _refusedHere, false, {witnesses.begin(), witnesses.end()}, deadline, _done};
+	if (witnesses.empty())
+	{
+		_done(this->resultWithoutWitness(round));
+		return;
+	}
+	const std::uint64_t number = ++this->lastProbe;
+	this->rounds.emplace(number, round);
+	for (const std::string& node : witnesses)
+	{
+		this->context.send(node, EndpointProbeRequest{number, _endpoint});
+	}
+}
+
+/// @returns Result if no node that was asked reaches the endpoint or knows that it has ended.
+ProbeResult EndpointProber::resultWithoutWitness(const Round& _round) const
+{
+	if (_round.refusedThere)
+	{
+		return ProbeResult::Refused;
+	}
+	// A node that has lost paths does not trust its own refusals.
+	const bool trustsItself = _round.refusedHere && !this->context.hasLostPaths();
+	return trustsItself ? ProbeResult::Refused : ProbeResult::NoAnswer;
+}
+
+void EndpointProber::receive(const std::string& _from, const EndpointProbeAnswer& _answer)
+{
+	const auto found = this->rounds.find(_answer.probe);
+	if (found == this->rounds.end() || found->second.waitingFor.erase(_from) == 0)
+	{
+		return;
+	}
+	Round& round = found->second;
+	if (_answer.result == ProbeResult::Accepted)
+	{
+		this->context.onReachedThrough(round.endpoint, _from);
+		this->finish(_answer.probe, ProbeResult::Accepted);
+		return;
+	}
+	round.refusedThere = round.refusedThere || _answer.result == ProbeResult::Refused;
+	if (round.waitingFor.empty())
+	{
+		this->finish(_answer.probe, this->resultWithoutWitness(round));
+	}
+}
+
+void EndpointProber::finish(std::uint64_t _probe, ProbeResult _result)
+{
+	const auto found = this->rounds.find(_probe);
+	const ProbeHandler handler = std::move(found->second.done);
+	this->rounds.erase(found);
+	handler(_result);
+}
+
+void EndpointProber::tick(Micros _now)
+{
+	while (!this->rounds.empty() && this->rounds.begin()->second.deadline <= _now)
+	{
+		this->finish(this->rounds.begin()->first, this->resultWithoutWitness(this->rounds.begin()->second));
+	}
+}
+
+} // namespace roadferry
--- /dev/null
+++ b/src/endpoint_prober.h
@@ -0,0 +1,77 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Probes whether an endpoint's process listens, with the help of other nodes.
+
+#ifndef ROADFERRY_ENDPOINT_PROBER_H_HEADER_GUARD
+#define ROADFERRY_ENDPOINT_PROBER_H_HEADER_GUARD
+
+#include "call_messages.h"
+
+#include <roadferry/roadferry.h>
+
+#include <functional>
+
+namespace roadferry
+{
+
+/// What an EndpointProber needs of its node.
+struct EndpointProberContext
+{
+	CallMessageSender send;
+	std::function<std::vector<std::string>()> witnesses;          ///< Nodes to ask for their view.
+	std::function<bool(const std::string& _endpoint)> isPathLost; ///< Whether this node has lost its path to it.
+	std::function<bool()> hasLostPaths; ///< Whether this node has lost its path to any endpoint.
+	std::function<void(const std::string& _endpoint)> onConnected;
+	/// Called when another node reaches an endpoint that this node does not.
+	std::function<void(const std::string& _endpoint, const std::string& _node)> onReachedThrough;
+};
+
+/// Receives the result of a probe.
+using ProbeHandler = std::function<void(ProbeResult)>;
+
+/// Probes endpoints. That a connection is refused at this node does not show that the endpoint has ended: the path may
+/// be cut. So some other nodes are asked, and one that reaches the endpoint decides (the indirect probe of SWIM). All
+/// functions run on thread 0 of the thread pool.
+class EndpointProber
+{
+public:
+	EndpointProber(HttpClient& _client, EndpointProberContext _context);
+
+	/// @param[in] _done Receives Refused only if no node that was asked reaches the endpoint.
+	void probe(const std::string& _endpoint, const std::string& _address, ProbeHandler _done);
+
+	void receive(const std::string& _from, const EndpointProbeAnswer& _answer);
+
+	/// Ends the probes whose answers are late.
+	void tick(Micros _now);
+
+private:
+	/// A probe that waits for other nodes.
+	struct Round
+	{
+		std::string endpoint;
+		bool refusedHere = false; ///< This node's own probe was refused; otherwise it made none.
+		bool refusedThere = false;
+		std::set<std::string> waitingFor; ///< Nodes that have not answered.
+		Micros deadline = 0;              ///< Time point.
+		ProbeHandler done;
+	};
+
+	void onProbedHere(const std::string& _endpoint, ProbeResult _result, const ProbeHandler& _done);
+	void askWitnesses(const std::string& _endpoint, bool _refusedHere, const ProbeHandler& _done);
+	[[nodiscard]] ProbeResult resultWithoutWitness(const Round& _round) const;
+	void finish(std::uint64_t _probe, ProbeResult _result);
+
+	HttpClient& client;
+	EndpointProberContext context;
+	std::map<std::uint64_t, Round> rounds; ///< By number of the probe; the earliest deadline first.
+	std::uint64_t lastProbe = 0;
+};
+
+} // namespace roadferry
+
+#endif // ROADFERRY_ENDPOINT_PROBER_H_HEADER_GUARD
--- a/src/endpoint_registry.cpp
+++ b/src/endpoint_registry.cpp
@@ -257,10 +257,12 @@
 		return;
 	}
 	found->consecutiveFailures = 0;
-	if (_now >= found->ejectedUntil)
+	// An answer after a report that the endpoint has ended shows that the report is false.
+	if (_now >= found->ejectedUntil || found->reportedEnded)
 	{
 		found->probing = false;
 		found->ejectedUntil = 0;
+		found->reportedEnded = false;
 	}
 	found->slowness += kSlownessSmoothing * (_measuredOverPredicted - found->slowness);
 	if (this->config.ejectOutliers && found->slowness > kEjectionSlowness && this->mayEject(found->endpoint.pool, _now))
@@ -276,6 +278,7 @@
 	if (found != nullptr)
 	{
 		this->eject(*found, _now);
+		found->reportedEnded = true;
 	}
 }
 
@@ -310,6 +313,7 @@
 void EndpointRegistry::eject(EndpointState& _endpoint, Micros _now)
 {
 	_endpoint.ejectedUntil = _now + this->config.ejectionDuration;
+	_endpoint.reportedEnded = false;
 	_endpoint.probing = false;
 }
 
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -67,7 +67,7 @@
 	: pool(_pool), endpointCalls(_pool, _client, _sends.call), wire(_wire), metrics(_metrics),
 	  dispatcher(_settings.dispatcher), maxResponseBytes(_settings.maxResponseBytes), self(_settings.self),
 	  lease(_settings.lease),
-	  crashes(_client, _settings.crashes,
+	  crashes(this->endpointCalls, _settings.crashes,
 			  CrashMonitorHandlers{_sends.crash, [this](const EndpointCrash& _crash, const std::string& _from)
 								   { this->onEndpointCrash(_crash, _from); }}),
 	  parts(_settings.self, _settings.parts), sendPart(_sends.part), origins(_settings.self, StreamOriginsConfig{}),
--- a/src/relayed_call_server.cpp
+++ b/src/relayed_call_server.cpp
@@ -19,6 +19,7 @@
 {
 
 constexpr Micros kConnectTimeout = 300 * kMillisecond; ///< Below that of the node that asked.
+constexpr Micros kProbeTimeout = 80 * kMillisecond;    ///< Below that of the node that asked.
 constexpr std::size_t kMaxCalls = 1'000;               ///< Calls in progress for other nodes.
 constexpr std::size_t kMaxBodyBytes = 64 * 1024 * 1024;
 
@@ -144,6 +145,20 @@
 	this->calls.erase(found);
 }
 
+void RelayedCallServer::receive(const std::string& _from, const EndpointProbeRequest& _message)
+{
+	const std::optional<std::string> address = this->context.addressOf(_message.endpoint);
+	if (!address || this->context.isPathLost(_message.endpoint))
+	{
+		this->context.send(_from, EndpointProbeAnswer{_message.probe, ProbeResult::NoAnswer});
+		return;
+	}
+	this->client.probe(0, *address, kProbeTimeout,
+					   [this, _from, probe = _message.probe](ProbeResult _result) {
+						   this->context.send(_from, EndpointProbeAnswer{probe, _result});
+					   });
+}
+
 void RelayedCallServer::peerClosed(const std::string& _node)
 {
 	constexpr std::uint64_t kLast = std::numeric_limits<std::uint64_t>::max();
--- a/src/relayed_call_server.h
+++ b/src/relayed_call_server.h
@@ -38,6 +38,7 @@
 	void receive(const std::string& _from, const RelayedCallStart& _message);
 	void receive(const std::string& _from, const RelayedCallBody& _message);
 	void receive(const std::string& _from, const RelayedCallCancel& _message);
+	void receive(const std::string& _from, const EndpointProbeRequest& _message);
 
 	/// Ends all calls for a node.
 	void peerClosed(const std::string& _node);
--- a/tests/test_dispatcher.cpp
+++ b/tests/test_dispatcher.cpp
@@ -418,3 +418,26 @@
 		cr_assert_geq(endpoint.back() - '0', kEnded, "%s has ended", endpoint.c_str());
 	}
 }
+
+/// Guards against a false report that an endpoint has ended keeping requests from it after it has answered one.
+Test(dispatcher, endpoint_reported_as_ended_is_used_again_once_it_answers)
+{
+	Dispatcher dispatcher(DispatcherConfig{});
+	dispatcher.setEndpoints({Endpoint{"e-0", "10.0.0.1:80", "pool", "north", 4}});
+	PipelineRow pipeline;
+	pipeline.name = "p";
+	StageRow stage;
+	stage.name = "p";
+	stage.pool = "pool";
+	RequestSpec spec;
+	spec.id = 1;
+	spec.deadline = 10 * kSecond;
+	const Actions first = dispatcher.submit(spec, pipeline, {stage}, kSecond);
+	const std::uint64_t attempt = std::get<StartAttempt>(first.front()).attempt;
+	dispatcher.recordCrash("e-0", kSecond + 1);
+	spec.id = 2;
+	cr_assert(dispatcher.submit(spec, pipeline, {stage}, kSecond + 2).empty());
+	const Actions after = dispatcher.attemptEnded(attempt, AttemptAnswered{}, kSecond + 3);
+	cr_assert(std::any_of(after.begin(), after.end(),
+						  [](const Action& _action) { return std::holds_alternative<StartAttempt>(_action); }));
+}
--- a/tests/test_messages.cpp
+++ b/tests/test_messages.cpp
@@ -85,7 +85,9 @@
 		CallMessage(RelayedCallConnected{9}),
 		CallMessage(RelayedCallHead{9, 200, {{"X-A", "b"}, {"x-a", ""}}}),
 		CallMessage(RelayedCallData{9, 70'000, std::string("\0{", 2)}),
-		CallMessage(RelayedCallEnd{9, CallResult::Interrupted, true, 5, true, true, "reset"})};
+		CallMessage(RelayedCallEnd{9, CallResult::Interrupted, true, 5, true, true, "reset"}),
+		CallMessage(EndpointProbeRequest{4, "e-1"}),
+		CallMessage(EndpointProbeAnswer{4, ProbeResult::Refused})};
 }
 
 /// @returns A message as a node of an earlier version sends it: without one field.
