--- a/include/roadferry/parts/dispatcher.h
+++ b/include/roadferry/parts/dispatcher.h
@@ -179,6 +179,16 @@
 	/// Sets the number of nodes that use each endpoint, including this one; initially 1.
 	void setNodeCount(std::size_t _nodes);
 
+	/// Sets the live nodes that use each endpoint, in place of their number alone.
+	/// @param[in] _self Address of this node, one of them.
+	void setNodes(const std::string& _self, const std::vector<std::string>& _nodes);
+
+	/// Records that the endpoints of a pool crash if one rejects more than some requests in a second. It holds as long
+	/// as they say so, see EndpointRegistry.
+	/// @param[in] _perSecond Rejections that an endpoint survives in a second.
+	/// @returns Whether this was not known before.
+	bool recordRejectionLimit(const std::string& _pool, std::int64_t _perSecond, Micros _now);
+
 	/// Sets this node's share of a workspace's limit.
 	/// @param[in] _inFlight Maximum requests in flight on this node; negative removes the share.
 	void setShare(const std::string& _workspace, std::int64_t _inFlight);
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -627,6 +627,16 @@
 	this->state->registry.setNodeCount(_nodes);
 }
 
+void Dispatcher::setNodes(const std::string& /*_self*/, const std::vector<std::string>& _nodes)
+{
+	this->state->registry.setNodeCount(_nodes.size());
+}
+
+bool Dispatcher::recordRejectionLimit(const std::string& /*_pool*/, std::int64_t /*_perSecond*/, Micros /*_now*/)
+{
+	return false;
+}
+
 void Dispatcher::markLeaving(const std::string& _endpoint)
 {
 	this->state->registry.markLeaving(_endpoint);
