--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -200,6 +200,7 @@
 /// The endpoint refused the call and did not begin it.
 struct BatchRefused
 {
+	std::int64_t rejectionLimit = 0; ///< Calls that the endpoint may reject in a second without crashing; 0 for any.
 	bool operator==(const BatchRefused&) const = default;
 };
 
@@ -335,6 +336,7 @@
 	[[nodiscard]] static bool canBeInTime(const Pool& _pool, const QueuedPiece& _piece, Micros _now);
 	[[nodiscard]] static bool isUsableFor(const std::string& _pool, const EndpointStatus& _status);
 	[[nodiscard]] static bool isMoreUrgent(const QueuedPiece& _left, const QueuedPiece& _right);
+	[[nodiscard]] Micros pauseAfter(const BatchRefused& _refused) const;
 	void enqueue(Pool& _pool, QueuedPiece _piece);
 	void dropLate(Pool& _pool, Micros _now, BatchActions& _actions);
 	void dropBlocked(Pool& _pool, BatchActions& _actions);
--- a/include/roadferry/parts/dispatcher.h
+++ b/include/roadferry/parts/dispatcher.h
@@ -185,10 +185,13 @@
 
 	/// Records that the endpoints of a pool crash if one rejects more than some requests in a second. It holds as long
 	/// as they say so, see EndpointRegistry.
-	/// @param[in] _perSecond Rejections that an endpoint survives in a second.
+	/// @param[in] _perSecond Rejections that an endpoint survives in a second; 0 if the endpoint names no limit.
 	/// @returns Whether this was not known before.
 	bool recordRejectionLimit(const std::string& _pool, std::int64_t _perSecond, Micros _now);
 
+	/// @returns Number of pools whose endpoints have a rejection limit.
+	[[nodiscard]] std::size_t limitedPools(Micros _now) const;
+
 	/// Sets this node's share of a workspace's limit.
 	/// @param[in] _inFlight Maximum requests in flight on this node; negative removes the share.
 	void setShare(const std::string& _workspace, std::int64_t _inFlight);
--- a/include/roadferry/parts/endpoint_state.h
+++ b/include/roadferry/parts/endpoint_state.h
@@ -42,6 +42,9 @@
 	bool probing = false;
 	bool reportedEnded = false; ///< Ejected since its process was reported to have ended.
 	double slowness = 1;        ///< Smoothed ratio of measured to predicted service time, 1 for as predicted.
+	std::int64_t quota = -1;    ///< Slots reserved for this node while the pool has a rejection limit; -1 if unknown.
+	bool quotaIsShared = false; ///< Other nodes have the same slot: there are more nodes than slots.
+	Micros noCallsUntil = 0;    ///< Time point until which it gets no calls after a rejection in such a pool.
 	bool listed = true;         ///< Whether it is on the newest VM list.
 
 	/// @returns Calls in flight from all nodes, as a multiple of the endpoint's slots.
--- a/src/batcher.cpp
+++ b/src/batcher.cpp
@@ -473,7 +473,7 @@
 		if (status != nullptr)
 		{
 			status->failures += 1;
-			const Micros pause = refused ? this->config.refusedPause : this->config.failurePause;
+			const Micros pause = refused ? this->pauseAfter(std::get<BatchRefused>(_end)) : this->config.failurePause;
 			status->pausedUntil = _now + pause * std::min<Micros>(status->failures, 4);
 		}
 		for (const QueuedPiece& piece : call.pieces)
@@ -488,6 +488,14 @@
 	return actions;
 }
 
+/// Returns how long an endpoint gets no calls after it refused one. Where it may refuse only some calls in a second,
+/// this node keeps to half of them, since other nodes may form batches too.
+Micros Batcher::pauseAfter(const BatchRefused& _refused) const
+{
+	const Micros share = _refused.rejectionLimit > 0 ? 2 * kSecond / _refused.rejectionLimit : 0;
+	return std::max(this->config.refusedPause, share);
+}
+
 void Batcher::expectOtherBatchersUntil(Micros _until)
 {
 	this->otherBatchersUntil = std::max(this->otherBatchersUntil, _until);
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -580,6 +580,7 @@
 void Dispatcher::State::retryElsewhere(ActiveRequest& _active, Micros _now, Actions& _actions)
 {
 	const std::string pool = _active.stages[_active.stageIndex].pool;
+	this->registry.recordRejection(_active.endpoint, _now);
 	const bool isFree = _active.refusals < this->config.maxExtraRefusals &&
 						this->registry.hasLiveEndpoint(pool, _active.spec.requiredVersion) &&
 						this->budget(pool).tryTakeRetry();
@@ -627,14 +628,19 @@
 	this->state->registry.setNodeCount(_nodes);
 }
 
-void Dispatcher::setNodes(const std::string& /*_self*/, const std::vector<std::string>& _nodes)
+void Dispatcher::setNodes(const std::string& _self, const std::vector<std::string>& _nodes)
 {
-	this->state->registry.setNodeCount(_nodes.size());
+	this->state->registry.setNodes(_self, _nodes);
 }
 
-bool Dispatcher::recordRejectionLimit(const std::string& /*_pool*/, std::int64_t /*_perSecond*/, Micros /*_now*/)
+bool Dispatcher::recordRejectionLimit(const std::string& _pool, std::int64_t _perSecond, Micros _now)
 {
-	return false;
+	return this->state->registry.recordRejectionLimit(_pool, _perSecond, _now);
+}
+
+std::size_t Dispatcher::limitedPools(Micros _now) const
+{
+	return this->state->registry.limitedPools(_now);
 }
 
 void Dispatcher::markLeaving(const std::string& _endpoint)
--- a/src/endpoint_registry.cpp
+++ b/src/endpoint_registry.cpp
@@ -25,6 +25,9 @@
 constexpr double kPreferredDomainIdleLoad = 0.25; ///< Load that is acceptable there whatever the mean load is.
 constexpr double kPreferredDomainMaxSlowness = 2.0; ///< Slowness from which an endpoint is not preferred.
 constexpr double kOwnSmoothing = 0.5;
+constexpr Micros kRejectionLimitMemory = 10 * kSecond; ///< How long a rejection limit holds after it was last seen.
+constexpr Micros kMaxRejectionPause = 4 * kSecond;
+
 constexpr double kOthersSmoothing = 0.3; ///< Keeps the nodes from all choosing the same idle endpoint at once.
 
 /// Restricts the candidates to a failure domain if it has any that are neither slow nor much busier than the pool.
@@ -127,6 +130,10 @@
 		std::sort(pool.second.members.begin(), pool.second.members.end(),
 				  [](const EndpointState* _left, const EndpointState* _right)
 				  { return _left->endpoint.id < _right->endpoint.id; });
+		if (pool.second.rejectionLimit > 0)
+		{
+			this->divideSlots(pool.second);
+		}
 	}
 }
 
@@ -164,8 +171,111 @@
 	found->othersInFlight += kOthersSmoothing * (sample - found->othersInFlight);
 }
 
-bool EndpointRegistry::hasFreeSlot(const EndpointState& _endpoint) const
+void EndpointRegistry::setNodes(const std::string& _self, const std::vector<std::string>& _nodes)
 {
+	this->setNodeCount(_nodes.size());
+	this->self = _self;
+	this->nodes = _nodes;
+	std::sort(this->nodes.begin(), this->nodes.end());
+	for (auto& pool : this->pools)
+	{
+		if (pool.second.rejectionLimit > 0)
+		{
+			this->divideSlots(pool.second);
+		}
+	}
+}
+
+bool EndpointRegistry::recordRejectionLimit(const std::string& _pool, std::int64_t _perSecond, Micros _now)
+{
+	const auto found = this->pools.find(_pool);
+	if (found == this->pools.end())
+	{
+		return false;
+	}
+	Pool& pool = found->second;
+	const bool isNew = _now >= pool.rejectionLimitUntil;
+	if (_perSecond == 0)
+	{
+		// Answers that were begun before the limit do not end it.
+		const bool isOver = !isNew && _now - (pool.rejectionLimitUntil - kRejectionLimitMemory) >= kSecond;
+		pool.rejectionLimitUntil = isOver ? 0 : pool.rejectionLimitUntil;
+		pool.rejectionLimit = isOver ? 0 : pool.rejectionLimit;
+		return false;
+	}
+	pool.rejectionLimit = _perSecond;
+	pool.rejectionLimitUntil = _now + kRejectionLimitMemory;
+	if (isNew)
+	{
+		this->divideSlots(pool);
+	}
+	return isNew;
+}
+
+std::size_t EndpointRegistry::limitedPools(Micros _now) const
+{
+	return static_cast<std::size_t>(std::count_if(this->pools.begin(), this->pools.end(),
+												  [_now](const auto& _entry)
+												  { return _now < _entry.second.rejectionLimitUntil; }));
+}
+
+/// Computes this node's part of an endpoint's slots. Each node gets the whole part of an even share, and the slots that
+/// are left go to one node each, by rendezvous hashing; so the parts of all nodes add up to the slots.
+std::int64_t EndpointRegistry::quotaOf(const Endpoint& _endpoint) const
+{
+	const auto count = static_cast<std::int64_t>(this->nodeCount);
+	const std::int64_t even = _endpoint.slots / count;
+	const auto left = static_cast<std::size_t>(_endpoint.slots % count);
+	const std::vector<std::string> lucky = rendezvousNodes(_endpoint.id, this->nodes, left);
+	return even + std::count(lucky.begin(), lucky.end(), this->self);
+}
+
+void EndpointRegistry::divideSlots(Pool& _pool)
+{
+
+	std::int64_t total = 0;
+	for (EndpointState* member : _pool.members)
+	{
+		member->quota = this->quotaOf(member->endpoint);
+		member->quotaIsShared = false;
+		total += member->quota;
+	}
+	if (total > 0 || _pool.members.empty())
+	{
+		return;
+	}
+	// There are more nodes than slots. This node calls one endpoint, so rarely that it survives if it rejects the calls
+	// of all such nodes.
+	const auto own = std::lower_bound(this->nodes.begin(), this->nodes.end(), this->self) - this->nodes.begin();
+	EndpointState* shared = _pool.members[static_cast<std::size_t>(own) % _pool.members.size()];
+	shared->quota = 1;
+	shared->quotaIsShared = true;
+}
+
+void EndpointRegistry::recordRejection(const std::string& _endpoint, Micros _now)
+{
+	EndpointState* found = this->find(_endpoint);
+	if (found == nullptr)
+	{
+		return;
+	}
+	const Pool& pool = this->pools.at(found->endpoint.pool);
+	if (_now >= pool.rejectionLimitUntil)
+	{
+		return;
+	}
+	// All nodes together may cause half of the rejections that it survives.
+	const auto limit = std::max<std::int64_t>(1, pool.rejectionLimit);
+	const Micros pause = 2 * kSecond * static_cast<Micros>(this->nodeCount) / limit;
+	found->noCallsUntil = std::max(found->noCallsUntil, _now + std::clamp(pause, kSecond, kMaxRejectionPause));
+}
+
+bool EndpointRegistry::hasFreeSlot(const Pool& _pool, const EndpointState& _endpoint, Micros _now) const
+{
+	if (_now < _pool.rejectionLimitUntil)
+	{
+		return _now >= _endpoint.noCallsUntil && _endpoint.ownInFlight < _endpoint.quota;
+	}
 	const double load = _endpoint.load();
 	if (load < kUncontendedLoad)
 	{
@@ -197,7 +307,7 @@
 		}
 		usable.push_back(member);
 		totalLoad += member->load();
-		if (!this->hasFreeSlot(*member))
+		if (!this->hasFreeSlot(found->second, *member, _now))
 		{
 			continue;
 		}
@@ -237,6 +347,12 @@
 		_endpoint.probing = true;
 	}
 	_endpoint.ownInFlight += 1;
+	if (_endpoint.quotaIsShared)
+	{
+		const Pool& pool = this->pools.at(_endpoint.endpoint.pool);
+		const auto callers = static_cast<Micros>(this->nodeCount / pool.members.size() + 1);
+		_endpoint.noCallsUntil = _now + kSecond * callers / std::max<std::int64_t>(1, pool.rejectionLimit);
+	}
 	_endpoint.ownWorkUs += _workUs;
 }
 
@@ -332,6 +448,12 @@
 			continue;
 		}
 		capacity.usable += 1;
+		if (_now < found->second.rejectionLimitUntil)
+		{
+			capacity.slots += static_cast<double>(member->quota);
+			capacity.inFlight += static_cast<double>(member->ownInFlight);
+			continue;
+		}
 		capacity.slots += static_cast<double>(member->endpoint.slots) * this->config.slotsFactor;
 		capacity.inFlight += static_cast<double>(member->ownInFlight) + member->othersInFlight;
 	}
--- a/src/endpoint_registry.h
+++ b/src/endpoint_registry.h
@@ -45,6 +45,23 @@
 	void setNodeCount(std::size_t _nodes);
 	void reportLoad(const std::string& _endpoint, const LoadReport& _report);
 
+	/// Sets the live nodes that use each endpoint.
+	/// @param[in] _self Address of this node, one of them.
+	void setNodes(const std::string& _self, const std::vector<std::string>& _nodes);
+
+	/// Records that the endpoints of a pool crash if one rejects more than some requests in a second. While this holds,
+	/// the slots of each endpoint are divided among the nodes, so that all together send no more than there is room
+	/// for.
+	/// @param[in] _perSecond 0 if an endpoint names no limit.
+	/// @returns Whether this was not known before.
+	bool recordRejectionLimit(const std::string& _pool, std::int64_t _perSecond, Micros _now);
+
+	/// @returns Number of pools with a rejection limit.
+	[[nodiscard]] std::size_t limitedPools(Micros _now) const;
+
+	/// Records that an endpoint rejected a call for want of room.
+	void recordRejection(const std::string& _endpoint, Micros _now);
+
 	/// Chooses a usable endpoint with a free slot.
 	Placement choose(const EndpointQuery& _query, Micros _now);
 
@@ -74,16 +91,22 @@
 	{
 		std::vector<EndpointState*> members;
 		std::size_t roundRobinCounter = 0;
+		std::int64_t rejectionLimit = 0; ///< Rejections in a second that an endpoint survives.
+		Micros rejectionLimitUntil = 0;  ///< Time point until which the limit holds.
 	};
 
 	[[nodiscard]] EndpointState* find(const std::string& _endpoint);
-	[[nodiscard]] bool hasFreeSlot(const EndpointState& _endpoint) const;
+	[[nodiscard]] bool hasFreeSlot(const Pool& _pool, const EndpointState& _endpoint, Micros _now) const;
+	[[nodiscard]] std::int64_t quotaOf(const Endpoint& _endpoint) const;
+	void divideSlots(Pool& _pool);
 	[[nodiscard]] bool mayEject(const std::string& _pool, Micros _now) const;
 	void eject(EndpointState& _endpoint, Micros _now);
 	void rebuildPools();
 
 	DispatcherConfig config;
 	std::size_t nodeCount = 1;
+	std::string self;               ///< Address of this node.
+	std::vector<std::string> nodes; ///< Live nodes, including this one; sorted.
 	const PlacementPolicy* policy;
 	std::minstd_rand random;
 	std::unordered_map<std::string, std::unique_ptr<EndpointState>> endpoints;
--- a/src/forward_attempts.cpp
+++ b/src/forward_attempts.cpp
@@ -69,8 +69,15 @@
 	spec.detectDeadConnection = active->route.repeatable;
 	spec.maxIdleConnections = maxIdleConnections(active->plan->pool(active->pool), this->liveNodes);
 	CallHandlers handlers;
-	handlers.onHead = [active](unsigned _status, const HttpHeaders& _headers)
-	{ return active->answer.receiveHead(_status, _headers); };
+	handlers.onHead = [this, active](unsigned _status, const HttpHeaders& _headers)
+	{
+		const HeadVerdict verdict = active->answer.receiveHead(_status, _headers);
+		if (verdict == HeadVerdict::Accept)
+		{
+			this->noteRejectionLimit(active->pool, active->answer.head()->rejectionLimit);
+		}
+		return verdict;
+	};
 	if (active->route.streaming)
 	{
 		handlers.onData = [this, active, number = _attempt.attempt](const std::string& _bytes)
@@ -114,6 +121,20 @@
 	}
 }
 
+/// Records the rejection limit that an endpoint names, and tells it to the other nodes if it is new.
+void ForwardTraffic::noteRejectionLimit(const std::string& _pool, std::int64_t _perSecond)
+{
+	if (!this->dispatcher.recordRejectionLimit(_pool, _perSecond, monotonicNow()))
+	{
+		return;
+	}
+	logEvent("endpoint", "rejection_limit", {{"pool", _pool}, {"per_second", _perSecond}, {"from", ""}});
+	for (const BroadcastStep& step : planBroadcast(this->peers))
+	{
+		this->sendRejectionLimit(step.to, RejectionLimitNotice{_pool, _perSecond, step.forwardTo});
+	}
+}
+
 /// @returns Whether the endpoint ran on after it had begun its response to the attempt in progress.
 bool ForwardTraffic::hasRunOn(const ActiveRequest& _active, Micros _now)
 {
--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -78,11 +78,13 @@
 		const PeerMessage message = std::visit([](const auto& _typed) { return PeerMessage(_typed); }, _message);
 		this->link->send(_to, encode(message));
 	};
+	const auto sendRejectionLimit = [this](const std::string& _to, const RejectionLimitNotice& _notice)
+	{ this->link->send(_to, encode(PeerMessage(_notice))); };
 	const auto sendCall = [this](const std::string& _to, const CallMessage& _message)
 	{ this->link->send(_to, encode(PeerMessage(_message))); };
-	this->traffic =
-		std::make_unique<ForwardTraffic>(this->pool, this->client, *this->wire, this->metrics, forward,
-										 ForwardSends{sendTyped, sendTyped, sendTyped, sendTyped, sendCall});
+	this->traffic = std::make_unique<ForwardTraffic>(
+		this->pool, this->client, *this->wire, this->metrics, forward,
+		ForwardSends{sendTyped, sendTyped, sendTyped, sendTyped, sendCall, sendRejectionLimit});
 }
 
 void ForwardNode::makeControl(const Adapter& _adapter)
@@ -224,6 +226,7 @@
 			[&](const PartQuery& _typed) { this->traffic->receive(_peer, PartMessage(_typed)); },
 			[&](const PartAnswer& _typed) { this->traffic->receive(_peer, PartMessage(_typed)); },
 			[&](const PartVerdicts& _typed) { this->traffic->receive(_peer, PartMessage(_typed)); },
+			[&](const RejectionLimitNotice& _typed) { this->traffic->receive(_peer, _typed); },
 			[&](const CallMessage& _typed) { this->traffic->receive(_peer, _typed); },
 			[&](const auto&)
 			{ logWarning("peer", absl::StrCat(_peer, ": message type is not handled by a forwarding node")); },
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -70,8 +70,8 @@
 	  crashes(this->endpointCalls, _settings.crashes,
 			  CrashMonitorHandlers{_sends.crash, [this](const EndpointCrash& _crash, const std::string& _from)
 								   { this->onEndpointCrash(_crash, _from); }}),
-	  parts(_settings.self, _settings.parts), sendPart(_sends.part), origins(_settings.self, StreamOriginsConfig{}),
-	  sendOrigin(_sends.origin),
+	  parts(_settings.self, _settings.parts), sendPart(_sends.part), sendRejectionLimit(_sends.rejectionLimit),
+	  origins(_settings.self, StreamOriginsConfig{}), sendOrigin(_sends.origin),
 	  pieces(this->endpointCalls, _wire, crashes, PieceScheduler(_settings.self, _settings.pieces),
 			 PieceHandlers{[this](const PieceStarted& _started) { this->onPieceStarted(_started); },
 						   [this](const PieceCompleted& _completed) { this->onPieceCompleted(_completed); },
@@ -122,10 +122,11 @@
 					[this, _members, _batchingNodes]
 					{
 						this->liveNodes = std::max<std::size_t>(1, _members.size());
-						this->dispatcher.setNodeCount(_members.size());
+						this->dispatcher.setNodes(this->self, _members);
 						this->pieces.setMembers(_members, _batchingNodes);
 						std::vector<std::string> others = _members;
 						std::erase(others, this->self);
+						this->peers = others;
 						this->parts.setPeers(others);
 						this->crashes.setPeers(others);
 						this->perform(this->origins.setMembers(_members, monotonicNow()));
@@ -147,6 +148,25 @@
 	this->pool.post(0, [this, _from, _message] { this->endpointCalls.receive(_from, _message); });
 }
 
+void ForwardTraffic::receive(const std::string& _from, const RejectionLimitNotice& _notice)
+{
+	this->pool.post(0,
+					[this, _from, _notice]
+					{
+						RejectionLimitNotice copy = _notice;
+						copy.forwardTo.clear();
+						for (const std::string& next : _notice.forwardTo)
+						{
+							this->sendRejectionLimit(next, copy);
+						}
+						if (this->dispatcher.recordRejectionLimit(_notice.pool, _notice.perSecond, monotonicNow()))
+						{
+							logEvent("endpoint", "rejection_limit",
+									 {{"pool", _notice.pool}, {"per_second", _notice.perSecond}, {"from", _from}});
+						}
+					});
+}
+
 void ForwardTraffic::receive(const std::string& _from, const PieceMessage& _message)
 {
 	this->pool.post(0, [this, _from, _message] { this->pieces.receive(_from, _message); });
@@ -231,12 +251,13 @@
 	counters.attempts = this->attemptCount;
 	counters.retries = this->retryCount;
 	const Micros now = monotonicNow();
-	return absl::StrCat(this->metrics.toPrometheus(counters, this->activeCount), this->crashes.metricsText(),
-						this->endpointCalls.metricsText(),
-						"# TYPE roadferry_blocked_parts gauge\nroadferry_blocked_parts ", this->parts.blockedCount(),
-						"\n", "# TYPE roadferry_live_nodes gauge\nroadferry_live_nodes ", this->liveNodes, "\n",
-						ageGauge("roadferry_routes_age_seconds", this->freshness.routesAsOf, now),
-						ageGauge("roadferry_listing_age_seconds", this->freshness.listingAsOf, now));
+	return absl::StrCat(
+		this->metrics.toPrometheus(counters, this->activeCount), this->crashes.metricsText(),
+		this->endpointCalls.metricsText(), "# TYPE roadferry_limited_pools gauge\nroadferry_limited_pools ",
+		this->dispatcher.limitedPools(now), "\n", "# TYPE roadferry_blocked_parts gauge\nroadferry_blocked_parts ",
+		this->parts.blockedCount(), "\n", "# TYPE roadferry_live_nodes gauge\nroadferry_live_nodes ", this->liveNodes,
+		"\n", ageGauge("roadferry_routes_age_seconds", this->freshness.routesAsOf, now),
+		ageGauge("roadferry_listing_age_seconds", this->freshness.listingAsOf, now));
 }
 
 /// Returns the age of the routes in use, -1 while unknown.
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -41,6 +41,7 @@
 	std::function<void(const std::string& _to, const OriginMessage&)> origin;
 	std::function<void(const std::string& _to, const PartMessage&)> part;
 	CallMessageSender call;
+	std::function<void(const std::string& _to, const RejectionLimitNotice&)> rejectionLimit;
 };
 
 /// Limits the idle connections to an endpoint. An endpoint resets connections beyond a limit that all nodes share, and
@@ -81,6 +82,7 @@
 	void receive(const std::string& _from, const OriginMessage& _message);
 	void receive(const std::string& _from, const PartMessage& _message);
 	void receive(const std::string& _from, const CallMessage& _message);
+	void receive(const std::string& _from, const RejectionLimitNotice& _notice);
 	/// Sets how long a crash of an endpoint counts against the requests that ran on it, see CrashLedger::setMemory().
 	void setCrashMemory(Micros _memory);
 	void peerClosed(const std::string& _peer);
@@ -132,6 +134,7 @@
 	void cutOffAttempt(const ActiveRequestPtr& _active, std::uint64_t _attempt);
 	void concludeAttempt(const ActiveRequestPtr& _active, std::uint64_t _attempt, const AttemptEnd& _end);
 	void cancelAttempt(const CancelAttempt& _cancel);
+	void noteRejectionLimit(const std::string& _pool, std::int64_t _perSecond);
 	void refuseContent(const ActiveRequestPtr& _active);
 	void refusePart(const ActiveRequestPtr& _active, const BlockedPart& _part);
 	bool refuseIfBlocked(const ActiveRequestPtr& _active);
@@ -163,6 +166,8 @@
 	CrashMonitor crashes;
 	FatalPartDetector parts;
 	std::function<void(const std::string&, const PartMessage&)> sendPart;
+	std::function<void(const std::string&, const RejectionLimitNotice&)> sendRejectionLimit;
+	std::vector<std::string> peers; ///< Addresses of the other live nodes.
 	StreamOrigins origins;
 	std::function<void(const std::string&, const OriginMessage&)> sendOrigin;
 	/// Requests that continue a stream and wait for its origin, by lookup.
--- a/src/forward_types.h
+++ b/src/forward_types.h
@@ -71,7 +71,8 @@
 	bool hasSignature = false;   ///< Carries the endpoint's signature of the response.
 	bool contentEncoded = false; ///< The body has a Content-Encoding, so it is not what the endpoint produced.
 	std::optional<LoadReport> load;
-	HttpHeaders headers; ///< Headers to send to the client.
+	std::int64_t rejectionLimit = 0; ///< Requests that the endpoint may reject in a second without crashing; 0 for any.
+	HttpHeaders headers;             ///< Headers to send to the client.
 };
 
 } // namespace roadferry
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -154,6 +154,7 @@
 			[](const PartQuery&) {},
 			[](const PartAnswer&) {},
 			[](const PartVerdicts&) {},
+			[](const RejectionLimitNotice&) {},
 			[](const CallMessage&) {},
 		},
 		*message);
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -271,6 +271,14 @@
 	return QCborMap{{"type", "crash_report_request"}};
 }
 
+QCborMap toCbor(const RejectionLimitNotice& _message)
+{
+	return QCborMap{{"type", "rejection_limit"},
+					{"pool", toQString(_message.pool)},
+					{"per_second", static_cast<qint64>(_message.perSecond)},
+					{"forward_to", toCborArray(_message.forwardTo)}};
+}
+
 /// Reads the parts of each crash; nodes of earlier versions send none.
 void readParts(CborReader& _reader, std::vector<EndpointCrash>& _crashes)
 {
@@ -471,6 +479,10 @@
 	{
 		return readCrashReport(_reader);
 	}
+	if (_type == "rejection_limit")
+	{
+		return RejectionLimitNotice{_reader.text("pool"), _reader.integer("per_second"), _reader.texts("forward_to")};
+	}
 	if (_type == "crash_report_request")
 	{
 		return CrashReportRequest{};
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -108,11 +108,20 @@
 	bool operator==(const CrashReportRequest&) const = default;
 };
 
+/// Reports that the endpoints of a pool crash if one rejects more than some requests in a second.
+struct RejectionLimitNotice
+{
+	std::string pool;
+	std::int64_t perSecond = 0;
+	std::vector<std::string> forwardTo; ///< Nodes to which the receiver forwards the notice.
+	bool operator==(const RejectionLimitNotice&) const = default;
+};
+
 using PeerMessage =
 	std::variant<RelayRequest, RelayToken, RelayResult, TableRequest, TableResponse, LeavingNotice, ShutdownReport,
 				 Gossip, DemandReport, ShareGrant, RoutesRequest, RoutesResponse, FeedRequest, FeedResponse,
 				 PieceSubmit, PieceUpdate, PieceCancel, PieceFree, CrashReport, CrashReportRequest, OriginRecords,
-				 OriginQuery, OriginAnswer, PartQuery, PartAnswer, PartVerdicts, CallMessage>;
+				 OriginQuery, OriginAnswer, PartQuery, PartAnswer, PartVerdicts, RejectionLimitNotice, CallMessage>;
 
 /// @returns The message encoded as CBOR.
 std::string encode(const PeerMessage& _message);
--- a/tests/brittle_world.h
+++ b/tests/brittle_world.h
@@ -109,8 +109,8 @@
 		bool down = false;
 		std::int64_t running = 0;
 		std::deque<std::function<void()>> waiting;
-		std::deque<Micros> rejectedAt;                            ///< In the last second.
-		std::set<std::pair<std::size_t, std::uint64_t>> attempts; ///< Node and attempt of what runs or waits.
+		std::deque<Micros> rejectedAt;                                  ///< In the last second.
+		std::map<std::pair<std::size_t, std::uint64_t>, bool> attempts; ///< By node and attempt: whether it runs.
 	};
 
 	struct Event
@@ -210,6 +210,10 @@
 			{
 				this->at(this->now + kDelay, [this, _node, start = *start] { this->receive(_node, start); });
 			}
+			else if (const auto* cancel = std::get_if<CancelAttempt>(&action))
+			{
+				this->at(this->now + kDelay, [this, _node, attempt = cancel->attempt] { this->drop(_node, attempt); });
+			}
 			else if (const auto* finish = std::get_if<FinishRequest>(&action))
 			{
 				this->served += finish->outcome.verdict == Verdict::Answered ? 1 : 0;
@@ -234,12 +238,12 @@
 		{ this->runAttempt(_node, _start, index, instance, work); };
 		if (server.running < this->config.slots)
 		{
-			server.attempts.emplace(_node, _start.attempt);
+			server.attempts[{_node, _start.attempt}] = true;
 			run();
 		}
 		else if (server.waiting.size() < mayWait)
 		{
-			server.attempts.emplace(_node, _start.attempt);
+			server.attempts[{_node, _start.attempt}] = false;
 			server.waiting.push_back(run);
 		}
 		else
@@ -250,27 +254,56 @@
 
 	void runAttempt(std::size_t _node, const StartAttempt& _start, std::size_t _server, int _instance, Micros _work)
 	{
-		this->servers[_server].running += 1;
+		Server& started = this->servers[_server];
+		const auto found = started.attempts.find({_node, _start.attempt});
+		if (found == started.attempts.end())
+		{
+			startWaiting(started); // Dropped while it waited.
+			return;
+		}
+		found->second = true;
+		started.running += 1;
 		this->at(this->now + _work,
 				 [this, _node, _start, _server, _instance]
 				 {
 					 Server& server = this->servers[_server];
-					 if (server.instance != _instance || server.down)
+					 const bool isCurrent = server.instance == _instance && !server.down;
+					 if (!isCurrent || server.attempts.erase({_node, _start.attempt}) == 0)
 					 {
-						 return; // Ended meanwhile.
+						 return; // Ended or dropped meanwhile.
 					 }
 					 server.running -= 1;
-					 server.attempts.erase({_node, _start.attempt});
 					 this->reply(_node, _start, AttemptAnswered{}, &server);
-					 if (!server.waiting.empty())
-					 {
-						 const auto next = server.waiting.front();
-						 server.waiting.pop_front();
-						 next();
-					 }
+					 startWaiting(server);
 				 });
 	}
 
+	/// Ends a call whose connection the node has closed.
+	void drop(std::size_t _node, std::uint64_t _attempt)
+	{
+		for (Server& server : this->servers)
+		{
+			const auto found = server.attempts.find({_node, _attempt});
+			const bool isRunning = found != server.attempts.end() && found->second;
+			server.attempts.erase({_node, _attempt});
+			if (isRunning)
+			{
+				server.running -= 1;
+				startWaiting(server);
+			}
+		}
+	}
+
+	static void startWaiting(Server& _server)
+	{
+		if (!_server.waiting.empty())
+		{
+			const auto next = _server.waiting.front();
+			_server.waiting.pop_front();
+			next();
+		}
+	}
+
 	void reject(std::size_t _node, const StartAttempt& _start, std::size_t _server)
 	{
 		Server& server = this->servers[_server];
@@ -297,10 +330,10 @@
 		server.down = true;
 		server.running = 0;
 		server.waiting.clear();
-		for (const auto& [node, attempt] : server.attempts)
+		for (const auto& entry : server.attempts)
 		{
 			this->at(this->now + kDelay,
-					 [this, node = node, attempt = attempt] {
+					 [this, node = entry.first.first, attempt = entry.first.second] {
 						 this->perform(node, this->nodes[node]->attemptEnded(attempt, AttemptInterrupted{}, this->now));
 					 });
 		}
@@ -320,10 +353,10 @@
 	void restart(std::size_t _server)
 	{
 		Server& server = this->servers[_server];
-		for (const auto& [node, attempt] : server.attempts)
+		for (const auto& entry : server.attempts)
 		{
 			this->at(this->now + kDelay,
-					 [this, node = node, attempt = attempt] {
+					 [this, node = entry.first.first, attempt = entry.first.second] {
 						 this->perform(node, this->nodes[node]->attemptEnded(attempt, AttemptInterrupted{}, this->now));
 					 });
 		}
--- a/tests/test_messages.cpp
+++ b/tests/test_messages.cpp
@@ -80,6 +80,7 @@
 		OriginAnswer{3, StreamOrigin{"pool", "v1.1"}, {"v1", "v1.1"}},
 		OriginAnswer{3, std::nullopt, {}},
 		CallMessage(RelayedCallStart{9, "abc", "e-1", 900'000, true, "POST", "/a?b=\xff", {{"X-A", "\xfe"}}, 3}),
+		RejectionLimitNotice{"pool", 3, {"10.0.0.4:8500"}},
 		CallMessage(RelayedCallBody{9, std::string("\0{\xff", 3)}),
 		CallMessage(RelayedCallCancel{9}),
 		CallMessage(RelayedCallConnected{9}),
