--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -18,6 +18,7 @@
 #include <future>
 #include <mutex>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -121,6 +122,7 @@
 		spec.timeout = this->timeout;
 		spec.restartTimeoutOnData = this->restartTimeoutOnData;
 		spec.maxIdleConnections = this->maxIdleConnections;
+		spec.detectDeadConnection = this->detectDeadConnection;
 		spec.request.method = _body.empty() ? "GET" : "POST";
 		spec.request.body = _body;
 		this->pool.post(0,
@@ -144,6 +146,7 @@
 	std::size_t maxIdleConnections = CallSpec{}.maxIdleConnections;
 	std::int64_t timeout = kTimeout; ///< Microseconds.
 	bool restartTimeoutOnData = false;
+	bool detectDeadConnection = false;
 	std::chrono::milliseconds pauseAfterSending{0}; ///< How long the client's thread is blocked.
 
 private:
@@ -472,3 +475,78 @@
 					   RC_ASSERT(splitter.hasPartialEvent() == !part.empty());
 				   });
 }
+
+namespace
+{
+
+/// Options of the client's end of a connection within this process.
+struct DeadConnectionOptions
+{
+	int keepalive = -1;
+	int userTimeoutMs = -1;
+	int silenceMs = -1; ///< Longest silence by the keepalive probes alone.
+};
+
+/// @param[in] _accepted The server's end of the connection.
+DeadConnectionOptions optionsOfPeer(int _accepted)
+{
+	constexpr int kMaxDescriptors = 1'024;
+	sockaddr_in peer{};
+	socklen_t peerSize = sizeof(peer);
+	getpeername(_accepted, reinterpret_cast<sockaddr*>(&peer), &peerSize);
+	for (int descriptor = 0; descriptor < kMaxDescriptors; ++descriptor)
+	{
+		sockaddr_in name{};
+		socklen_t size = sizeof(name);
+		const bool isSocket = getsockname(descriptor, reinterpret_cast<sockaddr*>(&name), &size) == 0;
+		if (!isSocket || name.sin_family != AF_INET || name.sin_port != peer.sin_port)
+		{
+			continue;
+		}
+		const auto read = [descriptor](int _level, int _option)
+		{
+			int value = -1;
+			socklen_t length = sizeof(value);
+			getsockopt(descriptor, _level, _option, &value, &length);
+			return value;
+		};
+		const int seconds =
+			read(IPPROTO_TCP, TCP_KEEPIDLE) + read(IPPROTO_TCP, TCP_KEEPINTVL) * read(IPPROTO_TCP, TCP_KEEPCNT);
+		return {read(SOL_SOCKET, SO_KEEPALIVE), read(IPPROTO_TCP, TCP_USER_TIMEOUT), seconds * 1'000};
+	}
+	return {};
+}
+
+} // namespace
+
+/// Guards against an endpoint that falls silent for a second losing its connections: a user timeout decides when
+/// keepalive probes give up, whatever their count. A call that may run only once keeps its connection in any case, also
+/// one that another call has used before.
+Test(http, silence_of_a_second_ends_no_connection_and_longer_ones_only_repeatable_calls)
+{
+	constexpr int kLongestSilenceMs = 1'500; ///< Of an endpoint that goes on.
+	constexpr int kContactMs = 3'000;        ///< By then a dead connection must be found.
+	std::vector<DeadConnectionOptions> seen;
+	ScriptServer server(
+		[&](int _socket)
+		{
+			for (int request = 0; request < 2; ++request)
+			{
+				ScriptServer::readHead(_socket);
+				seen.push_back(optionsOfPeer(_socket));
+				ScriptServer::sendText(_socket, makeResponse("1", "a"));
+			}
+		});
+	BlockingClient client;
+	client.detectDeadConnection = true;
+	cr_assert_eq(client.call(server.address).status, 200);
+	client.detectDeadConnection = false;
+	cr_assert_eq(client.call(server.address).status, 200);
+	cr_assert_eq(seen.size(), 2);
+	cr_assert_eq(seen[0].keepalive, 1);
+	cr_assert_gt(seen[0].userTimeoutMs, kLongestSilenceMs);
+	cr_assert_leq(seen[0].userTimeoutMs, kContactMs);
+	cr_assert_gt(seen[0].silenceMs, kLongestSilenceMs);
+	cr_assert_eq(seen[1].keepalive, 0);
+	cr_assert_eq(seen[1].userTimeoutMs, 0);
+}
