--- a/src/endpoint_calls.cpp
+++ b/src/endpoint_calls.cpp
@@ -192,16 +192,13 @@
 	bool done = false;
 };
 
-EndpointCalls::EndpointCalls(IoPool& _pool, HttpClient& _client, CallMessageSender _send)
+EndpointCalls::EndpointCalls(IoPool& _pool, HttpClient& _client, const CallMessageSender& _send)
 	: pool(_pool), client(_client), reach(ReachabilityConfig{}),
 	  relayed(randomNumber() >> 2, _send), // Leaves room to count up within a signed CBOR integer.
 	  server(_client,
 			 RelayedCallContext{_send,
 								[this](const std::string& _endpoint) -> std::optional<std::string>
-								{
-									const auto found = this->addresses.find(_endpoint);
-									return found == this->addresses.end() ? std::nullopt : std::optional(found->second);
-								},
+								{ return this->addressForOthers(_endpoint); },
 								[this](const std::string& _endpoint) { return this->reach.isPathLost(_endpoint); },
 								[this](const std::string& _endpoint) { this->onConnected(_endpoint); }}),
 	  prober(_client,
@@ -214,6 +211,15 @@
 {
 }
 
+/// Returns the address of an endpoint to which a call for another node may go: one that leaves gets none, even if the
+/// other node does not know yet that it leaves.
+std::optional<std::string> EndpointCalls::addressForOthers(const std::string& _endpoint) const
+{
+	const auto found = this->addresses.find(_endpoint);
+	const bool isUsable = found != this->addresses.end() && this->leaving.count(_endpoint) == 0;
+	return isUsable ? std::optional(found->second) : std::nullopt;
+}
+
 std::shared_ptr<HttpCall> EndpointCalls::call(EndpointCall _call, CallHandlers _handlers)
 {
 	auto routed = std::make_shared<RoutedCall>(*this, std::move(_call), std::move(_handlers));
@@ -232,17 +238,22 @@
 	this->call(EndpointCall{std::move(_spec), listed->second, {}}, CallHandlers{});
 }
 
-void EndpointCalls::probe(const std::string& _endpoint, const std::string& _address, ProbeHandler _done)
+void EndpointCalls::probe(const std::string& _endpoint, const std::string& _address, const ProbeHandler& _done)
 {
-	this->prober.probe(_endpoint, _address, std::move(_done));
+	this->prober.probe(_endpoint, _address, _done);
 }
 
 void EndpointCalls::setEndpoints(const std::vector<Endpoint>& _endpoints)
 {
 	this->addresses.clear();
 	this->idByAddress.clear();
+	this->leaving.clear();
 	for (const Endpoint& endpoint : _endpoints)
 	{
+		if (endpoint.leaving)
+		{
+			this->leaving.insert(endpoint.id);
+		}
 		this->addresses[endpoint.id] = endpoint.address;
 		this->idByAddress[endpoint.address] = endpoint.id;
 	}
@@ -314,6 +325,11 @@
 	}
 }
 
+std::size_t EndpointCalls::callsForOthers() const
+{
+	return this->server.callsInProgress();
+}
+
 std::string EndpointCalls::metricsText() const
 {
 	return absl::StrCat("# TYPE roadferry_lost_paths gauge\nroadferry_lost_paths ", this->reach.lostPaths(),
--- a/src/endpoint_calls.h
+++ b/src/endpoint_calls.h
@@ -21,7 +21,7 @@
 class EndpointCalls
 {
 public:
-	EndpointCalls(IoPool& _pool, HttpClient& _client, CallMessageSender _send);
+	EndpointCalls(IoPool& _pool, HttpClient& _client, const CallMessageSender& _send);
 
 	/// Starts a call. CallHandlers::onConnected is not called.
 	std::shared_ptr<HttpCall> call(EndpointCall _call, CallHandlers _handlers);
@@ -30,7 +30,7 @@
 	void callAndForget(CallSpec _spec);
 
 	/// Probes whether an endpoint's process listens, see EndpointProber.
-	void probe(const std::string& _endpoint, const std::string& _address, ProbeHandler _done);
+	void probe(const std::string& _endpoint, const std::string& _address, const ProbeHandler& _done);
 
 	void setEndpoints(const std::vector<Endpoint>& _endpoints);
 	void setRelays(const std::vector<RelayNode>& _nodes);
@@ -38,12 +38,16 @@
 	void peerClosed(const std::string& _peer);
 	void tick(Micros _now);
 
+	/// @returns Number of calls in progress that this node makes for others.
+	[[nodiscard]] std::size_t callsForOthers() const;
+
 	/// @returns Metrics in the Prometheus text format.
 	[[nodiscard]] std::string metricsText() const;
 
 private:
 	class RoutedCall;
 
+	[[nodiscard]] std::optional<std::string> addressForOthers(const std::string& _endpoint) const;
 	void probeLostPaths(Micros _now);
 	void onConnected(const std::string& _endpoint);
 	void onReachedThrough(const std::string& _endpoint, const std::string& _node);
@@ -54,6 +58,7 @@
 	Reachability reach;
 	std::map<std::string, std::string> addresses;   ///< Of the listed endpoints, by id.
 	std::map<std::string, std::string> idByAddress; ///< Of the listed endpoints.
+	std::set<std::string> leaving;                  ///< Ids of listed endpoints that leave.
 	RelayedCalls relayed;
 	RelayedCallServer server;
 	EndpointProber prober;
--- a/src/endpoint_prober.cpp
+++ b/src/endpoint_prober.cpp
@@ -26,7 +26,7 @@
 {
 }
 
-void EndpointProber::probe(const std::string& _endpoint, const std::string& _address, ProbeHandler _done)
+void EndpointProber::probe(const std::string& _endpoint, const std::string& _address, const ProbeHandler& _done)
 {
 	if (this->context.isPathLost(_endpoint))
 	{
--- a/src/endpoint_prober.h
+++ b/src/endpoint_prober.h
@@ -42,7 +42,7 @@
 	EndpointProber(HttpClient& _client, EndpointProberContext _context);
 
 	/// @param[in] _done Receives Refused only if no node that was asked reaches the endpoint.
-	void probe(const std::string& _endpoint, const std::string& _address, ProbeHandler _done);
+	void probe(const std::string& _endpoint, const std::string& _address, const ProbeHandler& _done);
 
 	void receive(const std::string& _from, const EndpointProbeAnswer& _answer);
 
--- a/src/forward_control.cpp
+++ b/src/forward_control.cpp
@@ -199,10 +199,10 @@
 }
 
 /// Tells ForwardTraffic which other nodes make calls for this one.
-void ForwardControl::publishRelays()
+void ForwardControl::publishRelays(const std::vector<Member>& _alive)
 {
 	std::vector<RelayNode> nodes;
-	for (const Member& member : this->membership.aliveMembers())
+	for (const Member& member : _alive)
 	{
 		if (member.relaysCalls && member.address != this->settings.self)
 		{
@@ -218,9 +218,10 @@
 
 void ForwardControl::publishMembers()
 {
-	this->publishRelays();
+	const std::vector<Member> aliveMembers = this->membership.aliveMembers();
+	this->publishRelays(aliveMembers);
 	const std::vector<std::string> alive = this->membership.alive();
-	const std::vector<std::string> batchingNodes = roadferry::batchingNodes(this->membership.aliveMembers());
+	const std::vector<std::string> batchingNodes = roadferry::batchingNodes(aliveMembers);
 	if (alive == this->members && batchingNodes == this->batchingNodes)
 	{
 		return;
--- a/src/forward_control.h
+++ b/src/forward_control.h
@@ -66,7 +66,7 @@
 	void applyPlan(const RoutesUpdate& _read, const std::string& _source);
 	void publishEndpoints();
 	void publishMembers();
-	void publishRelays();
+	void publishRelays(const std::vector<Member>& _alive);
 	void publishFreshness();
 	void logLateTick(Micros _now);
 	void tick();
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -242,7 +242,7 @@
 
 std::size_t ForwardTraffic::inFlight() const
 {
-	return this->activeCount;
+	return this->activeCount + this->callsForOthers;
 }
 
 std::string ForwardTraffic::metricsText() const
@@ -573,6 +573,7 @@
 	const Micros now = monotonicNow();
 	this->logLateTick(now);
 	this->endpointCalls.tick(now);
+	this->callsForOthers = this->endpointCalls.callsForOthers();
 	this->crashes.tick(now);
 	this->perform(this->parts.tick(now));
 	this->perform(this->origins.tick(now));
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -189,6 +189,7 @@
 	std::uint64_t lastRequest = 0;
 	std::uint64_t lastOrder = 0;
 	std::atomic<std::size_t> activeCount{0};
+	std::atomic<std::size_t> callsForOthers{0}; ///< Calls in progress for other nodes, at the last tick.
 	std::atomic<std::uint64_t> attemptCount{0};
 	std::atomic<std::uint64_t> retryCount{0};
 };
--- a/src/relayed_call_server.cpp
+++ b/src/relayed_call_server.cpp
@@ -21,7 +21,6 @@
 constexpr Micros kConnectTimeout = 300 * kMillisecond; ///< Below that of the node that asked.
 constexpr Micros kProbeTimeout = 80 * kMillisecond;    ///< Below that of the node that asked.
 constexpr std::size_t kMaxCalls = 1'000;               ///< Calls in progress for other nodes.
-constexpr std::size_t kMaxBodyBytes = 64 * 1024 * 1024;
 
 } // namespace
 
@@ -43,7 +42,7 @@
 		this->refuse(key, true, "this node has lost its path to the endpoint too");
 		return;
 	}
-	if (this->calls.size() > kMaxCalls || _message.bodyBytes > kMaxBodyBytes)
+	if (this->calls.size() > kMaxCalls)
 	{
 		this->refuse(key, true, "this node makes too many calls for others");
 		return;
