--- a/tools/bench_capacity.cpp
+++ b/tools/bench_capacity.cpp
@@ -312,6 +312,59 @@
 	_report.printInfo("fatal_part.request_of_three_parts", cost.nanoseconds, "ns");
 }
 
+/// Measures what a streamed call costs that another node makes.
+void reportRelayedCalls(BenchReport& _report)
+{
+	constexpr std::uint64_t kCall = 0x1234'5678'9abcU;
+	const std::string event(120, 'x');
+	const RelayedCallData data{kCall, 70'000, event};
+	RelayedCallStart start{
+		kCall, "9c41d07be2a35f68", "i-7f3a91c2@1800000000000", 20 * kSecond, false, "POST", "/puxa400/2f", {}, 0};
+	for (int header = 0; header < 8; ++header)
+	{
+		start.headers.emplace_back("X-Header-" + std::to_string(header), std::string(30, 'v'));
+	}
+	const std::size_t startBytes = encode(CallMessage(start)).size();
+	const std::size_t eventBytes = encode(CallMessage(data)).size();
+	const Cost codec = measureCost(20'000, [&](std::size_t) { (void)decode(encode(CallMessage(data))); });
+	_report.printInfo("relayed_call.bytes_of_start", static_cast<double>(startBytes), "B");
+	_report.printInfo("relayed_call.bytes_over_event", static_cast<double>(eventBytes - event.size()), "B");
+	_report.printInfo("relayed_call.encode_and_decode_event", codec.nanoseconds, "ns");
+}
+
+/// Measures the choice of the node that makes a call for another.
+void reportRelayChoice(BenchReport& _report, std::size_t _nodes)
+{
+	Reachability reach{ReachabilityConfig{}};
+	std::vector<RelayNode> relays;
+	for (const std::string& node : makeNodes(_nodes - 1))
+	{
+		relays.push_back(RelayNode{node, 25});
+	}
+	reach.setRelays(relays);
+	const Cost choice = measureCost(2'000, [&](std::size_t) { (void)reach.chooseRelay({}, kSecond); });
+	_report.printInfo("relayed_call.choose_node." + std::to_string(_nodes), choice.nanoseconds, "ns");
+}
+
+/// Measures the division of the slots of a pool with a rejection limit, which each change of members repeats.
+void reportRejectionLimit(BenchReport& _report, std::size_t _nodes)
+{
+	constexpr std::size_t kEndpoints = 256;
+	std::vector<Endpoint> endpoints;
+	for (std::size_t index = 0; index < kEndpoints; ++index)
+	{
+		endpoints.push_back(Endpoint{"e-" + std::to_string(index), "10.1.0.1:8000", "engines", "north", 64});
+	}
+	const std::vector<std::string> nodes = makeNodes(_nodes);
+	Dispatcher dispatcher(DispatcherConfig{});
+	dispatcher.setEndpoints(endpoints);
+	dispatcher.setNodes(nodes.front(), nodes);
+	dispatcher.recordRejectionLimit("engines", 3, kSecond);
+	const Cost cost = measureCost(20, [&](std::size_t) { dispatcher.setNodes(nodes.front(), nodes); });
+	_report.printInfo("rejection_limit.divide_256_endpoints." + std::to_string(_nodes), cost.nanoseconds / 1'000.0,
+					  "us");
+}
+
 } // namespace
 
 void reportCapacity(BenchReport& _report)
@@ -323,11 +376,14 @@
 		reportDispatcher(_report, endpoints);
 	}
 	reportMemberCost(_report);
+	reportRelayedCalls(_report);
 	for (const std::size_t nodes : {std::size_t{6}, std::size_t{87}, std::size_t{520}})
 	{
 		reportStreamOrigins(_report, nodes);
 		reportCrashes(_report, nodes);
 		reportFatalParts(_report, nodes);
+		reportRelayChoice(_report, nodes);
+		reportRejectionLimit(_report, nodes);
 	}
 }
 
