--- a/src/endpoint_registry.cpp
+++ b/src/endpoint_registry.cpp
@@ -232,7 +232,6 @@
 
 void EndpointRegistry::divideSlots(Pool& _pool)
 {
-
 	std::int64_t total = 0;
 	for (EndpointState* member : _pool.members)
 	{
--- a/src/reachability.cpp
+++ b/src/reachability.cpp
@@ -154,6 +154,10 @@
 		relay->second.notReached.clear();
 	}
 	this->unreachable.erase(_endpoint);
+	if (this->endpointIds.count(_endpoint) == 0)
+	{
+		return ReachChange::None; // No longer listed, so it gets neither calls nor probes.
+	}
 	const bool isNew = this->lostSince.emplace(_endpoint, _now).second;
 	if (!isNew || this->cutOff)
 	{
@@ -185,7 +189,10 @@
 
 void Reachability::recordUnreachable(const std::string& _endpoint)
 {
-	this->unreachable.insert(_endpoint);
+	if (this->endpointIds.count(_endpoint) > 0)
+	{
+		this->unreachable.insert(_endpoint);
+	}
 }
 
 void Reachability::recordRelayLost(const std::string& _node, Micros _now)
--- a/tests/test_reachability.cpp
+++ b/tests/test_reachability.cpp
@@ -206,6 +206,16 @@
 	cr_assert(!reach.chooseRelay({}, kStart).has_value());
 }
 
+/// Guards against a call that ends after its endpoint was unlisted leaving a probe without an address behind.
+Test(reachability, endpoint_that_is_not_listed_any_more_is_not_probed)
+{
+	Reachability reach = makeReach(2, 1);
+	reach.setEndpoints({Endpoint{"e-1", "10.0.0.9:2", "pool", "north"}});
+	cr_assert(reach.recordReachedThrough("e-0", "10.0.0.1:8500", kStart) == ReachChange::None);
+	reach.recordUnreachable("e-0");
+	cr_assert(reach.tick(kStart + kSecond).empty());
+}
+
 /// Whatever happens: calls go only to known nodes that may be asked, and one connection leaves no path lost.
 Test(reachability, any_history_keeps_the_invariants)
 {
