Review case 2: parts of answers pass as whole when an engine crashes

When an engine crashes while several nodes get answers without a length from it, the crash report of one node makes the others drop their own finding, and they deliver the first half of an answer as a whole 200: rule MIXED.

--- a/review/common/world.h
+++ b/review/common/world.h
@@ -362,34 +362,56 @@
 		std::thread([this] { this->accept(); }).detach();
 	}
 
+	/// Ends the server as the end of its process does: it closes its port and all connections. The object must stay.
+	void end()
+	{
+		const std::lock_guard<std::mutex> guard(this->lock);
+		this->hasEnded = true;
+		::shutdown(this->listener, SHUT_RDWR);
+		for (const int socket : this->sockets)
+		{
+			::shutdown(socket, SHUT_RDWR);
+		}
+	}
+
 	int port = 0;
 
 private:
 	void accept()
 	{
-		while (true)
+		while (!this->hasEnded)
 		{
 			const int socket = ::accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
-			if (socket < 0)
+			if (socket >= 0)
 			{
-				continue;
+				std::thread([this, socket] { this->serve(socket); }).detach();
 			}
-			std::thread(
-				[this, socket]
-				{
-					Connection connection(socket);
-					while (const std::optional<Message> request = connection.read(false))
-					{
-						if (!request->complete || !this->handler(connection, *request))
-						{
-							return;
-						}
-					}
-				})
-				.detach();
 		}
+		::close(this->listener);
+	}
+
+	void serve(int _socket)
+	{
+		{
+			const std::lock_guard<std::mutex> guard(this->lock);
+			this->sockets.insert(_socket);
+		}
+		Connection connection(_socket);
+		bool isOpen = true;
+		while (isOpen)
+		{
+			const std::optional<Message> request = connection.read(false);
+			isOpen = request && request->complete && this->handler(connection, *request);
+		}
+		const std::lock_guard<std::mutex> guard(this->lock);
+		this->sockets.erase(_socket);
+		connection.close();
 	}
 
+	std::mutex lock;
+	std::set<int> sockets; ///< Of the open connections.
+	std::atomic<bool> hasEnded{false};
+
 	Handler handler;
 	int listener;
 };
