--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -496,7 +496,8 @@
 
 	PieceActions receive(const std::string& _from, const PieceMessage& _message, Micros _now);
 
-	/// The connection to a node was closed.
+	/// The connection to a node was closed: neither its pieces here nor those of this node there are of use any more.
+	/// It submits its pieces again if its process is still the same.
 	PieceActions peerClosed(const std::string& _peer, Micros _now);
 
 	PieceActions batchEnded(std::uint64_t _batch, const BatchEnd& _end, Micros _now);
@@ -535,6 +536,8 @@
 	[[nodiscard]] PoolForecast forecastOf(const std::string& _pool, Micros _now) const;
 	[[nodiscard]] Micros waitOf(const PieceSubmit& _submit, Micros _now) const;
 	void onCancel(const std::string& _from, const PieceCancel& _cancel);
+	void dropOrdersOf(const std::string& _peer);
+	void dropLocal(std::uint64_t _localId);
 	void freeLocally(const std::vector<std::string>& _handles, PieceActions& _actions);
 	void reassignFrom(const std::string& _peer, Micros _now, PieceActions& _actions);
 	void detectSilentPeers(Micros _now, PieceActions& _actions);
--- a/include/roadferry/parts/stream_origins.h
+++ b/include/roadferry/parts/stream_origins.h
@@ -107,6 +107,8 @@
 	Micros restartDelay =
 		1'500 * kMillisecond;        ///< After a connection is lost, until records are given to a holder again.
 	std::size_t maxRecords = 20'000; ///< Records kept; the oldest go first.
+	/// Start of the numbers of the lookups; differs from those of earlier processes of this node.
+	std::uint64_t firstLookup = 0;
 	bool operator==(const StreamOriginsConfig&) const = default;
 };
 
@@ -189,7 +191,7 @@
 	std::set<std::pair<Micros, std::string>> expiries; ///< Of the entries, soonest first.
 	std::map<std::uint64_t, Lookup> lookups;           ///< In progress, by id.
 	std::map<std::string, Micros> resendAt;            ///< When own records are given to a node again.
-	std::uint64_t lastLookup = 0;
+	std::uint64_t lastLookup;
 	Micros observedSince = 0; ///< Time point of the first listing, 0 before it.
 };
 
--- a/src/call_messages.cpp
+++ b/src/call_messages.cpp
@@ -8,6 +8,8 @@
 
 #include "call_messages.h"
 
+#include <roadferry/roadferry.h>
+
 namespace roadferry
 {
 
@@ -165,6 +167,15 @@
 
 } // namespace
 
+bool isAnswer(const CallMessage& _message)
+{
+	return std::visit(Overloaded{[](const RelayedCallStart&) { return false; },
+								 [](const RelayedCallBody&) { return false; },
+								 [](const RelayedCallCancel&) { return false; },
+								 [](const EndpointProbeRequest&) { return false; }, [](const auto&) { return true; }},
+					  _message);
+}
+
 QCborMap toCbor(const CallMessage& _message)
 {
 	return std::visit([](const auto& _typed) { return toCbor(_typed); }, _message);
--- a/src/call_messages.h
+++ b/src/call_messages.h
@@ -110,6 +110,9 @@
 /// Sends a message to a node.
 using CallMessageSender = std::function<void(const std::string& _to, const CallMessage&)>;
 
+/// @returns Whether a message answers one of another node.
+bool isAnswer(const CallMessage& _message);
+
 QCborMap toCbor(const CallMessage& _message);
 
 /// Reads a message. Errors are recorded in the reader.
--- a/src/endpoint_calls.cpp
+++ b/src/endpoint_calls.cpp
@@ -192,16 +192,16 @@
 	bool done = false;
 };
 
-EndpointCalls::EndpointCalls(IoPool& _pool, HttpClient& _client, const CallMessageSender& _send)
-	: pool(_pool), client(_client), reach(ReachabilityConfig{}),
-	  relayed(randomNumber() >> 2, _send), // Leaves room to count up within a signed CBOR integer.
+EndpointCalls::EndpointCalls(IoPool& _pool, HttpClient& _client, std::uint64_t _firstNumber,
+							 const CallMessageSender& _send)
+	: pool(_pool), client(_client), reach(ReachabilityConfig{}), relayed(_firstNumber, _send),
 	  server(_client,
 			 RelayedCallContext{_send,
 								[this](const std::string& _endpoint) -> std::optional<std::string>
 								{ return this->addressForOthers(_endpoint); },
 								[this](const std::string& _endpoint) { return this->reach.isPathLost(_endpoint); },
 								[this](const std::string& _endpoint) { this->onConnected(_endpoint); }}),
-	  prober(_client,
+	  prober(_client, _firstNumber,
 			 EndpointProberContext{_send, [this] { return this->reach.witnesses(kWitnesses, monotonicNow()); },
 								   [this](const std::string& _endpoint) { return this->reach.isPathLost(_endpoint); },
 								   [this] { return this->reach.lostPaths() > 0 || this->reach.isCutOff(); },
--- a/src/endpoint_calls.h
+++ b/src/endpoint_calls.h
@@ -21,7 +21,9 @@
 class EndpointCalls
 {
 public:
-	EndpointCalls(IoPool& _pool, HttpClient& _client, const CallMessageSender& _send);
+	/// @param[in] _firstNumber Start of the numbers of relayed calls and probes; differs from those of earlier
+	/// processes at this address.
+	EndpointCalls(IoPool& _pool, HttpClient& _client, std::uint64_t _firstNumber, const CallMessageSender& _send);
 
 	/// Starts a call. CallHandlers::onConnected is not called.
 	std::shared_ptr<HttpCall> call(EndpointCall _call, CallHandlers _handlers);
--- a/src/endpoint_prober.cpp
+++ b/src/endpoint_prober.cpp
@@ -21,8 +21,8 @@
 
 } // namespace
 
-EndpointProber::EndpointProber(HttpClient& _client, EndpointProberContext _context)
-	: client(_client), context(std::move(_context))
+EndpointProber::EndpointProber(HttpClient& _client, std::uint64_t _firstNumber, EndpointProberContext _context)
+	: client(_client), context(std::move(_context)), lastProbe(_firstNumber)
 {
 }
 
--- a/src/endpoint_prober.h
+++ b/src/endpoint_prober.h
@@ -39,7 +39,8 @@
 class EndpointProber
 {
 public:
-	EndpointProber(HttpClient& _client, EndpointProberContext _context);
+	/// @param[in] _firstNumber Start of the numbers of the probes.
+	EndpointProber(HttpClient& _client, std::uint64_t _firstNumber, EndpointProberContext _context);
 
 	/// @param[in] _done Receives Refused only if no node that was asked reaches the endpoint.
 	void probe(const std::string& _endpoint, const std::string& _address, const ProbeHandler& _done);
@@ -69,7 +70,7 @@
 	HttpClient& client;
 	EndpointProberContext context;
 	std::map<std::uint64_t, Round> rounds; ///< By number of the probe; the earliest deadline first.
-	std::uint64_t lastProbe = 0;
+	std::uint64_t lastProbe;
 };
 
 } // namespace roadferry
--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -37,7 +37,7 @@
 } // namespace
 
 ForwardNode::ForwardNode(Settings _settings)
-	: settings(std::move(_settings)), pool(1), client(pool), settingsText(settings.fileText)
+	: settings(std::move(_settings)), pool(1), client(pool), process(randomNumber()), settingsText(settings.fileText)
 {
 }
 
@@ -53,10 +53,15 @@
 absl::Status ForwardNode::listenForPeers()
 {
 	PeerHandlers handlers;
-	handlers.onMessage = [this](const std::string& _peer, const std::string& _bytes)
-	{ this->onPeerMessage(_peer, _bytes); };
-	handlers.onClosed = [this](const std::string& _peer) { this->traffic->peerClosed(_peer); };
-	this->link = std::make_unique<PeerLink>(this->pool, this->settings.peerSecret, handlers);
+	handlers.onMessage = [this](const PeerProcess& _from, const std::string& _bytes)
+	{ this->onPeerMessage(_from, _bytes); };
+	handlers.onClosed = [this](const std::string& _peer) { this->onPeerClosed(_peer); };
+	handlers.onConnected = [](const PeerProcess& _peer) {
+		logEvent("peer", "connected", {{"node", _peer.address}, {"process", _peer.number}});
+	};
+	this->link = std::make_unique<PeerLink>(this->pool, this->settings.peerSecret, this->process, handlers);
+	this->trafficSender = std::make_unique<PeerSender>(*this->link);
+	this->controlSender = std::make_unique<PeerSender>(*this->link);
 	const std::string fault =
 		this->link->listen(this->settings.ip, this->settings.peerPort, this->settings.peerAnnounce);
 	return fault.empty() ? absl::OkStatus() : absl::UnavailableError(fault);
@@ -66,6 +71,7 @@
 {
 	ForwardSettings forward;
 	forward.self = this->link->self();
+	forward.firstNumber = randomNumber() >> 2; // Leaves room to count up within a signed CBOR integer.
 	forward.dispatcher = this->settings.dispatcher;
 	forward.dispatcher.seed = randomNumber();
 	forward.pieces.sharedBatches = this->settings.sharedBatches;
@@ -76,12 +82,12 @@
 	const auto sendTyped = [this](const std::string& _to, const auto& _message)
 	{
 		const PeerMessage message = std::visit([](const auto& _typed) { return PeerMessage(_typed); }, _message);
-		this->link->send(_to, encode(message));
+		this->trafficSender->send(_to, message);
 	};
 	const auto sendRejectionLimit = [this](const std::string& _to, const RejectionLimitNotice& _notice)
-	{ this->link->send(_to, encode(PeerMessage(_notice))); };
+	{ this->trafficSender->send(_to, _notice); };
 	const auto sendCall = [this](const std::string& _to, const CallMessage& _message)
-	{ this->link->send(_to, encode(PeerMessage(_message))); };
+	{ this->trafficSender->send(_to, _message); };
 	this->traffic = std::make_unique<ForwardTraffic>(
 		this->pool, this->client, *this->wire, this->metrics, forward,
 		ForwardSends{sendTyped, sendTyped, sendTyped, sendTyped, sendCall, sendRejectionLimit});
@@ -98,7 +104,7 @@
 	control.retrySlack = this->settings.retrySlack;
 	this->control = std::make_unique<ForwardControl>(
 		*this->feed, *this->traffic, std::move(control),
-		[this](const std::string& _peer, const PeerMessage& _message) { this->link->send(_peer, encode(_message)); },
+		[this](const std::string& _peer, const PeerMessage& _message) { this->controlSender->send(_peer, _message); },
 		[this](const RoutePlan& _plan) { this->applyLimits(_plan); });
 }
 
@@ -144,6 +150,7 @@
 	logEvent("node", "started",
 			 {{"clients", this->callerAddress()},
 			  {"peers", this->peerAddress()},
+			  {"process", this->process},
 			  {"readiness", absl::StrCat(this->settings.ip, ":", this->readinessServer->port())},
 			  {"failure_domain", this->settings.failureDomain},
 			  {"feed", this->settings.feedAddress}});
@@ -192,44 +199,70 @@
 	_reply->send(std::move(response));
 }
 
-void ForwardNode::onPeerMessage(const std::string& _peer, const std::string& _bytes)
+void ForwardNode::runOnControlThread(std::function<void()> _function)
+{
+	QMetaObject::invokeMethod(&this->controlContext, std::move(_function), Qt::QueuedConnection);
+}
+
+void ForwardNode::onPeerClosed(const std::string& _peer)
 {
+	this->heardProcesses.erase(_peer);
+	this->pool.post(0, [this, _peer] { this->trafficSender->onClosed(_peer); });
+	this->traffic->peerClosed(_peer);
+	this->runOnControlThread([this, _peer] { this->controlSender->onClosed(_peer); });
+}
+
+/// Tells both threads from which process the messages of a node are, in the order of these messages.
+void ForwardNode::noteProcess(const PeerProcess& _process)
+{
+	const auto [heard, isNew] = this->heardProcesses.try_emplace(_process.address, _process.number);
+	if (!isNew && heard->second == _process.number)
+	{
+		return;
+	}
+	heard->second = _process.number;
+	this->pool.post(0, [this, _process] { this->trafficSender->onProcess(_process); });
+	this->runOnControlThread([this, _process] { this->controlSender->onProcess(_process); });
+}
+
+void ForwardNode::onPeerMessage(const PeerProcess& _from, const std::string& _bytes)
+{
+	const std::string& peer = _from.address;
 	auto message = decode(_bytes);
 	if (!message.ok())
 	{
-		logWarning("peer", absl::StrCat(_peer, ": ", std::string(message.status().message())));
+		logWarning("peer", absl::StrCat(peer, ": ", std::string(message.status().message())));
 		return;
 	}
-	const auto runOnControlThread = [this](std::function<void()> _function)
-	{ QMetaObject::invokeMethod(&this->controlContext, std::move(_function), Qt::QueuedConnection); };
+	this->noteProcess(_from);
 	std::visit(
 		Overloaded{
 			[&](const Gossip& _typed)
-			{ runOnControlThread([this, _peer, _typed] { this->control->onGossip(_peer, _typed); }); },
+			{ this->runOnControlThread([this, peer, _typed] { this->control->onGossip(peer, _typed); }); },
 			[&](const RoutesRequest& _typed)
-			{ runOnControlThread([this, _peer, _typed] { this->control->onRoutesRequest(_peer, _typed); }); },
+			{ this->runOnControlThread([this, peer, _typed] { this->control->onRoutesRequest(peer, _typed); }); },
 			[&](const RoutesResponse& _typed)
-			{ runOnControlThread([this, _peer, _typed] { this->control->onRoutesResponse(_peer, _typed); }); },
+			{ this->runOnControlThread([this, peer, _typed] { this->control->onRoutesResponse(peer, _typed); }); },
 			[&](const FeedRequest& _typed)
-			{ runOnControlThread([this, _peer, _typed] { this->control->onFeedRequest(_peer, _typed); }); },
+			{ this->runOnControlThread([this, peer, _typed] { this->control->onFeedRequest(peer, _typed); }); },
 			[&](const FeedResponse& _typed)
-			{ runOnControlThread([this, _peer, _typed] { this->control->onFeedResponse(_peer, _typed); }); },
-			[&](const PieceSubmit& _typed) { this->traffic->receive(_peer, _typed); },
-			[&](const PieceUpdate& _typed) { this->traffic->receive(_peer, _typed); },
-			[&](const PieceCancel& _typed) { this->traffic->receive(_peer, _typed); },
-			[&](const PieceFree& _typed) { this->traffic->receive(_peer, _typed); },
-			[&](const CrashReport& _typed) { this->traffic->receive(_peer, _typed); },
-			[&](const CrashReportRequest& _typed) { this->traffic->receive(_peer, _typed); },
-			[&](const OriginRecords& _typed) { this->traffic->receive(_peer, OriginMessage(_typed)); },
-			[&](const OriginQuery& _typed) { this->traffic->receive(_peer, OriginMessage(_typed)); },
-			[&](const OriginAnswer& _typed) { this->traffic->receive(_peer, OriginMessage(_typed)); },
-			[&](const PartQuery& _typed) { this->traffic->receive(_peer, PartMessage(_typed)); },
-			[&](const PartAnswer& _typed) { this->traffic->receive(_peer, PartMessage(_typed)); },
-			[&](const PartVerdicts& _typed) { this->traffic->receive(_peer, PartMessage(_typed)); },
-			[&](const RejectionLimitNotice& _typed) { this->traffic->receive(_peer, _typed); },
-			[&](const CallMessage& _typed) { this->traffic->receive(_peer, _typed); },
+			{ this->runOnControlThread([this, peer, _typed] { this->control->onFeedResponse(peer, _typed); }); },
+			[&](const PieceSubmit& _typed) { this->traffic->receive(peer, _typed); },
+			[&](const PieceUpdate& _typed) { this->traffic->receive(peer, _typed); },
+			[&](const PieceCancel& _typed) { this->traffic->receive(peer, _typed); },
+			[&](const PieceFree& _typed) { this->traffic->receive(peer, _typed); },
+			[&](const CrashReport& _typed) { this->traffic->receive(peer, _typed); },
+			[&](const CrashReportRequest& _typed) { this->traffic->receive(peer, _typed); },
+			[&](const OriginRecords& _typed) { this->traffic->receive(peer, OriginMessage(_typed)); },
+			[&](const OriginQuery& _typed) { this->traffic->receive(peer, OriginMessage(_typed)); },
+			[&](const OriginAnswer& _typed) { this->traffic->receive(peer, OriginMessage(_typed)); },
+			[&](const PartQuery& _typed) { this->traffic->receive(peer, PartMessage(_typed)); },
+			[&](const PartAnswer& _typed) { this->traffic->receive(peer, PartMessage(_typed)); },
+			[&](const PartVerdicts& _typed) { this->traffic->receive(peer, PartMessage(_typed)); },
+			[&](const RejectionLimitNotice& _typed) { this->traffic->receive(peer, _typed); },
+			[&](const CallMessage& _typed) { this->traffic->receive(peer, _typed); },
 			[&](const auto&)
-			{ logWarning("peer", absl::StrCat(_peer, ": message type is not handled by a forwarding node")); },
+			{ logWarning("peer", absl::StrCat(peer, ": message type is not handled by a forwarding node")); },
 		},
 		*message);
 }
@@ -279,6 +312,12 @@
 		logEvent("peer", "silent_connections_closed", {{"connections", silent - this->loggedSilentConnections}});
 		this->loggedSilentConnections = silent;
 	}
+	const std::uint64_t dropped = this->link->answersDropped();
+	if (dropped > this->loggedDroppedAnswers)
+	{
+		logEvent("peer", "answers_to_earlier_processes_dropped", {{"answers", dropped - this->loggedDroppedAnswers}});
+		this->loggedDroppedAnswers = dropped;
+	}
 }
 
 void ForwardNode::drain()
--- a/src/forward_node.h
+++ b/src/forward_node.h
@@ -11,7 +11,7 @@
 
 #include "daemon.h"
 #include "forward_control.h"
-#include "peer_link.h"
+#include "peer_sender.h"
 #include "settings.h"
 
 namespace roadferry
@@ -35,7 +35,10 @@
 	absl::Status listenForClients();
 	void makeTraffic();
 	void makeControl(const Adapter& _adapter);
-	void onPeerMessage(const std::string& _peer, const std::string& _bytes);
+	void runOnControlThread(std::function<void()> _function);
+	void onPeerMessage(const PeerProcess& _from, const std::string& _bytes);
+	void onPeerClosed(const std::string& _peer);
+	void noteProcess(const PeerProcess& _process);
 	void handleReadiness(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply);
 	void applyLimits(const RoutePlan& _plan);
 	void continueDrain();
@@ -50,12 +53,18 @@
 	std::unique_ptr<WireFormat> wire;
 	std::unique_ptr<Feed> feed;
 	std::unique_ptr<PeerLink> link;
+	std::uint64_t process; ///< Number of this process, see PeerLink.
+	/// Number of the process at each address from which messages have arrived since a connection was closed.
+	std::map<std::string, std::uint64_t> heardProcesses;
+	std::unique_ptr<PeerSender> trafficSender; ///< Used on thread 0 of the pool.
+	std::unique_ptr<PeerSender> controlSender; ///< Used on the control thread.
 	std::unique_ptr<ForwardTraffic> traffic;
 	std::unique_ptr<ForwardControl> control;
 	std::unique_ptr<HttpServer> server;
 	std::unique_ptr<HttpServer> readinessServer;
 	std::uint64_t loggedPeerBytes = 0;         ///< Bytes exchanged with other nodes, at the last call of logPeerLink().
 	std::uint64_t loggedSilentConnections = 0; ///< Silent connections closed, as last logged.
+	std::uint64_t loggedDroppedAnswers = 0;    ///< Answers to processes that are gone, as last logged.
 	QTimer readyTimer;
 	QTimer drainTimer;
 	QTimer settingsTimer;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -60,22 +60,30 @@
 	return absl::StrCat("# TYPE ", _name, " gauge\n", _name, " ", seconds, "\n");
 }
 
+StreamOriginsConfig originsConfig(const ForwardSettings& _settings)
+{
+	StreamOriginsConfig config;
+	config.firstLookup = _settings.firstNumber;
+	return config;
+}
+
 } // namespace
 
 ForwardTraffic::ForwardTraffic(IoPool& _pool, HttpClient& _client, const WireFormat& _wire, Metrics& _metrics,
 							   const ForwardSettings& _settings, const ForwardSends& _sends)
-	: pool(_pool), endpointCalls(_pool, _client, _sends.call), wire(_wire), metrics(_metrics),
+	: pool(_pool), endpointCalls(_pool, _client, _settings.firstNumber, _sends.call), wire(_wire), metrics(_metrics),
 	  dispatcher(_settings.dispatcher), maxResponseBytes(_settings.maxResponseBytes), self(_settings.self),
 	  lease(_settings.lease),
 	  crashes(this->endpointCalls, _settings.crashes,
 			  CrashMonitorHandlers{_sends.crash, [this](const EndpointCrash& _crash, const std::string& _from)
 								   { this->onEndpointCrash(_crash, _from); }}),
 	  parts(_settings.self, _settings.parts), sendPart(_sends.part), sendRejectionLimit(_sends.rejectionLimit),
-	  origins(_settings.self, StreamOriginsConfig{}), sendOrigin(_sends.origin),
+	  origins(_settings.self, originsConfig(_settings)), sendOrigin(_sends.origin),
 	  pieces(this->endpointCalls, _wire, crashes, PieceScheduler(_settings.self, _settings.pieces),
 			 PieceHandlers{[this](const PieceStarted& _started) { this->onPieceStarted(_started); },
 						   [this](const PieceCompleted& _completed) { this->onPieceCompleted(_completed); },
-						   [this](const PieceFailed& _failed) { this->onPieceFailed(_failed); }, _sends.piece})
+						   [this](const PieceFailed& _failed) { this->onPieceFailed(_failed); }, _sends.piece}),
+	  lastOrder(_settings.firstNumber)
 {
 }
 
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -25,6 +25,9 @@
 struct ForwardSettings
 {
 	std::string self; ///< Address of this node as used by other nodes.
+	/// Start of the numbers by which this process knows what it has asked of other nodes. Random: a node of an earlier
+	/// version sends what an earlier process at this address has asked for to this one.
+	std::uint64_t firstNumber = 0;
 	DispatcherConfig dispatcher;
 	PieceSchedulerConfig pieces;
 	CrashLedgerConfig crashes;
@@ -187,7 +190,7 @@
 	FeedFreshness freshness;                       ///< How current the routes and endpoints are.
 	Micros lastTickAt = 0;                         ///< Time point, 0 before the first tick.
 	std::uint64_t lastRequest = 0;
-	std::uint64_t lastOrder = 0;
+	std::uint64_t lastOrder;
 	std::atomic<std::size_t> activeCount{0};
 	std::atomic<std::size_t> callsForOthers{0}; ///< Calls in progress for other nodes, at the last tick.
 	std::atomic<std::uint64_t> attemptCount{0};
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -45,10 +45,10 @@
 {
 	this->onStopped = std::move(_onStopped);
 	PeerHandlers handlers;
-	handlers.onMessage = [this](const std::string& _peer, const std::string& _bytes)
-	{ this->onPeerMessage(_peer, _bytes); };
+	handlers.onMessage = [this](const PeerProcess& _from, const std::string& _bytes)
+	{ this->onPeerMessage(_from, _bytes); };
 	handlers.onClosed = [this](const std::string& _peer) { this->relay->onPeerClosed(_peer); };
-	this->link = std::make_unique<PeerLink>(this->peerPool, this->settings.peerSecret, handlers);
+	this->link = std::make_unique<PeerLink>(this->peerPool, this->settings.peerSecret, randomNumber(), handlers);
 	const std::string peerError =
 		this->link->listen(this->settings.ip, this->settings.peerPort, this->settings.peerAnnounce);
 	if (!peerError.empty())
@@ -65,7 +65,11 @@
 	trafficSettings.resultCacheBytes = this->settings.resultCacheBytes;
 	this->traffic =
 		std::make_unique<Traffic>(this->pool, this->client, this->metrics, *this->traces, std::move(trafficSettings));
-	this->relay = std::make_unique<Relay>(this->pool, *this->traffic, sendPeer);
+	const auto answerPeer = [this](const PeerProcess& _to, const PeerMessage& _message)
+	{ this->link->answer(_to, encode(_message)); };
+	// Leaves room to count up within a signed CBOR integer.
+	this->relay =
+		std::make_unique<Relay>(this->pool, *this->traffic, randomNumber() >> 2, RelaySends{sendPeer, answerPeer});
 	this->platform = std::make_unique<Platform>(this->settings.logAddress, this->settings.vmListAddress);
 	this->view = std::make_unique<ClusterView>(*this->traffic, this->link->self(), sendPeer);
 	this->control = std::make_unique<Control>(*this->platform, *this->traffic, *this->view, this->link->self(),
@@ -113,30 +117,31 @@
 	_reply->send(std::move(response));
 }
 
-void Node::onPeerMessage(const std::string& _peer, const std::string& _bytes)
+void Node::onPeerMessage(const PeerProcess& _from, const std::string& _bytes)
 {
+	const std::string& peer = _from.address;
 	auto message = decode(_bytes);
 	if (!message.ok())
 	{
-		logWarning("peer", absl::StrCat(_peer, ": ", std::string(message.status().message())));
+		logWarning("peer", absl::StrCat(peer, ": ", std::string(message.status().message())));
 		return;
 	}
 	const auto onControl = [this](std::function<void()> _function)
 	{ QMetaObject::invokeMethod(&this->controlThread, std::move(_function), Qt::QueuedConnection); };
 	std::visit(
 		Overloaded{
-			[&](const RelayRequest& _typed) { this->relay->onRequest(_peer, _typed); },
+			[&](const RelayRequest& _typed) { this->relay->onRequest(_from, _typed); },
 			[&](const RelayToken& _typed) { this->relay->onToken(_typed); },
 			[&](const RelayResult& _typed) { this->relay->onResult(_typed); },
 			[&](const TableRequest& _typed)
-			{ onControl([this, _peer, _typed] { this->control->onTableRequest(_peer, _typed); }); },
+			{ onControl([this, peer, _typed] { this->control->onTableRequest(peer, _typed); }); },
 			[&](const TableResponse& _typed) { onControl([this, _typed] { this->control->onTableResponse(_typed); }); },
 			[&](const LeavingNotice& _typed) { onControl([this, _typed] { this->control->onLeavingNotice(_typed); }); },
 			[&](const ShutdownReport& _typed) { this->traffic->onShutdownReport(_typed); },
-			[&](const Gossip& _typed) { onControl([this, _peer, _typed] { this->view->onGossip(_peer, _typed); }); },
+			[&](const Gossip& _typed) { onControl([this, peer, _typed] { this->view->onGossip(peer, _typed); }); },
 			[&](const DemandReport& _typed)
-			{ onControl([this, _peer, _typed] { this->view->onDemand(_peer, _typed); }); },
-			[&](const ShareGrant& _typed) { onControl([this, _peer, _typed] { this->view->onGrant(_peer, _typed); }); },
+			{ onControl([this, peer, _typed] { this->view->onDemand(peer, _typed); }); },
+			[&](const ShareGrant& _typed) { onControl([this, peer, _typed] { this->view->onGrant(peer, _typed); }); },
 			// Messages between forwarding nodes, which this kind of node ignores.
 			[](const RoutesRequest&) {},
 			[](const RoutesResponse&) {},
--- a/src/node.h
+++ b/src/node.h
@@ -45,7 +45,7 @@
 private:
 	void handle(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply);
 	void handleHealth(const HttpRequest& _request, const std::shared_ptr<HttpReply>& _reply);
-	void onPeerMessage(const std::string& _peer, const std::string& _bytes);
+	void onPeerMessage(const PeerProcess& _from, const std::string& _bytes);
 	void continueDrain();
 	void sendShutdownReport();
 
--- a/src/peer_link.cpp
+++ b/src/peer_link.cpp
@@ -18,6 +18,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <cstdlib>
 #include <map>
 #include <optional>
 #include <vector>
@@ -38,30 +39,46 @@
 constexpr std::size_t kMaxQueuedMessages = 4'096; ///< Per node, while its connection opens.
 constexpr long kOpenTimeoutMs = 1'000;
 constexpr const char* kPeerHeader = "X-Roadferry-Peer";
+constexpr const char* kProcessHeader = "X-Roadferry-Process"; ///< In the opening handshake, of both sides.
+constexpr int kDecimal = 10;
 constexpr std::int64_t kSilenceCheckPeriodUs = 250'000;
 constexpr std::chrono::milliseconds kPingAfter{1'000};      ///< Time after an unanswered message until a ping is sent.
 constexpr std::chrono::milliseconds kSilenceTimeout{2'000}; ///< Time after an unanswered message until the close.
 constexpr long kCloseTimeoutMs = 1'000;
 constexpr auto kBinary = websocketpp::frame::opcode::binary;
 
+/// A message that waits for its connection to open.
+struct QueuedMessage
+{
+	std::string bytes;
+	std::optional<std::uint64_t> process; ///< If set, the message is only for this process.
+};
+
 /// Connection to one node, opened by either side.
 struct PeerConnection
 {
 	Handle handle;
+	std::uint64_t process = kUnknownProcess; ///< At the other end.
 	bool incoming = false;
 	bool open = false;
-	std::vector<std::string> queued;
+	std::vector<QueuedMessage> queued;
 	/// Send time of the oldest message after which nothing was received on this connection.
 	std::optional<Clock::time_point> unansweredSince;
 	bool pinged = false; ///< A ping was sent since then.
 };
 
+/// @returns Number in a handshake header, kUnknownProcess if the header is missing.
+std::uint64_t parseProcess(const std::string& _header)
+{
+	return std::strtoull(_header.c_str(), nullptr, kDecimal);
+}
+
 } // namespace
 
 struct PeerLink::Impl : std::enable_shared_from_this<PeerLink::Impl>
 {
-	Impl(IoPool& _pool, std::string _secret, PeerHandlers _handlers)
-		: pool(_pool), secret(std::move(_secret)), handlers(std::move(_handlers))
+	Impl(IoPool& _pool, std::string _secret, std::uint64_t _process, PeerHandlers _handlers)
+		: pool(_pool), secret(std::move(_secret)), process(std::to_string(_process)), handlers(std::move(_handlers))
 	{
 		this->server.clear_access_channels(websocketpp::log::alevel::all);
 		this->server.clear_error_channels(websocketpp::log::elevel::all);
@@ -78,11 +95,11 @@
 
 	void setHandlers()
 	{
-		this->server.set_validate_handler([this](const Handle& _handle) { return this->isAuthorizedPeer(_handle); });
+		this->server.set_validate_handler([this](const Handle& _handle) { return this->onHandshake(_handle); });
 		this->server.set_open_handler([this](const Handle& _handle) { this->onAccepted(_handle); });
 		this->server.set_message_handler(
 			[this](const Handle& _handle, const Server::message_ptr& _message)
-			{ this->onMessage(this->peerAddress(_handle), _handle, _message->get_payload()); });
+			{ this->onMessage(this->callerOf(_handle), _handle, _message->get_payload()); });
 		this->server.set_pong_handler([this](const Handle& _handle, const std::string&)
 									  { this->onActivity(this->peerAddress(_handle), _handle); });
 		this->server.set_close_handshake_timeout(kCloseTimeoutMs);
@@ -92,9 +109,11 @@
 		this->server.set_fail_handler([](const Handle&) {});
 	}
 
-	bool isAuthorizedPeer(const Handle& _handle)
+	/// Checks the credential of a node that opens a connection, and tells it the number of this process.
+	bool onHandshake(const Handle& _handle)
 	{
 		const auto connection = this->server.get_con_from_hdl(_handle);
+		connection->append_header(kProcessHeader, this->process);
 		const std::string credential = bearerToken(connection->get_request_header("Authorization"));
 		return equalSecrets(credential, this->secret) && !connection->get_request_header(kPeerHeader).empty();
 	}
@@ -106,30 +125,76 @@
 		return error ? std::string() : connection->get_request_header(kPeerHeader);
 	}
 
+	/// Returns the process that opened a connection to this node.
+	PeerProcess callerOf(const Handle& _handle)
+	{
+		Error error;
+		const auto connection = this->server.get_con_from_hdl(_handle, error);
+		if (error)
+		{
+			return {};
+		}
+		return {connection->get_request_header(kPeerHeader),
+				parseProcess(connection->get_request_header(kProcessHeader))};
+	}
+
+	/// Returns the process to which this node opened a connection.
+	PeerProcess calleeOf(const std::string& _peer, const Handle& _handle)
+	{
+		Error error;
+		const auto connection = this->client.get_con_from_hdl(_handle, error);
+		return {_peer, error ? kUnknownProcess : parseProcess(connection->get_response_header(kProcessHeader))};
+	}
+
 	void onAccepted(const Handle& _handle)
 	{
-		PeerConnection& peer = this->peers[this->peerAddress(_handle)];
-		if (peer.open && !peer.incoming)
+		const PeerProcess caller = this->callerOf(_handle);
+		PeerConnection& peer = this->peers[caller.address];
+		if (peer.open && !peer.incoming && peer.process == caller.number)
 		{
 			return; // Both sides opened a connection at the same time; the outgoing one stays in use.
 		}
 		if (peer.open)
 		{
-			this->closeConnection(peer); // The other side has abandoned it and opened a new one.
+			this->replaceConnection(caller.address); // The other side has abandoned it and opened a new one.
 		}
-		peer.unansweredSince.reset();
-		peer.pinged = false;
+		this->use(caller, _handle, true);
+	}
+
+	/// Closes the connection in use to a node that has another one now. Messages sent on it may be lost.
+	void replaceConnection(const std::string& _peer)
+	{
+		this->closeConnection(this->peers[_peer]);
+		this->handlers.onClosed(_peer);
+	}
+
+	/// Takes a connection into use.
+	void use(const PeerProcess& _process, const Handle& _handle, bool _incoming)
+	{
+		PeerConnection& peer = this->peers[_process.address];
 		peer.handle = _handle;
-		peer.incoming = true;
+		peer.process = _process.number;
+		peer.incoming = _incoming;
 		peer.open = true;
+		peer.unansweredSince.reset();
+		peer.pinged = false;
+		if (this->handlers.onConnected)
+		{
+			this->handlers.onConnected(_process);
+		}
 		this->flush(peer);
 	}
 
-	void onMessage(const std::string& _peer, const Handle& _handle, const std::string& _message)
+	void onMessage(const PeerProcess& _from, const Handle& _handle, const std::string& _message)
 	{
 		this->transferredBytes += _message.size();
-		this->onActivity(_peer, _handle);
-		this->handlers.onMessage(_peer, _message);
+		const auto found = this->peers.find(_from.address);
+		if (found != this->peers.end() && found->second.open && found->second.process != _from.number)
+		{
+			return; // A late message of a process that was replaced.
+		}
+		this->onActivity(_from.address, _handle);
+		this->handlers.onMessage(_from, _message);
 	}
 
 	static bool isSameConnection(const Handle& _left, const Handle& _right)
@@ -225,14 +290,25 @@
 
 	void flush(PeerConnection& _peer)
 	{
-		const std::vector<std::string> messages = std::move(_peer.queued);
+		const std::vector<QueuedMessage> messages = std::move(_peer.queued);
 		_peer.queued.clear();
-		for (const std::string& message : messages)
+		for (const QueuedMessage& message : messages)
 		{
-			this->write(_peer, message);
+			this->writeIfMeant(_peer, message);
 		}
 	}
 
+	/// Writes a message unless it is for another process than the one at the other end.
+	void writeIfMeant(PeerConnection& _peer, const QueuedMessage& _message)
+	{
+		if (_message.process && *_message.process != _peer.process)
+		{
+			this->answersDropped += 1;
+			return;
+		}
+		this->write(_peer, _message.bytes);
+	}
+
 	void write(PeerConnection& _peer, const std::string& _message)
 	{
 		// On a failed send the library closes the connection and calls the close handler.
@@ -258,7 +334,7 @@
 		}
 	}
 
-	void sendOrQueue(const std::string& _peer, std::string _message)
+	void sendOrQueue(const std::string& _peer, QueuedMessage _message)
 	{
 		if (this->closing)
 		{
@@ -268,7 +344,7 @@
 		PeerConnection& peer = this->peers[_peer];
 		if (peer.open)
 		{
-			this->write(peer, _message);
+			this->writeIfMeant(peer, _message);
 			return;
 		}
 		if (peer.queued.size() < kMaxQueuedMessages)
@@ -293,9 +369,11 @@
 		}
 		connection->append_header("Authorization", "Bearer " + this->secret);
 		connection->append_header(kPeerHeader, this->selfAddress);
+		connection->append_header(kProcessHeader, this->process);
 		connection->set_open_handler([this, _peer](const Handle& _handle) { this->onOpened(_peer, _handle); });
-		connection->set_message_handler([this, _peer](const Handle& _handle, const Client::message_ptr& _message)
-										{ this->onMessage(_peer, _handle, _message->get_payload()); });
+		connection->set_message_handler(
+			[this, _peer](const Handle& _handle, const Client::message_ptr& _message)
+			{ this->onMessage(this->calleeOf(_peer, _handle), _handle, _message->get_payload()); });
 		connection->set_pong_handler([this, _peer](const Handle& _handle, const std::string&)
 									 { this->onActivity(_peer, _handle); });
 		connection->set_close_handler([this, _peer](const Handle& _handle) { this->onClosed(_peer, _handle); });
@@ -306,16 +384,18 @@
 
 	void onOpened(const std::string& _peer, const Handle& _handle)
 	{
-		PeerConnection& peer = this->peers[_peer];
-		if (peer.open)
+		const PeerProcess callee = this->calleeOf(_peer, _handle);
+		const PeerConnection& peer = this->peers[_peer];
+		if (peer.open && peer.process == callee.number)
 		{
 			// The other side opened a connection at the same time. Both stay usable, and the incoming one is in use.
 			return;
 		}
-		peer.handle = _handle;
-		peer.incoming = false;
-		peer.open = true;
-		this->flush(peer);
+		if (peer.open)
+		{
+			this->replaceConnection(_peer); // To an earlier process.
+		}
+		this->use(callee, _handle, false);
 	}
 
 	void closeAll()
@@ -337,6 +417,7 @@
 
 	IoPool& pool;
 	std::string secret;
+	std::string process; ///< Number of this process, in decimal digits.
 	PeerHandlers handlers;
 	std::string selfAddress;
 	Server server;
@@ -345,11 +426,12 @@
 	std::atomic<std::uint64_t> transferredBytes{0};
 	std::atomic<std::uint64_t> maxQueuedBytes{0};
 	std::atomic<std::uint64_t> silentConnectionsClosed{0};
+	std::atomic<std::uint64_t> answersDropped{0};
 	bool closing = false;
 };
 
-PeerLink::PeerLink(IoPool& _pool, std::string _secret, PeerHandlers _handlers)
-	: impl(std::make_shared<Impl>(_pool, std::move(_secret), std::move(_handlers)))
+PeerLink::PeerLink(IoPool& _pool, std::string _secret, std::uint64_t _process, PeerHandlers _handlers)
+	: impl(std::make_shared<Impl>(_pool, std::move(_secret), _process, std::move(_handlers)))
 {
 }
 
@@ -385,8 +467,23 @@
 
 void PeerLink::send(const std::string& _peer, std::string _message)
 {
-	this->impl->pool.post(0, [impl = this->impl, _peer, message = std::move(_message)]() mutable
-						  { impl->sendOrQueue(_peer, std::move(message)); });
+	this->impl->pool.post(0,
+						  [impl = this->impl, _peer, message = std::move(_message)]() mutable {
+							  impl->sendOrQueue(_peer, QueuedMessage{std::move(message), std::nullopt});
+						  });
+}
+
+void PeerLink::answer(const PeerProcess& _to, std::string _message)
+{
+	this->impl->pool.post(0,
+						  [impl = this->impl, _to, message = std::move(_message)]() mutable {
+							  impl->sendOrQueue(_to.address, QueuedMessage{std::move(message), _to.number});
+						  });
+}
+
+std::uint64_t PeerLink::answersDropped() const
+{
+	return this->impl->answersDropped;
 }
 
 std::uint64_t PeerLink::transferredBytes() const
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -19,14 +19,33 @@
 namespace roadferry
 {
 
+/// Number of a process that does not announce one, as those of earlier versions.
+constexpr std::uint64_t kUnknownProcess = 0;
+
+/// A process at the address of a node. The next process at this address has another number.
+struct PeerProcess
+{
+	std::string address; ///< Announced address of the node.
+	std::uint64_t number = kUnknownProcess;
+
+	bool operator==(const PeerProcess& _other) const
+	{
+		return this->address == _other.address && this->number == _other.number;
+	}
+};
+
 /// Callbacks of a link, invoked on the thread of the link.
 struct PeerHandlers
 {
-	/// Receives a message from another node, which is identified by its announced address.
-	std::function<void(const std::string& _peer, const std::string& _message)> onMessage;
+	/// Receives a message from another node.
+	std::function<void(const PeerProcess& _from, const std::string& _message)> onMessage;
 
-	/// The connection to that node is closed or could not be opened; messages sent to it may be lost.
+	/// The connection to that node is closed or could not be opened; messages sent to it may be lost. Called before the
+	/// first message of another process at this address.
 	std::function<void(const std::string& _peer)> onClosed;
+
+	/// A connection is in use from now on. May be empty.
+	std::function<void(const PeerProcess& _peer)> onConnected;
 };
 
 /// Connections to other nodes. A connection is opened when a message is sent to a node that has none.
@@ -35,8 +54,10 @@
 public:
 	/// @param[in] _pool Pool whose thread 0 runs the link.
 	/// @param[in] _secret Credential shared by all nodes.
+	/// @param[in] _process Number of this process, which the other nodes are told; random, so that it differs from
+	/// those of earlier processes at this address.
 	/// @param[in] _handlers Callbacks.
-	PeerLink(IoPool& _pool, std::string _secret, PeerHandlers _handlers);
+	PeerLink(IoPool& _pool, std::string _secret, std::uint64_t _process, PeerHandlers _handlers);
 	~PeerLink();
 	PeerLink(const PeerLink&) = delete;
 	PeerLink& operator=(const PeerLink&) = delete;
@@ -50,15 +71,23 @@
 	/// @returns Address of this node as announced to other nodes.
 	[[nodiscard]] const std::string& self() const;
 
-	/// Sends a message, and opens a connection first if there is none. May be called from any thread.
+	/// Sends a message to whichever process is at the address, and opens a connection first if there is none. May be
+	/// called from any thread.
 	void send(const std::string& _peer, std::string _message);
 
+	/// Like send(), but drops the message if another process than the named one is at the address. An answer must be
+	/// sent so: the next process may use the number of a question again.
+	void answer(const PeerProcess& _to, std::string _message);
+
 	/// @returns Total bytes of messages sent and received.
 	[[nodiscard]] std::uint64_t transferredBytes() const;
 
 	/// @returns Number of connections closed because the other node sent nothing for 2 s after a message.
 	[[nodiscard]] std::uint64_t silentConnectionsClosed() const;
 
+	/// @returns Number of answers dropped because the process that had asked was gone.
+	[[nodiscard]] std::uint64_t answersDropped() const;
+
 	/// @returns Maximum bytes buffered for one node since the last call, and resets that maximum.
 	[[nodiscard]] std::uint64_t takeMaxQueuedBytes();
 
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -521,6 +521,16 @@
 
 } // namespace
 
+bool isAnswer(const PeerMessage& _message)
+{
+	return std::visit(Overloaded{[](const RelayToken&) { return true; }, [](const RelayResult&) { return true; },
+								 [](const FeedResponse&) { return true; }, [](const PieceUpdate&) { return true; },
+								 [](const OriginAnswer&) { return true; },
+								 [](const CallMessage& _call) { return isAnswer(_call); },
+								 [](const auto&) { return false; }},
+					  _message);
+}
+
 std::string encode(const PeerMessage& _message)
 {
 	const QCborMap map = std::visit([](const auto& _typed) { return toCbor(_typed); }, _message);
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -123,6 +123,9 @@
 				 PieceSubmit, PieceUpdate, PieceCancel, PieceFree, CrashReport, CrashReportRequest, OriginRecords,
 				 OriginQuery, OriginAnswer, PartQuery, PartAnswer, PartVerdicts, RejectionLimitNotice, CallMessage>;
 
+/// @returns Whether a message has a number that the receiver has chosen, so that it means nothing to another process.
+bool isAnswer(const PeerMessage& _message);
+
 /// @returns The message encoded as CBOR.
 std::string encode(const PeerMessage& _message);
 
--- a/src/piece_scheduler.cpp
+++ b/src/piece_scheduler.cpp
@@ -79,6 +79,10 @@
 
 void PieceScheduler::addLocal(const std::string& _pool, const std::string& _peer, const PieceOrder& _order, Micros _now)
 {
+	if (this->localIds.count({_peer, _order.orderId}) > 0)
+	{
+		return; // The node has submitted it again although it is being made.
+	}
 	PieceOrder local = _order;
 	local.orderId = ++this->lastLocalId;
 	this->localOrders.emplace(local.orderId, LocalOrder{_peer, _order.orderId, true});
@@ -196,13 +200,29 @@
 		{
 			continue;
 		}
-		if (this->batcher.cancel(localId->second))
-		{
-			this->localOrders.erase(localId->second);
-			this->localIds.erase(localId);
-			continue;
-		}
-		this->localOrders.at(localId->second).wanted = false;
+		this->dropLocal(localId->second);
+		this->localIds.erase(localId);
+	}
+}
+
+/// Drops an order, or its result if the piece is in a call.
+void PieceScheduler::dropLocal(std::uint64_t _localId)
+{
+	if (this->batcher.cancel(_localId))
+	{
+		this->localOrders.erase(_localId);
+		return;
+	}
+	this->localOrders.at(_localId).wanted = false;
+}
+
+void PieceScheduler::dropOrdersOf(const std::string& _peer)
+{
+	auto entry = this->localIds.lower_bound({_peer, 0});
+	while (entry != this->localIds.end() && entry->first.first == _peer)
+	{
+		this->dropLocal(entry->second);
+		entry = this->localIds.erase(entry);
 	}
 }
 
@@ -274,6 +294,11 @@
 
 void PieceScheduler::onUpdate(const std::string& _from, const PieceUpdate& _update, Micros _now, PieceActions& _actions)
 {
+	const auto heard = this->lastHeardAt.find(_from);
+	if (heard != this->lastHeardAt.end())
+	{
+		heard->second = _now;
+	}
 	for (const PieceStarted& started : _update.started)
 	{
 		const auto found = this->remoteOrders.find(started.orderId);
@@ -319,11 +344,6 @@
 PieceActions PieceScheduler::receive(const std::string& _from, const PieceMessage& _message, Micros _now)
 {
 	PieceActions actions;
-	const auto heard = this->lastHeardAt.find(_from);
-	if (heard != this->lastHeardAt.end())
-	{
-		heard->second = _now;
-	}
 	std::visit(
 		Overloaded{
 			[&](const PieceSubmit& _submit) { this->onSubmit(_from, _submit, _now, actions); },
@@ -360,6 +380,7 @@
 PieceActions PieceScheduler::peerClosed(const std::string& _peer, Micros _now)
 {
 	PieceActions actions;
+	this->dropOrdersOf(_peer);
 	const bool hasOrders = std::any_of(this->remoteOrders.begin(), this->remoteOrders.end(),
 									   [&](const auto& _entry) { return _entry.second.peer == _peer; });
 	if (hasOrders)
@@ -377,7 +398,10 @@
 	{
 		const auto found = this->localOrders.find(_localId);
 		LocalOrder local = found->second;
-		this->localIds.erase({local.peer, local.orderId});
+		if (local.wanted)
+		{
+			this->localIds.erase({local.peer, local.orderId});
+		}
 		this->localOrders.erase(found);
 		return local;
 	};
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -20,25 +20,26 @@
 class PeerSink final : public AnswerSink
 {
 public:
-	PeerSink(std::string _peer, std::uint64_t _relay, std::function<void(const std::string&, const PeerMessage&)> _send)
-		: peer(std::move(_peer)), relay(_relay), send(std::move(_send))
+	PeerSink(PeerProcess _peer, std::uint64_t _relay,
+			 std::function<void(const PeerProcess&, const PeerMessage&)> _answer)
+		: peer(std::move(_peer)), relay(_relay), answer(std::move(_answer))
 	{
 	}
 
 	void writeToken(std::int64_t _position, const std::string& _text) override
 	{
-		this->send(this->peer, RelayToken{this->relay, _position, _text});
+		this->answer(this->peer, RelayToken{this->relay, _position, _text});
 	}
 
 	void writeResult(unsigned _status, Micros _retryAfter, const std::string& _json) override
 	{
-		this->send(this->peer, RelayResult{this->relay, static_cast<std::int64_t>(_status), _retryAfter, _json});
+		this->answer(this->peer, RelayResult{this->relay, static_cast<std::int64_t>(_status), _retryAfter, _json});
 	}
 
 private:
-	std::string peer;
+	PeerProcess peer;
 	std::uint64_t relay;
-	std::function<void(const std::string&, const PeerMessage&)> send;
+	std::function<void(const PeerProcess&, const PeerMessage&)> answer;
 };
 
 void writeOutcome(AnswerSink& _sink, const std::string& _ticket, const Outcome& _outcome)
@@ -55,8 +56,8 @@
 
 } // namespace
 
-Relay::Relay(IoPool& _pool, Traffic& _traffic, std::function<void(const std::string&, const PeerMessage&)> _send)
-	: pool(_pool), traffic(_traffic), send(std::move(_send))
+Relay::Relay(IoPool& _pool, Traffic& _traffic, std::uint64_t _firstRelay, RelaySends _sends)
+	: pool(_pool), traffic(_traffic), sends(std::move(_sends)), lastRelay(_firstRelay)
 {
 }
 
@@ -70,7 +71,7 @@
 		this->pending.emplace(relay, PendingCall{_thread, _issuer.node, _request.ticket, std::move(_sink)});
 	}
 	_request.relayId = relay;
-	this->send(_issuer.node, _request);
+	this->sends.send(_issuer.node, _request);
 	this->pool.runAfter(_thread, _timeout, [this, relay] { this->fail(relay); });
 }
 
@@ -97,9 +98,9 @@
 	}
 }
 
-void Relay::onRequest(const std::string& _peer, const RelayRequest& _request)
+void Relay::onRequest(const PeerProcess& _from, const RelayRequest& _request)
 {
-	auto sink = std::make_shared<PeerSink>(_peer, _request.relayId, this->send);
+	auto sink = std::make_shared<PeerSink>(_from, _request.relayId, this->sends.answer);
 	const auto ticket = ticketFromText(_request.ticket);
 	if (!ticket.ok())
 	{
--- a/src/relay.h
+++ b/src/relay.h
@@ -16,12 +16,20 @@
 namespace roadferry
 {
 
+/// Functions that send messages to other nodes.
+struct RelaySends
+{
+	std::function<void(const std::string& _to, const PeerMessage&)> send;
+	std::function<void(const PeerProcess& _to, const PeerMessage&)> answer; ///< See PeerLink::answer().
+};
+
 /// Relays calls between nodes: forwards calls to the issuer, and serves calls forwarded by other nodes.
 /// Thread-safe; onRequest() is called on the link's thread only.
 class Relay
 {
 public:
-	Relay(IoPool& _pool, Traffic& _traffic, std::function<void(const std::string&, const PeerMessage&)> _send);
+	/// @param[in] _firstRelay Start of the relay ids; differs from those of earlier processes at this address.
+	Relay(IoPool& _pool, Traffic& _traffic, std::uint64_t _firstRelay, RelaySends _sends);
 
 	/// Forwards a call to the issuer of its ticket.
 	/// @param[in] _thread Thread on which the sink is called.
@@ -33,7 +41,7 @@
 				 std::shared_ptr<AnswerSink> _sink);
 
 	/// Handles messages of other nodes.
-	void onRequest(const std::string& _peer, const RelayRequest& _request);
+	void onRequest(const PeerProcess& _from, const RelayRequest& _request);
 	void onToken(const RelayToken& _token);
 	void onResult(const RelayResult& _result);
 
@@ -54,10 +62,10 @@
 
 	IoPool& pool;
 	Traffic& traffic;
-	std::function<void(const std::string&, const PeerMessage&)> send;
+	RelaySends sends;
 	std::mutex lock;                                        ///< Guards pending and lastRelay.
 	std::unordered_map<std::uint64_t, PendingCall> pending; ///< By relay id.
-	std::uint64_t lastRelay = 0;
+	std::uint64_t lastRelay;
 	std::size_t nextThread = 0;
 };
 
--- a/src/relayed_call_server.cpp
+++ b/src/relayed_call_server.cpp
@@ -152,10 +152,18 @@
 		this->context.send(_from, EndpointProbeAnswer{_message.probe, ProbeResult::NoAnswer});
 		return;
 	}
-	this->client.probe(0, *address, kProbeTimeout,
-					   [this, _from, probe = _message.probe](ProbeResult _result) {
-						   this->context.send(_from, EndpointProbeAnswer{probe, _result});
-					   });
+	const Key key{_from, _message.probe};
+	this->probes.insert(key);
+	this->client.probe(0, *address, kProbeTimeout, [this, key](ProbeResult _result) { this->onProbed(key, _result); });
+}
+
+void RelayedCallServer::onProbed(const Key& _key, ProbeResult _result)
+{
+	const bool isAwaited = this->probes.erase(_key) > 0;
+	if (isAwaited)
+	{
+		this->context.send(_key.first, EndpointProbeAnswer{_key.second, _result});
+	}
 }
 
 void RelayedCallServer::peerClosed(const std::string& _node)
@@ -171,6 +179,7 @@
 		}
 	}
 	this->calls.erase(begin, end);
+	this->probes.erase(this->probes.lower_bound(Key{_node, 0}), this->probes.upper_bound(Key{_node, kLast}));
 }
 
 std::size_t RelayedCallServer::callsInProgress() const
--- a/src/relayed_call_server.h
+++ b/src/relayed_call_server.h
@@ -65,10 +65,12 @@
 	CallHandlers makeHandlers(const Key& _key);
 	void sendData(const Key& _key, const std::string& _bytes);
 	void onEnd(const Key& _key, const CallEnd& _end);
+	void onProbed(const Key& _key, ProbeResult _result);
 
 	HttpClient& client;
 	RelayedCallContext context;
 	std::map<Key, ServedCall> calls;
+	std::set<Key> probes; ///< In progress, by node that asked and its number of the probe.
 	std::uint64_t total = 0;
 };
 
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -36,7 +36,8 @@
 	return result;
 }
 
-StreamOrigins::StreamOrigins(std::string _self, StreamOriginsConfig _config) : self(std::move(_self)), config(_config)
+StreamOrigins::StreamOrigins(std::string _self, StreamOriginsConfig _config)
+	: self(std::move(_self)), config(_config), lastLookup(_config.firstLookup)
 {
 }
 
--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -502,6 +502,91 @@
 				   });
 }
 
+namespace
+{
+
+/// A batching node with one batch in progress and one queued piece, both of the node "origin".
+class BatchingNode
+{
+public:
+	BatchingNode() : scheduler("self", PieceSchedulerConfig{})
+	{
+		this->scheduler.setPools({pool()});
+		this->scheduler.setEndpoints({endpoint(1)});
+		this->scheduler.setMembers({"self", "origin"}, {"self"}, 0);
+		const PieceActions actions = this->submit(1, "old request");
+		for (const PieceAction& action : actions)
+		{
+			if (const auto* start = std::get_if<StartBatch>(&action))
+			{
+				this->batch = start->batch;
+			}
+		}
+		this->submit(2, "old request");
+	}
+
+	PieceActions submit(std::uint64_t _order, const std::string& _request)
+	{
+		PieceOrder piece = order(_order, 0);
+		piece.request = _request;
+		return this->scheduler.receive("origin", PieceSubmit{"pool", {piece}, std::nullopt}, 0);
+	}
+
+	PieceScheduler scheduler;
+	std::uint64_t batch = 0;
+};
+
+} // namespace
+
+/// Guards against results for a killed process that reach the requests of the next process of its node: both count
+/// their orders from the same number.
+Test(schedulers, results_for_a_killed_process_reach_no_order_of_the_next_one)
+{
+	BatchingNode node;
+	node.scheduler.peerClosed("origin", kSecond);
+	node.submit(1, "new request");
+	const PieceActions actions = node.scheduler.batchEnded(node.batch, BatchAnswered{{"old result"}}, kSecond);
+	std::vector<std::string> freed;
+	std::vector<std::string> requestsRun;
+	for (const PieceAction& action : actions)
+	{
+		std::visit(Overloaded{[](const SendPieceMessage&) { cr_assert_fail("a result was sent"); },
+							  [&](const FreeResult& _free) { freed.push_back(_free.handle); },
+							  [&](const StartBatch& _start)
+							  {
+								  for (const PieceOrder& piece : _start.orders)
+								  {
+									  requestsRun.push_back(piece.request);
+								  }
+							  },
+							  [](const auto&) {}},
+				   action);
+	}
+	cr_assert(freed == std::vector<std::string>{"old result"});
+	cr_assert(requestsRun == std::vector<std::string>{"new request"}); // And no work for the process that is gone.
+}
+
+/// Guards against pieces that no node makes: the batching node forgets the pieces of a lost connection, and the node
+/// that waits for them must not take its other messages for progress.
+Test(schedulers, messages_of_a_node_that_forgot_the_pieces_do_not_keep_them_waiting)
+{
+	PieceScheduler scheduler("self", PieceSchedulerConfig{});
+	scheduler.setPools({pool()});
+	scheduler.setEndpoints({endpoint(1)});
+	scheduler.setMembers({"self", "other"}, {"other"}, 0);
+	scheduler.submit("pool", {order(1, 0)}, std::nullopt, 0);
+	bool started = false;
+	for (Micros now = 0; now < 2 * kSecond; now += 100 * kMillisecond)
+	{
+		scheduler.receive("other", PieceFree{{"some result"}}, now);
+		for (const PieceAction& action : scheduler.tick(now))
+		{
+			started = started || std::holds_alternative<StartBatch>(action);
+		}
+	}
+	cr_assert(started);
+}
+
 Test(schedulers, nodes_with_the_same_members_choose_the_same_batching_node)
 {
 	const std::vector<std::string> members = {"10.0.1.1:1", "10.0.1.2:1", "10.0.1.3:1"};
