--- a/include/roadferry/parts/batches.h
+++ b/include/roadferry/parts/batches.h
@@ -121,6 +121,9 @@
 	/// Failure domain where its large inputs are or its result is needed; empty for any.
 	std::string preferredDomain = {};
 	RequestDigest content = 0; ///< Digest of the request, 0 if unknown.
+	/// The request continues a stream of which its client has a part. It comes before those that begin: less of its
+	/// time is left, and its client would have the part for nothing.
+	bool resumesStream = false;
 	bool operator==(const PieceOrder&) const = default;
 };
 
--- a/src/batcher.cpp
+++ b/src/batcher.cpp
@@ -93,7 +93,9 @@
 
 bool Batcher::isMoreUrgent(const QueuedPiece& _left, const QueuedPiece& _right)
 {
-	return std::tie(_left.order.due, _left.order.orderId) < std::tie(_right.order.due, _right.order.orderId);
+	const auto rank = [](const PieceOrder& _order)
+	{ return std::make_tuple(!_order.resumesStream, _order.due, _order.orderId); };
+	return rank(_left.order) < rank(_right.order);
 }
 
 bool Batcher::canBeInTime(const Pool& _pool, const QueuedPiece& _piece, Micros _now)
@@ -246,7 +248,8 @@
 			const QueuedPiece& piece = _pool.queue[index];
 			const bool isLate = !canBeInTime(_pool, piece, _now);
 			const bool isSuspect = this->crashedRequests.suspects.count(piece.order.content) > 0;
-			const bool matches = _pass == SelectionPass::Urgent  ? piece.order.due < urgentBefore
+			const bool matches = _pass == SelectionPass::Urgent
+									 ? piece.order.resumesStream || piece.order.due < urgentBefore
 								 : _pass == SelectionPass::Local ? isLocal(piece, _status)
 																 : true;
 			const bool fitsBatch = !isSuspect || chosen.empty();
--- a/src/forward_stages.cpp
+++ b/src/forward_stages.cpp
@@ -63,7 +63,8 @@
 	terms.maxWait = static_cast<Micros>(static_cast<double>(slack) / (1 + kSlackReductionPerPriority * rank));
 	// A request with clearly less time than its route allows has most likely been refused before, so it is not
 	// refused again.
-	terms.refusable = _active.deadline - _active.arrivedAt > _active.route.timeLimit * 9 / 10;
+	const bool isFirstTry = _active.deadline - _active.arrivedAt > _active.route.timeLimit * 9 / 10;
+	terms.refusable = isFirstTry && !_active.streamVersion;
 	return terms;
 }
 
@@ -132,7 +133,10 @@
 	order.key = stage.after.empty() ? _active.request.pieceKey : std::string();
 	order.inputs = _active.graph.inputsOf(_piece.stage);
 	order.deadline = std::min(_active.stagesDeadline - laterStages, _active.deadline - untilFirstEvent);
-	order.due = _active.arrivedAt + _active.route.latencyTarget - untilFirstEvent;
+	// The target of a stream is its first event, which the client of a resumed one has: it is only too late if useless.
+	order.resumesStream = _active.streamVersion.has_value();
+	order.due =
+		order.resumesStream ? order.deadline : _active.arrivedAt + _active.route.latencyTarget - untilFirstEvent;
 	order.priority = _active.priority;
 	order.resultBytes = stage.resultBytes;
 	order.preferredDomain = this->preferredDomain(_active, _piece.stage);
--- a/src/forward_streams.cpp
+++ b/src/forward_streams.cpp
@@ -84,6 +84,7 @@
 					 "this node does not know which software version began the stream");
 		return;
 	}
+	active->stagesDeadline = active->deadline; // Its client has no time to try another node.
 	active->pool = _resolved.origin->pool;
 	active->streamVersion = _resolved.origin->version;
 	if (!this->dispatcher.servesVersion(active->pool, *active->streamVersion))
--- a/src/piece_messages.cpp
+++ b/src/piece_messages.cpp
@@ -100,6 +100,12 @@
 		contents.append(static_cast<qint64>(order.content));
 	}
 	QCborMap map{{"type", "piece_ask"}, {"pool", toQString(_message.pool)}, {"orders", orders}, {"contents", contents}};
+	QCborArray resumed;
+	for (const PieceOrder& order : _message.orders)
+	{
+		resumed.append(order.resumesStream);
+	}
+	map.insert(QStringLiteral("resumed"), resumed);
 	if (_message.admission)
 	{
 		QCborArray demand;
@@ -180,6 +186,11 @@
 			message.orders[index].content = contents[index];
 		}
 	}
+	const QCborArray resumed = _reader.value("resumed").toArray(); // Nodes of an earlier version do not send it.
+	for (std::size_t index = 0; index < message.orders.size(); ++index)
+	{
+		message.orders[index].resumesStream = resumed.at(static_cast<qsizetype>(index)).toBool();
+	}
 	message.admission = readAdmissionTerms(_reader);
 	return message;
 }
--- a/tests/test_pieces.cpp
+++ b/tests/test_pieces.cpp
@@ -275,6 +275,24 @@
 				 4, "one piece of five is late");
 }
 
+/// Guards against streams that clients take up again and that wait behind all new ones in a burst, until they are late.
+Test(batches, pieces_of_resumed_streams_come_before_those_of_new_ones)
+{
+	Batcher batcher(BatchConfig{});
+	batcher.setPools({pool()});
+	batcher.setEndpoints({endpoint(1)});
+	for (std::uint64_t number = 1; number <= 20; ++number)
+	{
+		batcher.add("pool", order(number, 0, 1), 0);
+	}
+	PieceOrder resumed = order(21, 0, 1);
+	resumed.resumesStream = true;
+	resumed.due = resumed.deadline;
+	batcher.add("pool", resumed, 0);
+	const BatchActions actions = batcher.tick(0);
+	cr_assert_eq(std::get<StartBatch>(actions.at(0)).orders.front().orderId, 21);
+}
+
 Test(batches, inputs_do_not_count_as_fetched_while_other_nodes_may_use_the_endpoint)
 {
 	Batcher batcher(BatchConfig{});
