--- a/include/roadferry/parts/stream_origins.h
+++ b/include/roadferry/parts/stream_origins.h
@@ -10,10 +10,12 @@
 #define ROADFERRY_PARTS_STREAM_ORIGINS_H_HEADER_GUARD
 
 #include <roadferry/parts/endpoints.h>
+#include <roadferry/parts/pool_versions.h>
 #include <roadferry/parts/time.h>
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -46,6 +48,7 @@
 struct OriginRecords
 {
 	std::vector<StreamRecord> records;
+	bool save = false; ///< The receiver saves them on the platform too.
 	bool operator==(const OriginRecords&) const = default;
 };
 
@@ -64,7 +67,8 @@
 {
 	std::uint64_t lookup = 0;
 	std::optional<StreamOrigin> origin; ///< Not set if the node does not know it.
-	std::vector<std::string> versions;  ///< Versions that the node has seen listed in the pool within that time.
+	std::vector<std::string> versions;  ///< Versions that the pool is known to have had within that time.
+	bool isComplete = false;            ///< The pool had no others.
 	bool operator==(const OriginAnswer&) const = default;
 };
 
@@ -87,7 +91,24 @@
 	bool operator==(const OriginResolved&) const = default;
 };
 
-using OriginAction = std::variant<SendOriginMessage, OriginResolved>;
+/// Action: save records on the platform, in place of those that were saved in this slot before.
+struct SaveStreamRecords
+{
+	std::size_t saver = 0; ///< Rank of this node among those that save.
+	std::size_t slot = 0;
+	std::vector<StreamRecord> records; ///< With the time until they expire.
+	bool operator==(const SaveStreamRecords&) const = default;
+};
+
+/// What earlier processes have saved on the platform.
+struct SavedOrigins
+{
+	std::vector<SavedVersions> versions;
+	std::vector<StreamRecord> records; ///< With the time until they expire.
+	bool operator==(const SavedOrigins&) const = default;
+};
+
+using OriginAction = std::variant<SendOriginMessage, OriginResolved, SavedVersions, SaveStreamRecords>;
 using OriginActions = std::vector<OriginAction>;
 
 /// A lookup that has begun. It may be resolved already, by one of the actions.
@@ -109,6 +130,11 @@
 	std::size_t maxRecords = 20'000; ///< Records kept; the oldest go first.
 	/// Start of the numbers of the lookups; differs from those of earlier processes of this node.
 	std::uint64_t firstLookup = 0;
+	Micros versionMemory = 30 * kSecond;    ///< See PoolVersions; longer than clients wait for a stream.
+	Micros savePeriod = 500 * kMillisecond; ///< Between two saves of records by one node.
+	std::size_t savers = 8;                 ///< Nodes that save records; with more nodes, the others send theirs.
+	std::size_t saveSlots = 64;             ///< Saves that a node keeps: as long as versions are ambiguous.
+	std::size_t maxSavedRecords = 2'000;    ///< Records in one save.
 	bool operator==(const StreamOriginsConfig&) const = default;
 };
 
@@ -121,6 +147,9 @@
 /// Knows which software version began a stream, so that a client may take the stream up at any node. Soft state: each
 /// record is kept by the node that began the stream and by some others, and expires with the stream. While only one
 /// version of a pool can have begun a stream, no record is sent.
+///
+/// What must outlive all nodes is saved on the platform: the versions of each pool when they change, and while there
+/// are several, the version of each stream.
 class StreamOrigins
 {
 public:
@@ -130,7 +159,23 @@
 	OriginActions setMembers(const std::vector<std::string>& _members, Micros _now);
 
 	/// Sets the listed endpoints. When a pool gets another version, earlier records are sent to their holders.
-	OriginActions setEndpoints(const std::vector<Endpoint>& _endpoints, Micros _now);
+	/// @param[in] _isComplete Whether these are all endpoints.
+	OriginActions setEndpoints(const std::vector<Endpoint>& _endpoints, bool _isComplete, Micros _now);
+
+	/// Sets the pools whose streams may be taken up again; the versions of others are not saved.
+	void setResumablePools(const std::set<std::string>& _pools);
+
+	/// The listing was not read for so long that versions may have come and gone unseen.
+	void onListingGap(Micros _now);
+
+	/// Sets what earlier processes have saved; lookups wait for it.
+	OriginActions setSaved(const SavedOrigins& _saved, Micros _now);
+
+	/// Ends a save of versions.
+	void onVersionsSaved(const SavedVersions& _saved, bool _succeeded, Micros _now);
+
+	/// Ends a save of records.
+	void onRecordsSaved(const SaveStreamRecords& _save, bool _succeeded);
 
 	/// Records the origin of a stream, before its first event is sent to the client.
 	OriginActions record(const StreamRecord& _record, Micros _now);
@@ -156,13 +201,6 @@
 		bool isOwn = false; ///< The stream began at this node.
 	};
 
-	/// The versions of one pool.
-	struct PoolVersions
-	{
-		std::set<std::string> listed;
-		std::map<std::string, Micros> unlistedAt; ///< Time point at which a version was last listed.
-	};
-
 	struct Lookup
 	{
 		std::string request;
@@ -170,14 +208,21 @@
 		Micros within = 0;
 		Micros deadline = 0;            ///< Time point.
 		std::set<std::string> awaited;  ///< Nodes that have not answered.
-		std::set<std::string> versions; ///< Seen by nodes that have answered.
+		std::set<std::string> versions; ///< Known to nodes that have answered.
+		bool areAllKnown = false;       ///< One of them knows all versions.
 	};
 
 	[[nodiscard]] std::vector<std::string> holdersOf(const std::string& _request) const;
-	[[nodiscard]] std::set<std::string> versionsWithin(const std::string& _pool, Micros _within, Micros _now) const;
 	void store(const StreamRecord& _record, bool _isOwn);
 	void sendOwnRecords(const std::string& _to, Micros _now, OriginActions& _actions) const;
 	[[nodiscard]] bool isOnlyVersionKnown(const Lookup& _lookup, Micros _now) const;
+	[[nodiscard]] bool isWaiting(const Lookup& _lookup) const;
+	void concludeAll(const std::vector<std::uint64_t>& _lookups, Micros _now, OriginActions& _actions);
+	[[nodiscard]] std::vector<std::string> saversAmongNodes() const;
+	void queueForSaving(const std::string& _request);
+	void saveVersions(Micros _now, OriginActions& _actions);
+	void saveRecords(Micros _now, OriginActions& _actions);
+	[[nodiscard]] std::vector<StreamRecord> takeUnsaved(Micros _now);
 	void conclude(std::uint64_t _lookup, Micros _now, OriginActions& _actions);
 	void onAnswer(const std::string& _from, const OriginAnswer& _answer, Micros _now, OriginActions& _actions);
 	[[nodiscard]] OriginAnswer answer(const OriginQuery& _query, Micros _now) const;
@@ -186,13 +231,20 @@
 	std::string self;
 	StreamOriginsConfig config;
 	std::vector<std::string> others; ///< Live nodes without this one.
-	std::map<std::string, PoolVersions> pools;
+	PoolVersions pools;
 	std::unordered_map<std::string, Entry> entries;    ///< By request id.
 	std::set<std::pair<Micros, std::string>> expiries; ///< Of the entries, soonest first.
 	std::map<std::uint64_t, Lookup> lookups;           ///< In progress, by id.
 	std::map<std::string, Micros> resendAt;            ///< When own records are given to a node again.
 	std::uint64_t lastLookup;
-	Micros observedSince = 0; ///< Time point of the first listing, 0 before it.
+	bool awaitsSaved = true; ///< What earlier processes have saved is not known yet.
+	std::set<std::string> resumablePools;
+	std::set<std::string> poolsInSave; ///< Pools whose versions are being saved.
+	Micros nextVersionSaveAt = 0;      ///< Time point; later than now after a save has failed.
+	std::deque<std::string> unsaved;   ///< Request ids of the records to be saved.
+	Micros nextSaveAt = 0;             ///< Time point.
+	bool isSaving = false;             ///< Records are being saved.
+	std::size_t lastSlot = 0;
 };
 
 } // namespace roadferry
--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -25,6 +25,7 @@
 #include <roadferry/parts/feed_relay.h>
 #include <roadferry/parts/membership.h>
 #include <roadferry/parts/placement.h>
+#include <roadferry/parts/pool_versions.h>
 #include <roadferry/parts/queue_forecast.h>
 #include <roadferry/parts/reachability.h>
 #include <roadferry/parts/routes.h>
--- a/src/adapter.h
+++ b/src/adapter.h
@@ -67,6 +67,20 @@
 	[[nodiscard]] virtual absl::StatusOr<RoutesUpdate> decodeRecord(const std::string& _record) const = 0;
 };
 
+/// Entries that the system itself keeps on the platform, so that they outlast all nodes. Called on the control thread;
+/// results are delivered on that thread too.
+class PersistentMap
+{
+public:
+	virtual ~PersistentMap() = default;
+
+	/// Reads the newest value of every key.
+	virtual void readAll(std::function<void(absl::StatusOr<std::map<std::string, std::string>>)> _done) = 0;
+
+	/// Sets the value of a key. If it fails, the value may have been set, or may be set later.
+	virtual void write(const std::string& _key, const std::string& _value, std::function<void(absl::Status)> _done) = 0;
+};
+
 /// Converts requests, responses and batches of pieces to and from the platform's HTTP format.
 class WireFormat
 {
@@ -114,6 +128,10 @@
 	/// @param[in] _pool The client's thread pool.
 	/// @param[in] _address IP address and port of the service that publishes routes and endpoints.
 	std::unique_ptr<Feed> (*makeFeed)(HttpClient& _client, IoPool& _pool, const std::string& _address);
+
+	/// The parameters are those of makeFeed.
+	std::unique_ptr<PersistentMap> (*makePersistentMap)(HttpClient& _client, IoPool& _pool,
+														const std::string& _address);
 };
 
 /// Registers an adapter under its name. Each adapter calls this before main, to initialise a static variable.
--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -88,9 +88,23 @@
 	{ this->trafficSender->send(_to, _notice); };
 	const auto sendCall = [this](const std::string& _to, const CallMessage& _message)
 	{ this->trafficSender->send(_to, _message); };
+	const auto save = [this](const auto& _typed)
+	{ this->runOnControlThread([this, _typed] { this->originStore->save(_typed); }); };
 	this->traffic = std::make_unique<ForwardTraffic>(
 		this->pool, this->client, *this->wire, this->metrics, forward,
-		ForwardSends{sendTyped, sendTyped, sendTyped, sendTyped, sendCall, sendRejectionLimit});
+		ForwardSends{sendTyped, sendTyped, sendTyped, sendTyped, sendCall, sendRejectionLimit, save, save});
+}
+
+void ForwardNode::makeOriginStore(const Adapter& _adapter)
+{
+	this->persistentMap = _adapter.makePersistentMap(this->client, this->pool, this->settings.feedAddress);
+	OriginStoreHandlers handlers;
+	handlers.onLoaded = [this](const SavedOrigins& _saved) { this->traffic->setSaved(_saved); };
+	handlers.onVersionsSaved = [this](const SavedVersions& _saved, bool _succeeded)
+	{ this->traffic->onSaved(_saved, _succeeded); };
+	handlers.onRecordsSaved = [this](const SaveStreamRecords& _save, bool _succeeded)
+	{ this->traffic->onSaved(_save, _succeeded); };
+	this->originStore = std::make_unique<OriginStore>(*this->persistentMap, std::move(handlers));
 }
 
 void ForwardNode::makeControl(const Adapter& _adapter)
@@ -141,6 +155,7 @@
 		return status;
 	}
 	this->makeTraffic();
+	this->makeOriginStore(*adapter);
 	this->makeControl(*adapter);
 	status = this->listenForClients();
 	if (!status.ok())
@@ -156,6 +171,7 @@
 			  {"feed", this->settings.feedAddress}});
 	this->traffic->start();
 	this->control->start();
+	this->originStore->load();
 	QObject::connect(&this->readyTimer, &QTimer::timeout, [this] { this->isReady = this->control->ready(); });
 	this->readyTimer.start(kReadyPeriodMs);
 	QObject::connect(&this->settingsTimer, &QTimer::timeout,
--- a/src/forward_node.h
+++ b/src/forward_node.h
@@ -11,6 +11,7 @@
 
 #include "daemon.h"
 #include "forward_control.h"
+#include "origin_store.h"
 #include "peer_sender.h"
 #include "settings.h"
 
@@ -34,6 +35,7 @@
 	absl::Status listenForPeers();
 	absl::Status listenForClients();
 	void makeTraffic();
+	void makeOriginStore(const Adapter& _adapter);
 	void makeControl(const Adapter& _adapter);
 	void runOnControlThread(std::function<void()> _function);
 	void onPeerMessage(const PeerProcess& _from, const std::string& _bytes);
@@ -52,6 +54,8 @@
 	QObject controlContext; ///< Context object of calls that are queued to the control thread.
 	std::unique_ptr<WireFormat> wire;
 	std::unique_ptr<Feed> feed;
+	std::unique_ptr<PersistentMap> persistentMap;
+	std::unique_ptr<OriginStore> originStore;
 	std::unique_ptr<PeerLink> link;
 	std::uint64_t process; ///< Number of this process, see PeerLink.
 	/// Number of the process at each address from which messages have arrived since a connection was closed.
--- a/src/forward_streams.cpp
+++ b/src/forward_streams.cpp
@@ -33,11 +33,29 @@
 	for (const OriginAction& action : _actions)
 	{
 		std::visit(Overloaded{[&](const SendOriginMessage& _send) { this->sendOrigin(_send.to, _send.message); },
-							  [&](const OriginResolved& _resolved) { this->onOriginResolved(_resolved); }},
+							  [&](const OriginResolved& _resolved) { this->onOriginResolved(_resolved); },
+							  [&](const SavedVersions& _versions) { this->saveVersions(_versions); },
+							  [&](const SaveStreamRecords& _records) { this->saveRecords(_records); }},
 				   action);
 	}
 }
 
+void ForwardTraffic::setSaved(const SavedOrigins& _saved)
+{
+	this->pool.post(0, [this, _saved] { this->perform(this->origins.setSaved(_saved, monotonicNow())); });
+}
+
+void ForwardTraffic::onSaved(const SavedVersions& _saved, bool _succeeded)
+{
+	this->pool.post(0,
+					[this, _saved, _succeeded] { this->origins.onVersionsSaved(_saved, _succeeded, monotonicNow()); });
+}
+
+void ForwardTraffic::onSaved(const SaveStreamRecords& _save, bool _succeeded)
+{
+	this->pool.post(0, [this, _save, _succeeded] { this->origins.onRecordsSaved(_save, _succeeded); });
+}
+
 /// The first event of a stream is about to be sent to the client: what two software versions write does not fit
 /// together, so the stream may only continue at this one, here and at other nodes.
 void ForwardTraffic::onStreamStarted(ActiveRequest& _active)
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -60,6 +60,23 @@
 	return absl::StrCat("# TYPE ", _name, " gauge\n", _name, " ", seconds, "\n");
 }
 
+/// @returns The pools of the routes whose streams may be taken up again.
+std::set<std::string> resumablePools(const RoutePlan& _plan)
+{
+	std::set<std::string> pools;
+	for (const Route& route : _plan.data().routes)
+	{
+		if (route.resumable)
+		{
+			for (const PoolShare& share : route.pools)
+			{
+				pools.insert(share.pool);
+			}
+		}
+	}
+	return pools;
+}
+
 StreamOriginsConfig originsConfig(const ForwardSettings& _settings)
 {
 	StreamOriginsConfig config;
@@ -78,7 +95,8 @@
 			  CrashMonitorHandlers{_sends.crash, [this](const EndpointCrash& _crash, const std::string& _from)
 								   { this->onEndpointCrash(_crash, _from); }}),
 	  parts(_settings.self, _settings.parts), sendPart(_sends.part), sendRejectionLimit(_sends.rejectionLimit),
-	  origins(_settings.self, originsConfig(_settings)), sendOrigin(_sends.origin),
+	  origins(_settings.self, originsConfig(_settings)), sendOrigin(_sends.origin), saveVersions(_sends.saveVersions),
+	  saveRecords(_sends.saveRecords),
 	  pieces(this->endpointCalls, _wire, crashes, PieceScheduler(_settings.self, _settings.pieces),
 			 PieceHandlers{[this](const PieceStarted& _started) { this->onPieceStarted(_started); },
 						   [this](const PieceCompleted& _completed) { this->onPieceCompleted(_completed); },
@@ -101,6 +119,7 @@
 					{
 						this->plan = _plan;
 						this->pieces.setPlan(*_plan);
+						this->origins.setResumablePools(resumablePools(*_plan));
 					});
 }
 
@@ -114,13 +133,23 @@
 						this->pieces.setEndpoints(_endpoints, _position);
 						this->endpointCalls.setEndpoints(_endpoints);
 						this->crashes.setEndpoints(_endpoints);
-						this->perform(this->origins.setEndpoints(_endpoints, monotonicNow()));
+						this->perform(this->origins.setEndpoints(_endpoints, _position > 0, monotonicNow()));
 					});
 }
 
 void ForwardTraffic::setFreshness(const FeedFreshness& _freshness)
 {
-	this->pool.post(0, [this, _freshness] { this->freshness = _freshness; });
+	this->pool.post(0,
+					[this, _freshness]
+					{
+						const bool isGap = this->freshness.listingAsOf > 0 &&
+										   _freshness.listingAsOf - this->freshness.listingAsOf > this->lease;
+						if (isGap)
+						{
+							this->origins.onListingGap(monotonicNow());
+						}
+						this->freshness = _freshness;
+					});
 }
 
 void ForwardTraffic::setMembers(const std::vector<std::string>& _members,
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -45,6 +45,9 @@
 	std::function<void(const std::string& _to, const PartMessage&)> part;
 	CallMessageSender call;
 	std::function<void(const std::string& _to, const RejectionLimitNotice&)> rejectionLimit;
+	/// Save on the platform; onSaved() tells the result.
+	std::function<void(const SavedVersions&)> saveVersions;
+	std::function<void(const SaveStreamRecords&)> saveRecords;
 };
 
 /// Limits the idle connections to an endpoint. An endpoint resets connections beyond a limit that all nodes share, and
@@ -72,8 +75,12 @@
 
 	/// The functions from here to inFlight() may be called from any thread.
 	void setPlan(const std::shared_ptr<const RoutePlan>& _plan);
-	/// @param[in] _position Position of the listing in the platform's log; only logged.
+	/// @param[in] _position Position of the listing in the platform's log, 0 if it may be incomplete.
 	void setEndpoints(const std::vector<Endpoint>& _endpoints, std::uint64_t _position);
+	/// Sets what earlier processes have saved.
+	void setSaved(const SavedOrigins& _saved);
+	void onSaved(const SavedVersions& _saved, bool _succeeded);
+	void onSaved(const SaveStreamRecords& _save, bool _succeeded);
 	/// Sets how current routes and endpoints are. Called after setPlan() and setEndpoints().
 	void setFreshness(const FeedFreshness& _freshness);
 	void setMembers(const std::vector<std::string>& _members, const std::vector<std::string>& _batchingNodes);
@@ -173,6 +180,8 @@
 	std::vector<std::string> peers; ///< Addresses of the other live nodes.
 	StreamOrigins origins;
 	std::function<void(const std::string&, const OriginMessage&)> sendOrigin;
+	std::function<void(const SavedVersions&)> saveVersions;
+	std::function<void(const SaveStreamRecords&)> saveRecords;
 	/// Requests that continue a stream and wait for its origin, by lookup.
 	std::map<std::uint64_t, ActiveRequestPtr> originLookups;
 	PieceRunner pieces;
--- a/src/origin_messages.cpp
+++ b/src/origin_messages.cpp
@@ -32,7 +32,7 @@
 		records.append(QCborArray{toQString(record.request), toQString(record.origin.pool),
 								  toQString(record.origin.version), static_cast<qint64>(record.expiresAt)});
 	}
-	return QCborMap{{"type", "origin_records"}, {"records", records}};
+	return QCborMap{{"type", "origin_records"}, {"records", records}, {"save", _message.save}};
 }
 
 QCborMap toCbor(const OriginQuery& _message)
@@ -54,7 +54,8 @@
 	return QCborMap{{"type", "origin_answer"},
 					{"lookup", static_cast<qint64>(_message.lookup)},
 					{"origin", origin},
-					{"versions", toCborArray(_message.versions)}};
+					{"versions", toCborArray(_message.versions)},
+					{"all_versions", _message.isComplete}};
 }
 
 OriginRecords readOriginRecords(CborReader& _reader)
@@ -65,6 +66,7 @@
 		message.records.push_back(StreamRecord{textAt(fields, 0), StreamOrigin{textAt(fields, 1), textAt(fields, 2)},
 											   fields.at(3).toInteger()});
 	}
+	message.save = _reader.value("save").toBool(); // Nodes of an earlier version do not send it.
 	return message;
 }
 
@@ -83,6 +85,7 @@
 		message.origin = StreamOrigin{textAt(fields, 0), textAt(fields, 1)};
 	}
 	message.versions = _reader.texts("versions");
+	message.isComplete = _reader.value("all_versions").toBool(); // Nodes of an earlier version do not send it.
 	return message;
 }
 
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -37,7 +37,8 @@
 }
 
 StreamOrigins::StreamOrigins(std::string _self, StreamOriginsConfig _config)
-	: self(std::move(_self)), config(_config), lastLookup(_config.firstLookup)
+	: self(std::move(_self)), config(_config), pools(_config.versionMemory), lastLookup(_config.firstLookup),
+	  lastSlot(_config.firstLookup % _config.saveSlots)
 {
 }
 
@@ -57,7 +58,7 @@
 	{
 		const StreamRecord& record = entry.second.record;
 		const bool needed =
-			entry.second.isOwn && this->versionsWithin(record.origin.pool, record.expiresAt - _now, _now).size() > 1;
+			entry.second.isOwn && this->pools.within(record.origin.pool, record.expiresAt - _now, _now).size() > 1;
 		if (!needed)
 		{
 			continue;
@@ -101,64 +102,37 @@
 	}
 }
 
-OriginActions StreamOrigins::setEndpoints(const std::vector<Endpoint>& _endpoints, Micros _now)
+OriginActions StreamOrigins::setEndpoints(const std::vector<Endpoint>& _endpoints, bool _isComplete, Micros _now)
 {
-	std::map<std::string, std::set<std::string>> listed;
-	for (const Endpoint& endpoint : _endpoints)
-	{
-		listed[endpoint.pool].insert(endpoint.softwareVersion);
-	}
-	this->observedSince = this->observedSince == 0 ? _now : this->observedSince;
-	bool hasNewVersion = false;
-	for (const auto& entry : listed)
-	{
-		const std::set<std::string>& before = this->pools[entry.first].listed;
-		const auto isNew = [&](const std::string& _version) { return before.count(_version) == 0; };
-		hasNewVersion =
-			hasNewVersion || (!before.empty() && std::any_of(entry.second.begin(), entry.second.end(), isNew));
-	}
-	for (auto& entry : this->pools)
+	OriginActions actions;
+	const bool hasNewVersion = this->pools.setListed(_endpoints, _isComplete, _now);
+	this->saveVersions(_now, actions);
+	if (!hasNewVersion)
 	{
-		const std::set<std::string>& now = listed[entry.first];
-		for (const std::string& version : entry.second.listed)
-		{
-			if (now.count(version) == 0)
-			{
-				entry.second.unlistedAt[version] = _now;
-			}
-		}
+		return actions;
 	}
-	for (auto& entry : listed)
+	for (const std::string& node : this->others)
 	{
-		this->pools[entry.first].listed = std::move(entry.second);
+		this->sendOwnRecords(node, _now, actions);
 	}
-	OriginActions actions;
-	if (hasNewVersion)
+	for (const auto& entry : this->entries)
 	{
-		for (const std::string& node : this->others)
+		if (entry.second.isOwn && this->pools.isAmbiguous(entry.second.record.origin.pool, _now))
 		{
-			this->sendOwnRecords(node, _now, actions);
+			this->queueForSaving(entry.first);
 		}
 	}
 	return actions;
 }
 
-std::set<std::string> StreamOrigins::versionsWithin(const std::string& _pool, Micros _within, Micros _now) const
+void StreamOrigins::setResumablePools(const std::set<std::string>& _pools)
 {
-	const auto found = this->pools.find(_pool);
-	if (found == this->pools.end())
-	{
-		return {};
-	}
-	std::set<std::string> versions = found->second.listed;
-	for (const auto& entry : found->second.unlistedAt)
-	{
-		if (_now - entry.second <= _within)
-		{
-			versions.insert(entry.first);
-		}
-	}
-	return versions;
+	this->resumablePools = _pools;
+}
+
+void StreamOrigins::onListingGap(Micros _now)
+{
+	this->pools.restartObservation(_now);
 }
 
 void StreamOrigins::store(const StreamRecord& _record, bool _isOwn)
@@ -186,7 +160,11 @@
 {
 	this->store(_record, true);
 	OriginActions actions;
-	if (this->versionsWithin(_record.origin.pool, _record.expiresAt - _now, _now).size() <= 1)
+	if (this->pools.isAmbiguous(_record.origin.pool, _now))
+	{
+		this->queueForSaving(_record.request);
+	}
+	if (this->pools.within(_record.origin.pool, _record.expiresAt - _now, _now).size() <= 1)
 	{
 		return actions;
 	}
@@ -208,7 +186,7 @@
 		started.actions.emplace_back(OriginResolved{started.id, known->second.record.origin, "this node"});
 		return started;
 	}
-	Lookup lookup{_request, _pool, _within, _now + this->config.lookupTimeout, {}, {}};
+	Lookup lookup{_request, _pool, _within, _now + this->config.lookupTimeout, {}, {}, false};
 	if (!this->isOnlyVersionKnown(lookup, _now))
 	{
 		for (const std::string& node : rendezvousNodes(_request, this->others, this->config.askedNodes))
@@ -217,31 +195,39 @@
 			started.actions.emplace_back(SendOriginMessage{node, OriginQuery{started.id, _request, _pool, _within}});
 		}
 	}
-	const bool isComplete = lookup.awaited.empty();
+	const bool canConclude = !this->isWaiting(lookup) || this->isOnlyVersionKnown(lookup, _now);
 	this->lookups.emplace(started.id, std::move(lookup));
-	if (isComplete)
+	if (canConclude)
 	{
 		this->conclude(started.id, _now, started.actions);
 	}
 	return started;
 }
 
+/// Whether other nodes, or the platform, may still tell what a lookup needs.
+bool StreamOrigins::isWaiting(const Lookup& _lookup) const
+{
+	return this->awaitsSaved || this->poolsInSave.count(_lookup.pool) > 0 || !_lookup.awaited.empty();
+}
+
 /// Whether this node alone knows that only one version can have begun the stream.
 bool StreamOrigins::isOnlyVersionKnown(const Lookup& _lookup, Micros _now) const
 {
-	const bool hasWatchedLongEnough = this->observedSince > 0 && _now - this->observedSince >= _lookup.within;
-	return hasWatchedLongEnough && this->versionsWithin(_lookup.pool, _lookup.within, _now).size() == 1;
+	return this->pools.isComplete(_lookup.pool, _lookup.within, _now) &&
+		   this->pools.within(_lookup.pool, _lookup.within, _now).size() == 1;
 }
 
-/// Ends a lookup to which no node gave the origin.
+/// Ends a lookup to which no node gave the origin. That one version alone is known proves nothing: others may have left
+/// before this process started.
 void StreamOrigins::conclude(std::uint64_t _lookup, Micros _now, OriginActions& _actions)
 {
 	const auto found = this->lookups.find(_lookup);
 	const Lookup& lookup = found->second;
-	std::set<std::string> versions = this->versionsWithin(lookup.pool, lookup.within, _now);
+	std::set<std::string> versions = this->pools.within(lookup.pool, lookup.within, _now);
 	versions.insert(lookup.versions.begin(), lookup.versions.end());
+	const bool areAllKnown = lookup.areAllKnown || this->pools.isComplete(lookup.pool, lookup.within, _now);
 	OriginResolved resolved{_lookup, std::nullopt, "unknown"};
-	if (versions.size() == 1)
+	if (areAllKnown && versions.size() == 1)
 	{
 		resolved.origin = StreamOrigin{lookup.pool, *versions.begin()};
 		resolved.source = "only version";
@@ -250,6 +236,144 @@
 	_actions.emplace_back(std::move(resolved));
 }
 
+void StreamOrigins::concludeAll(const std::vector<std::uint64_t>& _lookups, Micros _now, OriginActions& _actions)
+{
+	for (const std::uint64_t lookup : _lookups)
+	{
+		this->conclude(lookup, _now, _actions);
+	}
+}
+
+OriginActions StreamOrigins::setSaved(const SavedOrigins& _saved, Micros _now)
+{
+	this->awaitsSaved = false;
+	this->pools.setSaved(_saved.versions, _now);
+	for (StreamRecord record : _saved.records)
+	{
+		record.expiresAt += _now;
+		this->store(record, false);
+	}
+	OriginActions actions;
+	this->saveVersions(_now, actions);
+	std::vector<std::uint64_t> ended;
+	for (auto entry = this->lookups.begin(); entry != this->lookups.end();)
+	{
+		const auto known = this->entries.find(entry->second.request);
+		if (known != this->entries.end())
+		{
+			actions.emplace_back(OriginResolved{entry->first, known->second.record.origin, "platform"});
+			entry = this->lookups.erase(entry);
+			continue;
+		}
+		if (!this->isWaiting(entry->second))
+		{
+			ended.push_back(entry->first);
+		}
+		++entry;
+	}
+	this->concludeAll(ended, _now, actions);
+	return actions;
+}
+
+void StreamOrigins::onVersionsSaved(const SavedVersions& _saved, bool _succeeded, Micros _now)
+{
+	this->poolsInSave.erase(_saved.pool);
+	if (!_succeeded)
+	{
+		this->nextVersionSaveAt = _now + this->config.savePeriod;
+		return;
+	}
+	this->pools.recordSaved(_saved);
+}
+
+void StreamOrigins::onRecordsSaved(const SaveStreamRecords& _save, bool _succeeded)
+{
+	this->isSaving = false;
+	if (_succeeded)
+	{
+		return;
+	}
+	for (const StreamRecord& record : _save.records)
+	{
+		this->queueForSaving(record.request);
+	}
+}
+
+void StreamOrigins::queueForSaving(const std::string& _request)
+{
+	this->unsaved.push_back(_request);
+	if (this->unsaved.size() > this->config.maxRecords)
+	{
+		this->unsaved.pop_front();
+	}
+}
+
+/// Returns the nodes that save, which is each node where there are few.
+std::vector<std::string> StreamOrigins::saversAmongNodes() const
+{
+	std::vector<std::string> nodes = this->others;
+	nodes.push_back(this->self);
+	std::sort(nodes.begin(), nodes.end());
+	return nodes.size() <= this->config.savers ? nodes : rendezvousNodes("savers", nodes, this->config.savers);
+}
+
+/// Saves versions that have changed. One node does it for a pool.
+void StreamOrigins::saveVersions(Micros _now, OriginActions& _actions)
+{
+	if (_now < this->nextVersionSaveAt)
+	{
+		return;
+	}
+	const std::vector<std::string> savers = this->saversAmongNodes();
+	for (SavedVersions& versions : this->pools.unsaved(_now))
+	{
+		const bool isMine = this->resumablePools.count(versions.pool) > 0 &&
+							rendezvousNodes(versions.pool, savers, 1).front() == this->self;
+		if (isMine && this->poolsInSave.insert(versions.pool).second)
+		{
+			_actions.emplace_back(std::move(versions));
+		}
+	}
+}
+
+std::vector<StreamRecord> StreamOrigins::takeUnsaved(Micros _now)
+{
+	std::vector<StreamRecord> records;
+	while (!this->unsaved.empty() && records.size() < this->config.maxSavedRecords)
+	{
+		const auto known = this->entries.find(this->unsaved.front());
+		this->unsaved.pop_front();
+		if (known != this->entries.end()) // Otherwise it has expired.
+		{
+			records.push_back(known->second.record);
+			records.back().expiresAt -= _now;
+		}
+	}
+	return records;
+}
+
+void StreamOrigins::saveRecords(Micros _now, OriginActions& _actions)
+{
+	if (this->unsaved.empty() || this->isSaving || _now < this->nextSaveAt)
+	{
+		return;
+	}
+	this->nextSaveAt = _now + this->config.savePeriod;
+	const std::vector<std::string> savers = this->saversAmongNodes();
+	const auto own = std::find(savers.begin(), savers.end(), this->self);
+	std::vector<StreamRecord> records = this->takeUnsaved(_now);
+	if (own == savers.end())
+	{
+		const std::string saver = rendezvousNodes(this->self, savers, 1).front();
+		_actions.emplace_back(SendOriginMessage{saver, OriginRecords{std::move(records), true}});
+		return;
+	}
+	this->isSaving = true;
+	this->lastSlot = (this->lastSlot + 1) % this->config.saveSlots;
+	const auto rank = static_cast<std::size_t>(own - savers.begin());
+	_actions.emplace_back(SaveStreamRecords{rank, this->lastSlot, std::move(records)});
+}
+
 OriginAnswer StreamOrigins::answer(const OriginQuery& _query, Micros _now) const
 {
 	OriginAnswer answer;
@@ -259,8 +383,9 @@
 	{
 		answer.origin = known->second.record.origin;
 	}
-	const std::set<std::string> versions = this->versionsWithin(_query.pool, _query.within, _now);
+	const std::set<std::string> versions = this->pools.within(_query.pool, _query.within, _now);
 	answer.versions.assign(versions.begin(), versions.end());
+	answer.isComplete = this->pools.isComplete(_query.pool, _query.within, _now);
 	return answer;
 }
 
@@ -280,7 +405,8 @@
 		return;
 	}
 	found->second.versions.insert(_answer.versions.begin(), _answer.versions.end());
-	if (found->second.awaited.empty())
+	found->second.areAllKnown = found->second.areAllKnown || _answer.isComplete;
+	if (!this->isWaiting(found->second))
 	{
 		this->conclude(_answer.lookup, _now, _actions);
 	}
@@ -295,6 +421,10 @@
 							  {
 								  record.expiresAt += _now;
 								  this->store(record, false);
+								  if (_records.save)
+								  {
+									  this->queueForSaving(record.request);
+								  }
 							  }
 						  },
 						  [&](const OriginQuery& _query) {
@@ -311,16 +441,13 @@
 	std::vector<std::uint64_t> unanswered;
 	for (auto& entry : this->lookups)
 	{
-		if (entry.second.awaited.erase(_peer) > 0 && entry.second.awaited.empty())
+		if (entry.second.awaited.erase(_peer) > 0 && !this->isWaiting(entry.second))
 		{
 			unanswered.push_back(entry.first);
 		}
 	}
 	OriginActions actions;
-	for (const std::uint64_t lookup : unanswered)
-	{
-		this->conclude(lookup, _now, actions);
-	}
+	this->concludeAll(unanswered, _now, actions);
 	return actions;
 }
 
@@ -345,10 +472,9 @@
 			overdue.push_back(entry.first);
 		}
 	}
-	for (const std::uint64_t lookup : overdue)
-	{
-		this->conclude(lookup, _now, actions);
-	}
+	this->concludeAll(overdue, _now, actions);
+	this->saveVersions(_now, actions);
+	this->saveRecords(_now, actions);
 	for (auto entry = this->resendAt.begin(); entry != this->resendAt.end();)
 	{
 		if (entry->second > _now)
--- a/tests/test_streams.cpp
+++ b/tests/test_streams.cpp
@@ -32,7 +32,7 @@
 	return endpoints;
 }
 
-/// Nodes that exchange messages without delay, as far as they live.
+/// Nodes that exchange messages without delay, as far as they live, and save on a platform that may be away.
 class OriginCluster
 {
 public:
@@ -46,6 +46,7 @@
 		{
 			this->restart(name);
 		}
+		this->advance(StreamOriginsConfig{}.savePeriod); // For the first save of the versions.
 	}
 
 	/// Starts a node, or starts it again without what it knew.
@@ -53,8 +54,35 @@
 	{
 		this->nodes.erase(_name);
 		this->nodes.emplace(_name, StreamOrigins(_name, StreamOriginsConfig{}));
-		this->perform(_name, this->nodes.at(_name).setEndpoints(listingOf(this->versions), this->now));
+		this->nodes.at(_name).setResumablePools({kPool});
+		this->perform(_name, this->nodes.at(_name).setEndpoints(listingOf(this->versions), true, this->now));
 		this->publishMembers();
+		this->load(_name);
+	}
+
+	/// Kills all nodes at once.
+	void killAll()
+	{
+		this->nodes.clear();
+	}
+
+	void restartAll()
+	{
+		for (const std::string& name : this->names)
+		{
+			this->restart(name);
+		}
+	}
+
+	/// Nodes that are started while the platform is away load what was saved when it is back.
+	void setPlatformAway(bool _away)
+	{
+		this->platformAway = _away;
+		const std::set<std::string> waiting = std::exchange(this->loading, {});
+		for (const std::string& name : waiting)
+		{
+			this->load(name);
+		}
 	}
 
 	void kill(const std::string& _name)
@@ -85,7 +113,7 @@
 		this->versions = _versions;
 		for (auto& node : this->nodes)
 		{
-			this->perform(node.first, node.second.setEndpoints(listingOf(_versions), this->now));
+			this->perform(node.first, node.second.setEndpoints(listingOf(_versions), true, this->now));
 		}
 	}
 
@@ -119,27 +147,79 @@
 	std::set<std::string> versions;
 	Micros now = 100 * kSecond;
 	std::size_t recordMessages = 0;
+	std::size_t saves = 0; ///< Of the versions of streams.
 
 private:
+	void load(const std::string& _name)
+	{
+		const auto node = this->nodes.find(_name);
+		if (this->platformAway)
+		{
+			this->loading.insert(_name);
+			return;
+		}
+		SavedOrigins saved;
+		for (const auto& entry : this->savedVersions)
+		{
+			saved.versions.push_back(SavedVersions{entry.first, entry.second});
+		}
+		for (const auto& entry : this->savedRecords)
+		{
+			saved.records.insert(saved.records.end(), entry.second.begin(), entry.second.end());
+		}
+		if (node != this->nodes.end())
+		{
+			this->perform(_name, node->second.setSaved(saved, this->now));
+		}
+	}
+
+	void save(const std::string& _node, const SavedVersions& _versions)
+	{
+		if (!this->platformAway)
+		{
+			this->savedVersions[_versions.pool] = _versions.versions;
+		}
+		this->nodes.at(_node).onVersionsSaved(_versions, !this->platformAway, this->now);
+	}
+
+	void save(const std::string& _node, const SaveStreamRecords& _records)
+	{
+		this->saves += 1;
+		if (!this->platformAway)
+		{
+			this->savedRecords[{_records.saver, _records.slot}] = _records.records;
+		}
+		this->nodes.at(_node).onRecordsSaved(_records, !this->platformAway);
+	}
+
 	void perform(const std::string& _from, const OriginActions& _actions)
 	{
 		for (const OriginAction& action : _actions)
 		{
-			if (const auto* end = std::get_if<OriginResolved>(&action))
-			{
-				this->resolved[{_from, end->lookup}] = *end;
-				continue;
-			}
-			const auto& sent = std::get<SendOriginMessage>(action);
-			this->recordMessages += std::holds_alternative<OriginRecords>(sent.message) ? 1 : 0;
-			const auto target = this->nodes.find(sent.to);
-			if (target != this->nodes.end())
-			{
-				this->perform(sent.to, target->second.receive(_from, sent.message, this->now));
-			}
+			std::visit(Overloaded{[&](const OriginResolved& _end) {
+									  this->resolved[{_from, _end.lookup}] = _end;
+								  },
+								  [&](const SendOriginMessage& _sent) { this->deliver(_from, _sent); },
+								  [&](const auto& _save) { this->save(_from, _save); }},
+					   action);
 		}
 	}
 
+	void deliver(const std::string& _from, const SendOriginMessage& _sent)
+	{
+		this->recordMessages += std::holds_alternative<OriginRecords>(_sent.message) ? 1 : 0;
+		const auto target = this->nodes.find(_sent.to);
+		if (target != this->nodes.end())
+		{
+			this->perform(_sent.to, target->second.receive(_from, _sent.message, this->now));
+		}
+	}
+
+	bool platformAway = false;
+	std::set<std::string> loading; ///< Nodes that wait for the platform.
+	std::map<std::string, std::set<std::string>> savedVersions;
+	std::map<std::pair<std::size_t, std::size_t>, std::vector<StreamRecord>> savedRecords;
+
 	std::map<std::pair<std::string, std::uint64_t>, OriginResolved> resolved;
 };
 
@@ -208,7 +288,8 @@
 Test(streams, lookup_ends_when_the_nodes_that_were_asked_are_gone)
 {
 	StreamOrigins node("self", StreamOriginsConfig{});
-	node.setEndpoints(listingOf({"v1", "v2"}), kSecond);
+	node.setEndpoints(listingOf({"v1", "v2"}), true, kSecond);
+	node.setSaved({}, kSecond);
 	node.setMembers({"self", "other"}, kSecond);
 	cr_assert_eq(node.find("r", kPool, kStreamLife, kSecond).actions.size(), 1);
 	const OriginActions actions = node.peerClosed("other", kSecond);
@@ -283,3 +364,135 @@
 					   }
 				   });
 }
+
+/// Guards against a stream joined from two versions: after all nodes were killed, the version that is listed is not the
+/// only one that can have begun it.
+Test(streams, stream_of_a_version_that_left_before_all_nodes_were_killed_does_not_go_on_at_another)
+{
+	OriginCluster cluster(3, {"v1"});
+	cluster.begin(cluster.names[0], "r", "v1");
+	cluster.setVersions({"v1", "v2"});
+	cluster.advance(kSecond);
+	cluster.setVersions({"v2"});
+	cluster.killAll();
+	cluster.advance(kSecond);
+	cluster.restartAll();
+	const OriginResolved known = cluster.resume(cluster.names[1], "r");
+	cr_assert(!known.origin || known.origin->version == "v1");
+	cr_assert_not(cluster.resume(cluster.names[1], "never-seen").origin.has_value());
+}
+
+/// Guards against refusing streams that can go on: all nodes were killed while two versions served.
+Test(streams, streams_of_two_versions_go_on_after_all_nodes_were_killed)
+{
+	OriginCluster cluster(6, {"v1", "v2"});
+	for (int index = 0; index < 40; ++index)
+	{
+		cluster.begin(cluster.names[index % 6], "r-" + std::to_string(index), index % 2 == 0 ? "v1" : "v2");
+	}
+	cluster.advance(kSecond);
+	cluster.killAll();
+	cluster.advance(kSecond);
+	cluster.restartAll();
+	for (int index = 0; index < 40; ++index)
+	{
+		const OriginResolved found = cluster.resume(cluster.names[index % 5], "r-" + std::to_string(index));
+		cr_assert(found.origin == (StreamOrigin{kPool, index % 2 == 0 ? "v1" : "v2"}), "stream %d", index);
+	}
+}
+
+/// Guards against refusing all streams after all nodes were killed without a release, and against saves without need.
+Test(streams, streams_of_the_only_version_go_on_after_all_nodes_were_killed)
+{
+	OriginCluster cluster(3, {"v1"});
+	cluster.begin(cluster.names[0], "r", "v1");
+	cluster.advance(kSecond);
+	cluster.killAll();
+	cluster.advance(kSecond);
+	cluster.restartAll();
+	cr_assert(cluster.resume(cluster.names[1], "r").origin == (StreamOrigin{kPool, "v1"}));
+	cr_assert_eq(cluster.saves, 0);
+}
+
+/// Guards against a guess while the platform is away when the nodes start.
+Test(streams, streams_wait_for_the_platform_after_all_nodes_were_killed)
+{
+	OriginCluster cluster(3, {"v1", "v2"});
+	cluster.begin(cluster.names[0], "r", "v1");
+	cluster.advance(kSecond);
+	cluster.killAll();
+	cluster.setPlatformAway(true);
+	cluster.setVersions({"v2"});
+	cluster.restartAll();
+	cr_assert_not(cluster.resume(cluster.names[1], "r").origin.has_value());
+	cluster.advance(kSecond);
+	cluster.setPlatformAway(false);
+	cr_assert(cluster.resume(cluster.names[1], "r").origin == (StreamOrigin{kPool, "v1"}));
+}
+
+/// Guards against taking a part of the listing for all of it.
+Test(streams, version_is_not_the_only_one_while_the_listing_is_incomplete)
+{
+	StreamOrigins node("self", StreamOriginsConfig{});
+	node.setEndpoints(listingOf({"v2"}), false, kSecond);
+	node.setSaved(SavedOrigins{{SavedVersions{kPool, {"v2"}}}, {}}, kSecond);
+	const auto resolve = [&](const std::string& _request)
+	{ return std::get<OriginResolved>(node.find(_request, kPool, kStreamLife, kSecond).actions.at(0)).origin; };
+	cr_assert_not(resolve("r").has_value());
+	node.setEndpoints(listingOf({"v2"}), true, kSecond);
+	cr_assert(resolve("r").has_value());
+}
+
+/// Guards against a wrong version after any sequence in which all nodes are killed at once and the platform is away.
+Test(streams, no_history_with_all_nodes_killed_gives_a_stream_another_version)
+{
+	checkHistories(
+		"stream origins, all killed",
+		[]
+		{
+			const std::vector<std::set<std::string>> listings = {{"v1"}, {"v1", "v2"}, {"v2"}, {"v2", "v3"}, {"v3"}};
+			OriginCluster cluster(4, {"v1"});
+			std::map<std::string, std::string> began;
+			bool isAway = false;
+			for (int step = 0; step < 60; ++step)
+			{
+				cluster.advance(*rc::gen::inRange<Micros>(0, kSecond));
+				const std::string node = *rc::gen::elementOf(cluster.names);
+				const std::string request = "r-" + std::to_string(*rc::gen::inRange(0, 12));
+				switch (*rc::gen::inRange(0, 6))
+				{
+				case 0:
+					if (began.count(request) == 0)
+					{
+						began[request] = *rc::gen::elementOf(cluster.versions);
+						cluster.begin(node, request, began[request]);
+					}
+					break;
+				case 1:
+					cluster.killAll();
+					cluster.advance(*rc::gen::inRange<Micros>(0, 3 * kSecond));
+					cluster.restartAll();
+					break;
+				case 2:
+					// The listing is of the platform too, so no version comes or goes unseen meanwhile.
+					isAway = !isAway;
+					cluster.setPlatformAway(isAway);
+					break;
+				case 3:
+					if (!isAway)
+					{
+						cluster.setVersions(*rc::gen::elementOf(listings));
+						cluster.advance(kSecond);
+					}
+					break;
+				default:
+					if (began.count(request) > 0)
+					{
+						const OriginResolved found = cluster.resume(node, request);
+						const bool isRight = !found.origin || found.origin->version == began.at(request);
+						RC_ASSERT(isRight);
+					}
+				}
+			}
+		});
+}
--- a/tools/bench_capacity.cpp
+++ b/tools/bench_capacity.cpp
@@ -215,7 +215,7 @@
 	StreamOrigins origins(nodes[0], StreamOriginsConfig{});
 	std::vector<Endpoint> endpoints = makeEndpoints(8);
 	endpoints[1].softwareVersion = "v1.1";
-	origins.setEndpoints(endpoints, 0);
+	origins.setEndpoints(endpoints, true, 0);
 	origins.setMembers(nodes, 0);
 	const Allocations before = currentAllocations();
 	std::size_t messages = 0;
