Test responses that are cut inside their head, at any byte (report on heads)

Reported for systems like this one: an endpoint stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

Not found here. The tests cut the head at every byte, with a length, with chunks and with the connection's end as framing, by a close and by a reset, as the first response on a connection, after one that is skipped, after an informational one, with the body kept and passed on, and through a call that another node makes; and the trailer of a chunked response at every byte.

--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -12,6 +12,8 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "property.h"
+#include "relayed_call.h"
+#include "relayed_call_server.h"
 
 #include <arpa/inet.h>
 #include <condition_variable>
@@ -550,3 +552,157 @@
 	cr_assert_eq(seen[1].keepalive, 0);
 	cr_assert_eq(seen[1].userTimeoutMs, 0);
 }
+
+namespace
+{
+
+/// A response and the length of its head.
+struct WholeResponse
+{
+	std::string prefix; ///< Responses before it on the connection, which are skipped.
+	std::string head;
+	std::string body;
+};
+
+/// Responses with each kind of framing, first on a connection and after others.
+std::vector<WholeResponse> responsesToCut()
+{
+	const std::string begin = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nX-Folded: one\r\n two\r\n";
+	const std::vector<std::string> prefixes = {"", makeResponse("other", "late"), "HTTP/1.1 100 Continue\r\n\r\n"};
+	std::vector<WholeResponse> responses;
+	for (const std::string& prefix : prefixes)
+	{
+		responses.push_back({prefix, begin + "Content-Length: 4\r\n\r\n", "body"});
+		responses.push_back(
+			{prefix, begin + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n0\r\nX-Trailer: t\r\n\r\n"});
+		responses.push_back({prefix, begin + "Connection: close\r\n\r\n", "body"});
+	}
+	return responses;
+}
+
+/// Makes calls for a node through another one, both in this process.
+class RelayingClient
+{
+public:
+	RelayingClient()
+		: calls(1, [this](const std::string&, const CallMessage& _message) { this->deliver(_message, true); }),
+		  server(this->client, this->makeContext())
+	{
+	}
+
+	CallEnd call(const std::string& _address)
+	{
+		this->address = _address;
+		std::promise<CallEnd> promise;
+		EndpointCall call;
+		call.spec.timeout = kTimeout;
+		call.spec.request.target = "/";
+		RelayedCallHandlers handlers;
+		handlers.onConnected = [] {};
+		handlers.onEnd = [&](const CallEnd& _end, bool) { promise.set_value(_end); };
+		this->pool.post(0, [&] { this->calls.start("helper", call, handlers, 0); });
+		return promise.get_future().get();
+	}
+
+private:
+	RelayedCallContext makeContext()
+	{
+		return RelayedCallContext{[this](const std::string&, const CallMessage& _message)
+								  { this->deliver(_message, false); },
+								  [this](const std::string&) { return std::optional(this->address); },
+								  [](const std::string&) { return false; }, [](const std::string&) {}};
+	}
+
+	void deliver(const CallMessage& _message, bool _toServer)
+	{
+		this->pool.post(0,
+						[this, _message, _toServer]
+						{
+							std::visit(Overloaded{[&](const auto& _typed)
+												  {
+													  if constexpr (requires { this->server.receive("", _typed); })
+													  {
+														  cr_assert(_toServer);
+														  this->server.receive("asking", _typed);
+													  }
+													  else if constexpr (requires { this->calls.receive("", _typed); })
+													  {
+														  this->calls.receive("helper", _typed);
+													  }
+												  }},
+									   _message);
+						});
+	}
+
+	std::string address;
+	IoPool pool{1};
+	HttpClient client{this->pool};
+	RelayedCalls calls;
+	RelayedCallServer server;
+};
+
+} // namespace
+
+/// Guards against a response that is cut inside its head, at any byte, and passes as a whole one.
+Test(client, response_cut_inside_its_head_is_never_complete, .timeout = 60)
+{
+	std::string sent;
+	bool resetConnection = false;
+	ScriptServer server(
+		[&](int _socket)
+		{
+			ScriptServer::readHead(_socket);
+			ScriptServer::sendText(_socket, sent);
+			if (resetConnection)
+			{
+				ScriptServer::reset(_socket);
+			}
+		});
+	BlockingClient client;
+	RelayingClient relaying;
+	for (const WholeResponse& response : responsesToCut())
+	{
+		for (std::size_t length = 0; length < response.head.size(); ++length)
+		{
+			sent = response.prefix + response.head.substr(0, length);
+			resetConnection = length % 2 == 1;
+			std::string received;
+			const auto onData = [&](const std::string& _bytes) { received += _bytes; };
+			const CallEnd kept = client.call(server.address, "mine");
+			const CallEnd streamed = client.call(server.address, "mine", {}, onData);
+			cr_assert(kept.result == CallResult::Interrupted, "%zu bytes of: %s", length, response.head.c_str());
+			cr_assert(streamed.result == CallResult::Interrupted, "%zu bytes of: %s", length, response.head.c_str());
+			cr_assert_not(kept.endsWithConnection || streamed.endsWithConnection);
+			cr_assert(kept.body.empty() && received.empty());
+			if (response.prefix.empty())
+			{
+				const CallEnd relayed = relaying.call(server.address);
+				cr_assert(relayed.result == CallResult::Interrupted);
+				cr_assert_not(relayed.endsWithConnection);
+			}
+		}
+		sent = response.prefix + response.head + response.body;
+		resetConnection = false;
+		const CallEnd whole = client.call(server.address, "mine");
+		cr_assert(whole.result == CallResult::Complete && whole.body == "body");
+	}
+}
+
+/// Guards against a response with chunks that is cut inside its trailer and passes as a whole one.
+Test(client, response_cut_inside_its_trailer_is_never_complete)
+{
+	const std::string whole = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n";
+	const std::string trailer = "0\r\nX-Trailer: t\r\n\r\n";
+	std::size_t length = 0;
+	ScriptServer server(
+		[&](int _socket)
+		{
+			ScriptServer::readHead(_socket);
+			ScriptServer::sendText(_socket, whole + trailer.substr(0, length));
+		});
+	BlockingClient client;
+	for (; length < trailer.size(); ++length)
+	{
+		cr_assert(client.call(server.address, "mine").result == CallResult::Interrupted, "%zu bytes", length);
+	}
+}
