--- a/include/roadferry/parts/stream_origins.h
+++ b/include/roadferry/parts/stream_origins.h
@@ -240,6 +240,7 @@
 	bool awaitsSaved = true; ///< What earlier processes have saved is not known yet.
 	std::set<std::string> resumablePools;
 	std::set<std::string> poolsInSave; ///< Pools whose versions are being saved.
+	Micros nextVersionCheckAt = 0;     ///< Time point.
 	Micros nextVersionSaveAt = 0;      ///< Time point; later than now after a save has failed.
 	std::deque<std::string> unsaved;   ///< Request ids of the records to be saved.
 	Micros nextSaveAt = 0;             ///< Time point.
--- a/src/crash_monitor.cpp
+++ b/src/crash_monitor.cpp
@@ -93,7 +93,7 @@
 	this->crashLedger.setMemory(_memory);
 }
 
-void CrashMonitor::onCallBroken(const BrokenCall& _call, Micros _now, EndpointEndHandler _done)
+void CrashMonitor::onCallBroken(const BrokenCall& _call, Micros _now, std::function<void()> _done)
 {
 	const EndpointCrash broken{_call.endpoint, _call.address, _call.pool, _now, _call.requests, _call.parts};
 	const BrokenCallStep step = this->crashLedger.recordBrokenCalls(broken);
@@ -104,7 +104,7 @@
 	const bool isProbed = step == BrokenCallStep::Probe || this->waiting.count(_call.endpoint) > 0;
 	if (!isProbed)
 	{
-		_done(step == BrokenCallStep::Report);
+		_done();
 		return;
 	}
 	this->waiting[_call.endpoint].push_back(std::move(_done));
@@ -114,18 +114,37 @@
 	}
 }
 
-void CrashMonitor::onConnectionEnded(const BrokenCall& _call, EndpointEndHandler _done)
+void CrashMonitor::onConnectionEnded(const BrokenCall& _call, RunningHandler _done)
 {
 	this->endpointCalls.probe(_call.endpoint, _call.address,
 							  [this, _call, done = std::move(_done)](ProbeResult _result)
-							  {
-								  if (_result == ProbeResult::Refused)
-								  {
-									  this->onCallBroken(_call, monotonicNow(), done);
-									  return;
-								  }
-								  done(false);
-							  });
+							  { this->onProbedAtEnd(_call, _result, true, done); });
+}
+
+/// Handles a probe after the end of a connection. What the other nodes report meanwhile, and what this node has
+/// recorded of the endpoint before, does not answer the question: it is asked for one response.
+void CrashMonitor::onProbedAtEnd(const BrokenCall& _call, ProbeResult _result, bool _mayProbeAgain,
+								 const RunningHandler& _done)
+{
+	switch (_result)
+	{
+	case ProbeResult::Accepted:
+		_done(true);
+		break;
+	case ProbeResult::Refused:
+		this->onCallBroken(_call, monotonicNow(), [_done] { _done(false); });
+		break;
+	case ProbeResult::NoAnswer:
+		if (!_mayProbeAgain)
+		{
+			_done(false);
+			break;
+		}
+		this->endpointCalls.probe(_call.endpoint, _call.address,
+								  [this, _call, _done](ProbeResult _second)
+								  { this->onProbedAtEnd(_call, _second, false, _done); });
+		break;
+	}
 }
 
 void CrashMonitor::probe(const std::string& _endpoint, const std::string& _address)
@@ -158,11 +177,11 @@
 	{
 		return; // A second probe, for which no request waits.
 	}
-	const std::vector<EndpointEndHandler> waitingHandlers = std::move(found->second);
+	const std::vector<std::function<void()>> waitingHandlers = std::move(found->second);
 	this->waiting.erase(found);
-	for (const EndpointEndHandler& handler : waitingHandlers)
+	for (const std::function<void()>& handler : waitingHandlers)
 	{
-		handler(crash.has_value());
+		handler();
 	}
 }
 
--- a/src/crash_monitor.h
+++ b/src/crash_monitor.h
@@ -28,8 +28,8 @@
 	std::set<PartKey> parts = {};     ///< Their shared parts, unless the endpoint had begun its response.
 };
 
-/// Receives whether an endpoint's process has ended.
-using EndpointEndHandler = std::function<void(bool _ended)>;
+/// Receives whether an endpoint's process is known to run.
+using RunningHandler = std::function<void(bool _runs)>;
 
 /// Message about crashes, exchanged between nodes.
 using CrashMessage = std::variant<CrashReport, CrashReportRequest>;
@@ -54,12 +54,14 @@
 	void setEndpoints(const std::vector<Endpoint>& _endpoints);
 	void setMemory(Micros _memory);
 
-	/// @param[in] _done Called when it is known whether the endpoint has ended, and the other nodes have been told.
-	void onCallBroken(const BrokenCall& _call, Micros _now, EndpointEndHandler _done);
+	/// @param[in] _done Called when it is recorded whether the endpoint has ended, and the other nodes have been told.
+	void onCallBroken(const BrokenCall& _call, Micros _now, std::function<void()> _done);
 
 	/// Like onCallBroken(), for a call whose response nothing but the end of its connection completed. The endpoint is
 	/// suspected only if nothing listens at its address.
-	void onConnectionEnded(const BrokenCall& _call, EndpointEndHandler _done);
+	/// @param[in] _done Receives false unless the endpoint's process was found to run after the end of the connection:
+	/// the response may lack its rest.
+	void onConnectionEnded(const BrokenCall& _call, RunningHandler _done);
 	void onAnswered(RequestDigest _request);
 	void receive(const std::string& _from, const CrashMessage& _message, Micros _now);
 	void tick(Micros _now);
@@ -75,6 +77,7 @@
 private:
 	void probe(const std::string& _endpoint, const std::string& _address);
 	void onProbed(const std::string& _endpoint, const std::string& _address, ProbeResult _result);
+	void onProbedAtEnd(const BrokenCall& _call, ProbeResult _result, bool _mayProbeAgain, const RunningHandler& _done);
 	void report(const std::vector<EndpointCrash>& _crashes);
 	void onReport(const std::string& _from, const CrashReport& _report, Micros _now);
 	void logFatalRequests(const EndpointCrash& _crash, const std::string& _source) const;
@@ -92,7 +95,7 @@
 	CrashMonitorHandlers handlers;
 	std::vector<std::string> peers; ///< Addresses of the other live nodes.
 	/// Functions to call after the probe of an endpoint, by its id.
-	std::map<std::string, std::vector<EndpointEndHandler>> waiting;
+	std::map<std::string, std::vector<std::function<void()>>> waiting;
 	std::deque<SecondProbe> secondProbes;
 	bool requested = false;       ///< The crashes known to other nodes were requested.
 	Micros nextExpiryAt = 0;      ///< Time point.
--- a/src/forward_attempts.cpp
+++ b/src/forward_attempts.cpp
@@ -25,6 +25,15 @@
 /// Share of an endpoint's connections that all nodes together may keep idle.
 constexpr double kIdleConnectionShare = 0.5;
 
+/// @returns The end of a call whose response may lack its rest, since only the end of the connection completed it.
+CallEnd withoutEnd(const CallEnd& _end)
+{
+	CallEnd cut = _end;
+	cut.result = CallResult::Interrupted;
+	cut.error = "the endpoint may have ended when it closed the connection";
+	return cut;
+}
+
 } // namespace
 
 std::size_t maxIdleConnections(const PoolSpec* _pool, std::size_t _nodes)
@@ -175,7 +184,7 @@
 	_active->call.reset();
 	if (!_end.connectionLost && !_end.endsWithConnection)
 	{
-		this->endAttempt(_active, _attempt, _end, false);
+		this->endAttempt(_active, _attempt, _end);
 		return;
 	}
 	BrokenCall broken{_active->endpoint, _active->endpointAddress, _active->pool, {_active->digest}};
@@ -183,35 +192,28 @@
 	{
 		broken.parts.insert(_active->parts.begin(), _active->parts.end());
 	}
-	const auto onKnown = [this, _active, _attempt, _end](bool _ended)
+	const auto endIfCurrent = [this, _active, _attempt](const CallEnd& _known)
 	{
 		const bool isCurrent = this->findActive(_active->id) != nullptr && _active->currentAttempt == _attempt;
 		if (isCurrent)
 		{
-			this->endAttempt(_active, _attempt, _end, _ended);
+			this->endAttempt(_active, _attempt, _known);
 		}
 	};
 	if (_end.connectionLost)
 	{
-		this->crashes.onCallBroken(broken, monotonicNow(), onKnown);
+		this->crashes.onCallBroken(broken, monotonicNow(), [endIfCurrent, _end] { endIfCurrent(_end); });
 		return;
 	}
-	this->crashes.onConnectionEnded(broken, onKnown);
+	this->crashes.onConnectionEnded(broken, [endIfCurrent, _end](bool _runs)
+									{ endIfCurrent(_runs ? _end : withoutEnd(_end)); });
 }
 
-/// Ends an attempt once it is known whether its endpoint has ended. If it has, a response that only the end of the
-/// connection completes may lack its rest.
-void ForwardTraffic::endAttempt(const ActiveRequestPtr& _active, std::uint64_t _attempt, const CallEnd& _end,
-								bool _endpointEnded)
+/// Ends an attempt.
+void ForwardTraffic::endAttempt(const ActiveRequestPtr& _active, std::uint64_t _attempt, const CallEnd& _end)
 {
-	CallEnd callEnd = _end;
-	if (_endpointEnded && _end.endsWithConnection)
-	{
-		callEnd.result = CallResult::Interrupted;
-		callEnd.error = "the endpoint ended when it closed the connection";
-	}
-	const AttemptEnd end = _active->answer.endAttempt(callEnd);
-	logAttemptEnd(*_active, callEnd, std::holds_alternative<AttemptAnswered>(end));
+	const AttemptEnd end = _active->answer.endAttempt(_end);
+	logAttemptEnd(*_active, _end, std::holds_alternative<AttemptAnswered>(end));
 	this->concludeAttempt(_active, _attempt, end);
 }
 
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -139,7 +139,7 @@
 	void perform(const Actions& _actions);
 	void startAttempt(const StartAttempt& _attempt);
 	void attemptEnded(const ActiveRequestPtr& _active, std::uint64_t _attempt, const CallEnd& _end);
-	void endAttempt(const ActiveRequestPtr& _active, std::uint64_t _attempt, const CallEnd& _end, bool _endpointEnded);
+	void endAttempt(const ActiveRequestPtr& _active, std::uint64_t _attempt, const CallEnd& _end);
 	static void logAttemptEnd(const ActiveRequest& _active, const CallEnd& _end, bool _answered);
 	void cutOffAttempt(const ActiveRequestPtr& _active, std::uint64_t _attempt);
 	void concludeAttempt(const ActiveRequestPtr& _active, std::uint64_t _attempt, const AttemptEnd& _end);
--- a/src/piece_runner.cpp
+++ b/src/piece_runner.cpp
@@ -219,7 +219,7 @@
 	}
 	broken.requests.erase(kUnknownContent);
 	this->crashes.onCallBroken(broken, monotonicNow(),
-							   [this, batch = _batch.batch, end](bool /*_ended*/) { this->concludeBatch(batch, end); });
+							   [this, batch = _batch.batch, end] { this->concludeBatch(batch, end); });
 }
 
 void PieceRunner::concludeBatch(std::uint64_t _batch, const BatchEnd& _end)
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -320,12 +320,13 @@
 /// Saves versions that have changed. One node does it for a pool.
 void StreamOrigins::saveVersions(Micros _now, OriginActions& _actions)
 {
-	if (_now < this->nextVersionSaveAt)
+	std::vector<SavedVersions> unsavedVersions = this->pools.unsaved(_now);
+	if (unsavedVersions.empty() || _now < this->nextVersionSaveAt)
 	{
 		return;
 	}
 	const std::vector<std::string> savers = this->saversAmongNodes();
-	for (SavedVersions& versions : this->pools.unsaved(_now))
+	for (SavedVersions& versions : unsavedVersions)
 	{
 		const bool isMine = this->resumablePools.count(versions.pool) > 0 &&
 							rendezvousNodes(versions.pool, savers, 1).front() == this->self;
@@ -473,7 +474,11 @@
 		}
 	}
 	this->concludeAll(overdue, _now, actions);
-	this->saveVersions(_now, actions);
+	if (_now >= this->nextVersionCheckAt)
+	{
+		this->nextVersionCheckAt = _now + this->config.savePeriod;
+		this->saveVersions(_now, actions);
+	}
 	this->saveRecords(_now, actions);
 	for (auto entry = this->resendAt.begin(); entry != this->resendAt.end();)
 	{
