--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -55,7 +55,10 @@
 HeadVerdict ForwardAnswer::receiveHead(unsigned _status, const HttpHeaders& _headers)
 {
 	ForwardHead head = this->wire.parseHead(_status, _headers);
-	if (head.requestId != this->requestId && !head.notRun)
+	// A rejection may lack the id. One with another id is a late copy for a request before this one, which may run.
+	const bool isOfOther = !head.requestId.empty() && head.requestId != this->requestId;
+	const bool isOfUnknown = head.requestId.empty() && !head.notRun;
+	if (isOfOther || isOfUnknown)
 	{
 		return HeadVerdict::Skip;
 	}
