--- a/src/endpoint_calls.cpp
+++ b/src/endpoint_calls.cpp
@@ -332,12 +332,13 @@
 
 std::string EndpointCalls::metricsText() const
 {
-	return absl::StrCat("# TYPE roadferry_lost_paths gauge\nroadferry_lost_paths ", this->reach.lostPaths(),
-						"\n# TYPE roadferry_cut_off gauge\nroadferry_cut_off ", this->reach.isCutOff() ? 1 : 0,
-						"\n# TYPE roadferry_calls_relayed_total counter\nroadferry_calls_relayed_total ",
-						this->relayedCount,
-						"\n# TYPE roadferry_calls_made_for_nodes_total counter\nroadferry_calls_made_for_nodes_total ",
-						this->server.totalCalls(), "\n");
+	return absl::StrCat(
+		"# TYPE roadferry_lost_paths gauge\nroadferry_lost_paths ", this->reach.lostPaths(),
+		"\n# TYPE roadferry_cut_off gauge\nroadferry_cut_off ", this->reach.isCutOff() ? 1 : 0,
+		"\n# TYPE roadferry_calls_relayed_total counter\nroadferry_calls_relayed_total ", this->relayedCount,
+		"\n# TYPE roadferry_calls_made_for_nodes_total counter\nroadferry_calls_made_for_nodes_total ",
+		this->server.totalCalls(), "\n# TYPE roadferry_idle_connections gauge\nroadferry_idle_connections ",
+		this->client.idleConnections(), "\n");
 }
 
 } // namespace roadferry
--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -179,6 +179,7 @@
 					 {
 						 this->watchSettings();
 						 this->logPeerLink();
+						 this->logAcceptErrors();
 					 });
 	this->settingsTimer.start(kSettingsPeriodMs);
 	return absl::OkStatus();
@@ -336,6 +337,18 @@
 	}
 }
 
+/// Logs connections that could not be accepted. Called once per second.
+void ForwardNode::logAcceptErrors()
+{
+	const std::uint64_t errors = this->server->acceptErrors() + this->readinessServer->acceptErrors();
+	if (errors > this->loggedAcceptErrors)
+	{
+		logEvent("node", "accept_failed",
+				 {{"times", errors - this->loggedAcceptErrors}, {"idle_connections", this->client.idleConnections()}});
+		this->loggedAcceptErrors = errors;
+	}
+}
+
 void ForwardNode::drain()
 {
 	if (this->draining.exchange(true))
--- a/src/forward_node.h
+++ b/src/forward_node.h
@@ -46,6 +46,7 @@
 	void continueDrain();
 	void watchSettings();
 	void logPeerLink();
+	void logAcceptErrors();
 
 	Settings settings;
 	IoPool pool;
@@ -69,6 +70,7 @@
 	std::uint64_t loggedPeerBytes = 0;         ///< Bytes exchanged with other nodes, at the last call of logPeerLink().
 	std::uint64_t loggedSilentConnections = 0; ///< Silent connections closed, as last logged.
 	std::uint64_t loggedDroppedAnswers = 0;    ///< Answers to processes that are gone, as last logged.
+	std::uint64_t loggedAcceptErrors = 0;      ///< Failed accepts of both servers, as last logged.
 	QTimer readyTimer;
 	QTimer drainTimer;
 	QTimer settingsTimer;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -20,9 +20,11 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cstdlib>
 #include <cstring>
@@ -59,6 +61,7 @@
 constexpr int kMaxSkippedResponses = 4;               ///< Maximum responses to other requests that one call discards.
 /// Lifetime of an idle connection if the server announces none.
 constexpr std::chrono::seconds kDefaultIdleLifetime{30};
+constexpr std::int64_t kIdleCheckPeriodUs = 1'000'000; ///< Bounds how long a closed idle connection stays open here.
 /// Idle connections expire this long before the server's limit, so that a request rarely meets a close by the server.
 constexpr std::chrono::milliseconds kIdleExpiryMargin{300};
 
@@ -95,11 +98,11 @@
 
 std::unique_ptr<Tcp::socket> takeIdle(IdleSockets& _idle, const std::string& _address)
 {
-	auto& sockets = _idle[_address];
-	while (!sockets.empty())
+	const auto sockets = _idle.find(_address);
+	while (sockets != _idle.end() && !sockets->second.empty())
 	{
-		IdleSocket kept = std::move(sockets.back());
-		sockets.pop_back();
+		IdleSocket kept = std::move(sockets->second.back());
+		sockets->second.pop_back();
 		if (Clock::now() < kept.expiresAt && isReusable(*kept.socket))
 		{
 			return std::move(kept.socket);
@@ -108,6 +111,50 @@
 	return nullptr;
 }
 
+/// @returns Number of idle connections to all addresses.
+std::size_t countIdle(const IdleSockets& _idle)
+{
+	std::size_t count = 0;
+	for (const auto& entry : _idle)
+	{
+		count += entry.second.size();
+	}
+	return count;
+}
+
+/// Closes the idle connections that expired or that the remote host has closed, and forgets addresses without any. No
+/// call takes those to a host that is gone, so each would keep its descriptor for ever.
+void closeUnusable(IdleSockets& _idle)
+{
+	std::vector<pollfd> polled;
+	polled.reserve(countIdle(_idle));
+	for (const auto& entry : _idle)
+	{
+		for (const IdleSocket& idle : entry.second)
+		{
+			polled.push_back(pollfd{idle.socket->native_handle(), POLLIN, 0});
+		}
+	}
+	::poll(polled.data(), polled.size(), 0);
+	const Clock::time_point now = Clock::now();
+	auto next = polled.cbegin(); // In the order of the sockets.
+	for (auto entry = _idle.begin(); entry != _idle.end();)
+	{
+		std::vector<IdleSocket> usable;
+		for (IdleSocket& idle : entry->second)
+		{
+			const bool isUsable = next->revents == 0 && now < idle.expiresAt;
+			++next;
+			if (isUsable)
+			{
+				usable.push_back(std::move(idle));
+			}
+		}
+		entry->second = std::move(usable);
+		entry = entry->second.empty() ? _idle.erase(entry) : std::next(entry);
+	}
+}
+
 bool parseAddress(const std::string& _address, Tcp::endpoint& _endpoint)
 {
 	const std::size_t colon = _address.rfind(':');
@@ -569,16 +616,44 @@
 
 struct HttpClient::Impl
 {
-	explicit Impl(IoPool& _pool) : pool(_pool), idle(_pool.size())
+	explicit Impl(IoPool& _pool) : pool(_pool), idle(_pool.size()), idleCounts(_pool.size())
+	{
+	}
+
+	void closeUnusable(std::size_t _thread)
 	{
+		roadferry::closeUnusable(this->idle[_thread]);
+		this->idleCounts[_thread] = countIdle(this->idle[_thread]);
 	}
 
 	IoPool& pool;
-	std::vector<IdleSockets> idle; ///< Idle connections, by thread.
+	std::vector<IdleSockets> idle;                    ///< Idle connections, by thread.
+	std::vector<std::atomic<std::size_t>> idleCounts; ///< As of the last look, by thread.
 };
 
-HttpClient::HttpClient(IoPool& _pool) : impl(std::make_unique<Impl>(_pool))
+HttpClient::HttpClient(IoPool& _pool) : impl(std::make_shared<Impl>(_pool))
 {
+	for (std::size_t thread = 0; thread < _pool.size(); ++thread)
+	{
+		_pool.runEvery(thread, kIdleCheckPeriodUs,
+					   [weak = std::weak_ptr<Impl>(this->impl), thread]
+					   {
+						   if (const std::shared_ptr<Impl> impl = weak.lock())
+						   {
+							   impl->closeUnusable(thread);
+						   }
+					   });
+	}
+}
+
+std::size_t HttpClient::idleConnections() const
+{
+	std::size_t count = 0;
+	for (const std::atomic<std::size_t>& idleCount : this->impl->idleCounts)
+	{
+		count += idleCount;
+	}
+	return count;
 }
 
 HttpClient::~HttpClient() = default;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -124,9 +124,12 @@
 	void probe(std::size_t _thread, const std::string& _address, std::int64_t _timeout,
 			   std::function<void(ProbeResult)> _done);
 
+	/// @returns Number of idle connections, as of the last second. May be called from any thread.
+	[[nodiscard]] std::size_t idleConnections() const;
+
 private:
 	struct Impl;
-	std::unique_ptr<Impl> impl;
+	std::shared_ptr<Impl> impl;
 };
 
 } // namespace roadferry
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -40,6 +40,7 @@
 
 constexpr int kHttpVersion = 11;
 constexpr std::int64_t kLingerTimeUs = 1'000'000;
+constexpr std::int64_t kAcceptPauseUs = 50'000; ///< After a failed accept.
 constexpr std::size_t kDiscardSize = 64 * 1024;
 constexpr std::chrono::milliseconds kIdleCheckPeriod{250};
 constexpr std::chrono::milliseconds kIdleTimeoutWhileClosing{1'000};
@@ -612,11 +613,28 @@
 										if (!_error)
 										{
 											self->startConnection(std::move(_socket), thread);
+											self->accept();
+											return;
 										}
-										self->accept();
+										self->acceptErrors += 1;
+										self->acceptLater();
 									});
 	}
 
+	/// Accepts again after a pause: an error such as a lack of descriptors lasts, and trying at once would leave no
+	/// processor time for the requests whose end gives descriptors back.
+	void acceptLater()
+	{
+		this->pool.runAfter(0, kAcceptPauseUs,
+							[self = this->shared_from_this()]
+							{
+								if (self->acceptor.is_open())
+								{
+									self->accept();
+								}
+							});
+	}
+
 	void startConnection(Tcp::socket _socket, std::size_t _thread)
 	{
 		if (this->shared->connections >= this->shared->currentLimits().connections)
@@ -665,6 +683,7 @@
 	TlsFiles tls;
 	std::unique_ptr<asio::ssl::context> context;
 	Tcp::acceptor acceptor;
+	std::atomic<std::uint64_t> acceptErrors{0};
 	std::size_t nextThread = 0;
 	std::uint16_t boundPort = 0;
 };
@@ -737,6 +756,11 @@
 						  });
 }
 
+std::uint64_t HttpServer::acceptErrors() const
+{
+	return this->impl->acceptErrors;
+}
+
 std::size_t HttpServer::connections() const
 {
 	return this->impl->shared->connections;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -94,6 +94,9 @@
 	/// Stops accepting connections. Open connections close as after closeAfterResponses().
 	void stopAccepting();
 
+	/// @returns Number of connections that could not be accepted, for instance for lack of descriptors.
+	[[nodiscard]] std::uint64_t acceptErrors() const;
+
 	/// @returns Number of open connections.
 	[[nodiscard]] std::size_t connections() const;
 
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -15,12 +15,17 @@
 #include "relayed_call.h"
 #include "relayed_call_server.h"
 
+#include <absl/strings/match.h>
+
 #include <arpa/inet.h>
 #include <condition_variable>
+#include <ctime>
+#include <filesystem>
 #include <future>
 #include <mutex>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -723,3 +728,62 @@
 		cr_assert(client.call(server.address, "mine").result == CallResult::Interrupted, "%zu bytes", length);
 	}
 }
+
+namespace
+{
+
+std::size_t openDescriptors()
+{
+	const std::filesystem::directory_iterator entries("/proc/self/fd");
+	return static_cast<std::size_t>(std::distance(entries, std::filesystem::directory_iterator()));
+}
+
+} // namespace
+
+/// Guards against descriptors that are lost to connections whose remote host has closed them, and to which no call is
+/// made any more.
+Test(client, idle_connections_that_the_remote_host_closed_are_closed)
+{
+	constexpr int kServers = 8;
+	BlockingClient client;
+	client.call("127.0.0.1:1"); // Starts what the client needs.
+	const std::size_t before = openDescriptors();
+	for (int index = 0; index < kServers; ++index)
+	{
+		ScriptServer server(
+			[](int _socket)
+			{
+				ScriptServer::readHead(_socket);
+				ScriptServer::sendText(_socket, makeResponse("a", "one"));
+			});
+		cr_assert(client.call(server.address).body == "one");
+	}
+	Deployment::await("the descriptors are free", [&] { return openDescriptors() <= before; });
+}
+
+/// Guards against a server that spends all its processor time on accepting without descriptors, and never recovers.
+Test(server, lack_of_descriptors_costs_no_processor_time_and_ends_with_its_cause)
+{
+	constexpr std::chrono::milliseconds kLackTime{400};
+	EchoServer server;
+	BlockingClient client;
+	cr_assert(client.call(server.address).result == CallResult::Complete);
+	const int waiting = ::socket(AF_INET, SOCK_STREAM, 0);
+	rlimit limit{};
+	getrlimit(RLIMIT_NOFILE, &limit);
+	const rlimit none{3, limit.rlim_max};
+	setrlimit(RLIMIT_NOFILE, &none);
+	sockaddr_in name{};
+	name.sin_family = AF_INET;
+	name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	name.sin_port = htons(static_cast<std::uint16_t>(std::stoi(server.address.substr(server.address.rfind(':') + 1))));
+	cr_assert_eq(::connect(waiting, reinterpret_cast<sockaddr*>(&name), sizeof(name)), 0);
+	const std::clock_t began = std::clock();
+	sleepFor(kLackTime);
+	const double usedMs = 1'000.0 * static_cast<double>(std::clock() - began) / CLOCKS_PER_SEC;
+	setrlimit(RLIMIT_NOFILE, &limit);
+	cr_assert_lt(usedMs, 0.5 * static_cast<double>(kLackTime.count()), "%.0f ms of processor time", usedMs);
+	ScriptServer::sendText(waiting, "GET /served HTTP/1.1\r\nHost: a\r\n\r\n");
+	cr_assert(absl::StrContains(ScriptServer::readHead(waiting), "200 OK"));
+	::close(waiting);
+}
