--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -169,6 +169,7 @@
 			  {"readiness", absl::StrCat(this->settings.ip, ":", this->readinessServer->port())},
 			  {"failure_domain", this->settings.failureDomain},
 			  {"feed", this->settings.feedAddress}});
+	this->hasStarted = true;
 	this->traffic->start();
 	this->control->start();
 	this->originStore->load();
@@ -223,6 +224,10 @@
 
 void ForwardNode::onPeerClosed(const std::string& _peer)
 {
+	if (!this->hasStarted)
+	{
+		return;
+	}
 	this->heardProcesses.erase(_peer);
 	this->pool.post(0, [this, _peer] { this->trafficSender->onClosed(_peer); });
 	this->traffic->peerClosed(_peer);
@@ -244,6 +249,10 @@
 
 void ForwardNode::onPeerMessage(const PeerProcess& _from, const std::string& _bytes)
 {
+	if (!this->hasStarted)
+	{
+		return; // A message may be lost.
+	}
 	const std::string& peer = _from.address;
 	auto message = decode(_bytes);
 	if (!message.ok())
--- a/src/forward_node.h
+++ b/src/forward_node.h
@@ -75,7 +75,8 @@
 	QTimer drainTimer;
 	QTimer settingsTimer;
 	std::function<void()> onStopped;
-	std::string settingsText; ///< Text of the settings file as last read.
+	std::string settingsText;            ///< Text of the settings file as last read.
+	std::atomic<bool> hasStarted{false}; ///< What handles messages of other nodes exists.
 	std::atomic<bool> isReady{false};
 	std::atomic<bool> draining{false};
 	bool unsentRefused = false;
