--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -428,10 +428,8 @@
 		}
 		const bool informational = this->parser->get().result_int() < kFirstFinalStatus;
 		const auto handler = this->handlers.onHead;
-		const bool isForeign =
-			!informational && handler(this->parser->get().result_int(), this->headers()) == HeadVerdict::Skip;
-		this->hasForeignResponse = this->hasForeignResponse || isForeign;
-		this->skipping = informational || isForeign;
+		this->skipping =
+			informational || handler(this->parser->get().result_int(), this->headers()) == HeadVerdict::Skip;
 	}
 
 	/// Reads the next response after one that belongs to another request.
@@ -491,10 +489,9 @@
 		end.headers = this->headers();
 		end.body = std::move(this->parser->get().body());
 		end.endsWithConnection = this->parser->need_eof();
-		// A connection on which the request is only partly written cannot be reused. One on which a response to another
-		// request came may bring more of them, also in the place of a response that names no request.
-		const bool isInStep = !this->writing && !this->writeFailed && !this->hasForeignResponse;
-		const bool keep = isInStep && this->parser->get().keep_alive() && this->buffer.size() == 0;
+		// A connection on which the request is only partly written cannot be reused.
+		const bool requestWritten = !this->writing && !this->writeFailed;
+		const bool keep = requestWritten && this->parser->get().keep_alive() && this->buffer.size() == 0;
 		auto& sockets = this->idle[this->spec.address];
 		if (keep && sockets.size() < this->spec.maxIdleConnections)
 		{
@@ -557,9 +554,8 @@
 	bool maybeSent = false;        ///< Bytes of the request may have been sent.
 	bool writing = true;           ///< The request is not completely written yet.
 	bool writeFailed = false;
-	bool headHandled = false;        ///< The head of the current response was processed.
-	bool skipping = false;           ///< The current response belongs to another request.
-	bool hasForeignResponse = false; ///< A response to another request came on the connection.
+	bool headHandled = false; ///< The head of the current response was processed.
+	bool skipping = false;    ///< The current response belongs to another request.
 	bool connectionLost = false;
 	bool done = false;
 };
