--- a/src/crash_monitor.cpp
+++ b/src/crash_monitor.cpp
@@ -21,7 +21,8 @@
 namespace
 {
 
-constexpr Micros kSecondProbeDelay = 200 * kMillisecond; ///< For a process that ends to close its port.
+constexpr Micros kSecondProbeDelay = 200 * kMillisecond;  ///< For a process that ends to close its port.
+constexpr Micros kConfirmationDelay = 100 * kMillisecond; ///< The same, while a response waits for the result.
 constexpr Micros kExpiryPeriod = kSecond;
 constexpr std::size_t kRequestedPeers = 3; ///< Nodes that a new process asks for the crashes that they know.
 
@@ -117,33 +118,39 @@
 void CrashMonitor::onConnectionEnded(const BrokenCall& _call, RunningHandler _done)
 {
 	this->endpointCalls.probe(_call.endpoint, _call.address,
-							  [this, _call, done = std::move(_done)](ProbeResult _result)
-							  { this->onProbedAtEnd(_call, _result, true, done); });
+							  [this, _call, done = std::move(_done)](ProbeResult _result) {
+								  this->onProbedAtEnd(EndedConnection{_call, done}, _result);
+							  });
 }
 
 /// Handles a probe after the end of a connection. What the other nodes report meanwhile, and what this node has
 /// recorded of the endpoint before, does not answer the question: it is asked for one response.
-void CrashMonitor::onProbedAtEnd(const BrokenCall& _call, ProbeResult _result, bool _mayProbeAgain,
-								 const RunningHandler& _done)
+void CrashMonitor::onProbedAtEnd(EndedConnection _ended, ProbeResult _result)
 {
-	switch (_result)
+	if (_result == ProbeResult::Refused)
 	{
-	case ProbeResult::Accepted:
-		_done(true);
-		break;
-	case ProbeResult::Refused:
-		this->onCallBroken(_call, monotonicNow(), [_done] { _done(false); });
-		break;
-	case ProbeResult::NoAnswer:
-		if (!_mayProbeAgain)
-		{
-			_done(false);
-			break;
-		}
-		this->endpointCalls.probe(_call.endpoint, _call.address,
-								  [this, _call, _done](ProbeResult _second)
-								  { this->onProbedAtEnd(_call, _second, false, _done); });
-		break;
+		this->onCallBroken(_ended.call, monotonicNow(), [done = _ended.done] { done(false); });
+		return;
+	}
+	if (std::exchange(_ended.isProbedAgain, true))
+	{
+		_ended.done(_result == ProbeResult::Accepted);
+		return;
+	}
+	// A process that ends may close its connections before its port.
+	_ended.probeAgainAt = monotonicNow() + kConfirmationDelay;
+	this->endedConnections.push_back(std::move(_ended));
+}
+
+/// Probes again the endpoints that ended a connection a while ago.
+void CrashMonitor::confirmRunning(Micros _now)
+{
+	while (!this->endedConnections.empty() && this->endedConnections.front().probeAgainAt <= _now)
+	{
+		const EndedConnection ended = std::move(this->endedConnections.front());
+		this->endedConnections.pop_front();
+		this->endpointCalls.probe(ended.call.endpoint, ended.call.address,
+								  [this, ended](ProbeResult _result) { this->onProbedAtEnd(ended, _result); });
 	}
 }
 
@@ -277,6 +284,7 @@
 		this->secondProbes.pop_front();
 		this->probe(due.endpoint, due.address);
 	}
+	this->confirmRunning(_now);
 	if (_now >= this->nextExpiryAt)
 	{
 		this->nextExpiryAt = _now + kExpiryPeriod;
--- a/src/crash_monitor.h
+++ b/src/crash_monitor.h
@@ -75,9 +75,19 @@
 	[[nodiscard]] std::string metricsText() const;
 
 private:
+	/// A response that waits until its endpoint was probed twice.
+	struct EndedConnection
+	{
+		BrokenCall call;
+		RunningHandler done;
+		bool isProbedAgain = false;
+		Micros probeAgainAt = 0; ///< Time point.
+	};
+
 	void probe(const std::string& _endpoint, const std::string& _address);
 	void onProbed(const std::string& _endpoint, const std::string& _address, ProbeResult _result);
-	void onProbedAtEnd(const BrokenCall& _call, ProbeResult _result, bool _mayProbeAgain, const RunningHandler& _done);
+	void onProbedAtEnd(EndedConnection _ended, ProbeResult _result);
+	void confirmRunning(Micros _now);
 	void report(const std::vector<EndpointCrash>& _crashes);
 	void onReport(const std::string& _from, const CrashReport& _report, Micros _now);
 	void logFatalRequests(const EndpointCrash& _crash, const std::string& _source) const;
@@ -97,9 +107,10 @@
 	/// Functions to call after the probe of an endpoint, by its id.
 	std::map<std::string, std::vector<std::function<void()>>> waiting;
 	std::deque<SecondProbe> secondProbes;
-	bool requested = false;       ///< The crashes known to other nodes were requested.
-	Micros nextExpiryAt = 0;      ///< Time point.
-	std::uint64_t crashCount = 0; ///< Crashes found by this node.
+	std::deque<EndedConnection> endedConnections; ///< To be probed again, soonest first.
+	bool requested = false;                       ///< The crashes known to other nodes were requested.
+	Micros nextExpiryAt = 0;                      ///< Time point.
+	std::uint64_t crashCount = 0;                 ///< Crashes found by this node.
 };
 
 } // namespace roadferry
