--- a/include/roadferry/parts/stream_origins.h
+++ b/include/roadferry/parts/stream_origins.h
@@ -130,7 +130,10 @@
 	std::size_t maxRecords = 20'000; ///< Records kept; the oldest go first.
 	/// Start of the numbers of the lookups; differs from those of earlier processes of this node.
 	std::uint64_t firstLookup = 0;
-	Micros versionMemory = 30 * kSecond;    ///< See PoolVersions; longer than clients wait for a stream.
+	Micros versionMemory = 30 * kSecond; ///< See PoolVersions; longer than clients wait for a stream.
+	/// A stream may have begun that long ago, whatever its request tells: the client's time shrinks from one try to the
+	/// next, and a route's limit may have been changed.
+	Micros minStreamAge = 20 * kSecond;
 	Micros savePeriod = 500 * kMillisecond; ///< Between two saves of records by one node.
 	std::size_t savers = 8;                 ///< Nodes that save records; with more nodes, the others send theirs.
 	std::size_t saveSlots = 64;             ///< Saves that a node keeps: as long as versions are ambiguous.
@@ -182,7 +185,7 @@
 
 	/// Starts to look up the origin of a stream.
 	/// @param[in] _pool Pool that the stream runs in if its origin is not known.
-	/// @param[in] _within How long ago it may have begun.
+	/// @param[in] _within How long ago it may have begun, as far as the request tells.
 	OriginLookup find(const std::string& _request, const std::string& _pool, Micros _within, Micros _now);
 
 	OriginActions receive(const std::string& _from, const OriginMessage& _message, Micros _now);
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -180,19 +180,20 @@
 OriginLookup StreamOrigins::find(const std::string& _request, const std::string& _pool, Micros _within, Micros _now)
 {
 	OriginLookup started{++this->lastLookup, {}};
+	const Micros within = std::max(_within, this->config.minStreamAge);
 	const auto known = this->entries.find(_request);
 	if (known != this->entries.end())
 	{
 		started.actions.emplace_back(OriginResolved{started.id, known->second.record.origin, "this node"});
 		return started;
 	}
-	Lookup lookup{_request, _pool, _within, _now + this->config.lookupTimeout, {}, {}, false};
+	Lookup lookup{_request, _pool, within, _now + this->config.lookupTimeout, {}, {}, false};
 	if (!this->isOnlyVersionKnown(lookup, _now))
 	{
 		for (const std::string& node : rendezvousNodes(_request, this->others, this->config.askedNodes))
 		{
 			lookup.awaited.insert(node);
-			started.actions.emplace_back(SendOriginMessage{node, OriginQuery{started.id, _request, _pool, _within}});
+			started.actions.emplace_back(SendOriginMessage{node, OriginQuery{started.id, _request, _pool, within}});
 		}
 	}
 	const bool canConclude = !this->isWaiting(lookup) || this->isOnlyVersionKnown(lookup, _now);
--- a/tests/test_streams.cpp
+++ b/tests/test_streams.cpp
@@ -124,10 +124,11 @@
 	}
 
 	/// Takes a stream up at a node.
+	/// @param[in] _within How long ago it may have begun, by the request.
 	/// @returns How its lookup ended.
-	OriginResolved resume(const std::string& _node, const std::string& _request)
+	OriginResolved resume(const std::string& _node, const std::string& _request, Micros _within = kStreamLife)
 	{
-		const OriginLookup lookup = this->nodes.at(_node).find(_request, kPool, kStreamLife, this->now);
+		const OriginLookup lookup = this->nodes.at(_node).find(_request, kPool, _within, this->now);
 		this->perform(_node, lookup.actions);
 		this->advance(StreamOriginsConfig{}.lookupTimeout);
 		return this->resolved.at({_node, lookup.id});
@@ -443,6 +444,38 @@
 	cr_assert(resolve("r").has_value());
 }
 
+/// Guards against a stream joined from two versions: the time that its client has left, and the route's limit of today,
+/// may be shorter than the time since it began.
+Test(streams, stream_may_have_begun_longer_ago_than_its_client_still_waits)
+{
+	OriginCluster cluster(3, {"v1", "v2"});
+	cluster.setVersions({"v2"});
+	cluster.killAll();
+	cluster.restartAll();
+	cluster.advance(5 * kSecond);
+	cr_assert_not(cluster.resume(cluster.names[1], "never-seen", kSecond).origin.has_value());
+}
+
+/// Guards against a guess of nodes that have started again, while one that did not forget anything answers them.
+Test(streams, node_that_survives_tells_the_others_which_versions_served)
+{
+	OriginCluster cluster(4, {"v1", "v2"});
+	cluster.begin(cluster.names[0], "r", "v1");
+	cluster.setVersions({"v2", "v3"});
+	cluster.setVersions({"v3"});
+	for (std::size_t index = 1; index < cluster.names.size(); ++index)
+	{
+		cluster.kill(cluster.names[index]);
+	}
+	cluster.setPlatformAway(true);
+	for (std::size_t index = 1; index < cluster.names.size(); ++index)
+	{
+		cluster.restart(cluster.names[index]);
+	}
+	cr_assert(cluster.resume(cluster.names[2], "r").origin == (StreamOrigin{kPool, "v1"}));
+	cr_assert_not(cluster.resume(cluster.names[2], "never-seen").origin.has_value());
+}
+
 /// Guards against a wrong version after any sequence in which all nodes are killed at once and the platform is away.
 Test(streams, no_history_with_all_nodes_killed_gives_a_stream_another_version)
 {
