--- a/include/roadferry/parts/pool_versions.h
+++ b/include/roadferry/parts/pool_versions.h
@@ -45,8 +45,15 @@
 	/// The listing was not read for so long that versions may have come and gone unseen.
 	void restartObservation(Micros _now);
 
-	/// Sets what earlier processes, or other nodes, have saved. Pools without an entry are new.
-	void setSaved(const std::vector<SavedVersions>& _saved, Micros _now);
+	/// Adds versions that earlier processes, or other nodes, have saved.
+	void addSaved(const SavedVersions& _saved, Micros _now);
+
+	/// Adds the version of a stream that was saved. After the versions of its pool, it proves that the pool had this
+	/// one too, although the versions could not be saved again; before them, they tell whether it had left.
+	void addSavedStream(const std::string& _pool, const std::string& _version, Micros _now);
+
+	/// All that earlier processes have saved was added, in the order in which they saved it; other pools are new.
+	void endLoading();
 
 	/// Records that this process has saved the versions of a pool.
 	void recordSaved(const SavedVersions& _saved);
@@ -73,7 +80,8 @@
 		std::optional<std::set<std::string>> saved; ///< Not set if none are.
 	};
 
-	void unlist(Pool& _pool, const std::set<std::string>& _listed, Micros _now);
+	static void unlist(Pool& _pool, const std::set<std::string>& _listed, Micros _now);
+	static void addEarlier(Pool& _pool, const std::string& _version, Micros _now);
 
 	Micros memory;
 	std::map<std::string, Pool> pools;
--- a/include/roadferry/parts/stream_origins.h
+++ b/include/roadferry/parts/stream_origins.h
@@ -100,14 +100,17 @@
 	bool operator==(const SaveStreamRecords&) const = default;
 };
 
-/// What earlier processes have saved on the platform.
-struct SavedOrigins
+/// Records of streams, as they are saved on the platform.
+struct SavedStreams
 {
-	std::vector<SavedVersions> versions;
 	std::vector<StreamRecord> records; ///< With the time until they expire.
-	bool operator==(const SavedOrigins&) const = default;
+	bool operator==(const SavedStreams&) const = default;
 };
 
+/// What earlier processes have saved on the platform, in the order in which they saved it.
+using SavedEntry = std::variant<SavedVersions, SavedStreams>;
+using SavedOrigins = std::vector<SavedEntry>;
+
 using OriginAction = std::variant<SendOriginMessage, OriginResolved, SavedVersions, SaveStreamRecords>;
 using OriginActions = std::vector<OriginAction>;
 
@@ -217,6 +220,7 @@
 
 	[[nodiscard]] std::vector<std::string> holdersOf(const std::string& _request) const;
 	void store(const StreamRecord& _record, bool _isOwn);
+	void addSaved(const SavedStreams& _streams, Micros _now);
 	void sendOwnRecords(const std::string& _to, Micros _now, OriginActions& _actions) const;
 	[[nodiscard]] bool isOnlyVersionKnown(const Lookup& _lookup, Micros _now) const;
 	[[nodiscard]] bool isWaiting(const Lookup& _lookup) const;
--- a/src/adapter.h
+++ b/src/adapter.h
@@ -67,6 +67,14 @@
 	[[nodiscard]] virtual absl::StatusOr<RoutesUpdate> decodeRecord(const std::string& _record) const = 0;
 };
 
+/// Entry of a PersistentMap.
+struct PersistentEntry
+{
+	std::string key;
+	std::string value;
+	bool operator==(const PersistentEntry&) const = default;
+};
+
 /// Entries that the system itself keeps on the platform, so that they outlast all nodes. Called on the control thread;
 /// results are delivered on that thread too.
 class PersistentMap
@@ -74,8 +82,8 @@
 public:
 	virtual ~PersistentMap() = default;
 
-	/// Reads the newest value of every key.
-	virtual void readAll(std::function<void(absl::StatusOr<std::map<std::string, std::string>>)> _done) = 0;
+	/// Reads the newest value of every key; the entries are in the order in which these were written.
+	virtual void readAll(std::function<void(absl::StatusOr<std::vector<PersistentEntry>>)> _done) = 0;
 
 	/// Sets the value of a key. If it fails, the value may have been set, or may be set later.
 	virtual void write(const std::string& _key, const std::string& _value, std::function<void(absl::Status)> _done) = 0;
--- a/src/origin_store.cpp
+++ b/src/origin_store.cpp
@@ -34,39 +34,50 @@
 	return QCborValue(_map).toCbor().toStdString();
 }
 
+/// Appends what an entry says, unless it is of another kind.
 void decodeEntry(const std::string& _key, CborReader& _reader, SavedOrigins& _saved)
 {
 	if (absl::StartsWith(_key, kVersionsPrefix))
 	{
 		const std::vector<std::string> versions = _reader.texts("versions");
-		_saved.versions.push_back(
+		_saved.emplace_back(
 			SavedVersions{_key.substr(std::strlen(kVersionsPrefix)), {versions.begin(), versions.end()}});
 	}
 	else if (absl::StartsWith(_key, kRecordsPrefix))
 	{
-		const OriginRecords records = readOriginRecords(_reader);
-		_saved.records.insert(_saved.records.end(), records.records.begin(), records.records.end());
+		_saved.emplace_back(SavedStreams{readOriginRecords(_reader).records});
 	}
 }
 
+void logLoaded(const SavedOrigins& _saved)
+{
+	std::size_t pools = 0;
+	std::size_t streams = 0;
+	for (const SavedEntry& entry : _saved)
+	{
+		std::visit(Overloaded{[&](const SavedVersions&) { pools += 1; },
+							  [&](const SavedStreams& _streams) { streams += _streams.records.size(); }},
+				   entry);
+	}
+	logEvent("origins", "loaded", {{"pools", pools}, {"streams", streams}});
+}
+
 } // namespace
 
-SavedOrigins decodeSavedOrigins(const std::map<std::string, std::string>& _entries)
+SavedOrigins decodeSavedOrigins(const std::vector<PersistentEntry>& _entries)
 {
 	SavedOrigins saved;
-	for (const auto& entry : _entries)
+	for (const PersistentEntry& entry : _entries)
 	{
-		const QCborMap map = QCborValue::fromCbor(QByteArray::fromStdString(entry.second)).toMap();
+		const QCborMap map = QCborValue::fromCbor(QByteArray::fromStdString(entry.value)).toMap();
 		CborReader reader(map);
-		SavedOrigins decoded;
-		decodeEntry(entry.first, reader, decoded);
+		const std::size_t before = saved.size();
+		decodeEntry(entry.key, reader, saved);
 		if (!reader.status.ok())
 		{
-			logWarning("origins", absl::StrCat(entry.first, ": ", std::string(reader.status.message())));
-			continue;
+			logWarning("origins", absl::StrCat(entry.key, ": ", std::string(reader.status.message())));
+			saved.resize(before);
 		}
-		saved.versions.insert(saved.versions.end(), decoded.versions.begin(), decoded.versions.end());
-		saved.records.insert(saved.records.end(), decoded.records.begin(), decoded.records.end());
 	}
 	return saved;
 }
@@ -80,11 +91,10 @@
 
 void OriginStore::load()
 {
-	this->map.readAll([this](const absl::StatusOr<std::map<std::string, std::string>>& _entries)
-					  { this->onRead(_entries); });
+	this->map.readAll([this](const absl::StatusOr<std::vector<PersistentEntry>>& _entries) { this->onRead(_entries); });
 }
 
-void OriginStore::onRead(const absl::StatusOr<std::map<std::string, std::string>>& _entries)
+void OriginStore::onRead(const absl::StatusOr<std::vector<PersistentEntry>>& _entries)
 {
 	if (!_entries.ok())
 	{
@@ -94,7 +104,7 @@
 		return;
 	}
 	const SavedOrigins saved = decodeSavedOrigins(*_entries);
-	logEvent("origins", "loaded", {{"pools", saved.versions.size()}, {"streams", saved.records.size()}});
+	logLoaded(saved);
 	this->handlers.onLoaded(saved);
 }
 
--- a/src/origin_store.h
+++ b/src/origin_store.h
@@ -37,7 +37,7 @@
 	void save(const SaveStreamRecords& _records);
 
 private:
-	void onRead(const absl::StatusOr<std::map<std::string, std::string>>& _entries);
+	void onRead(const absl::StatusOr<std::vector<PersistentEntry>>& _entries);
 
 	PersistentMap& map;
 	OriginStoreHandlers handlers;
@@ -46,7 +46,7 @@
 };
 
 /// @returns What the entries of a PersistentMap say. Entries that cannot be decoded are logged and left out.
-SavedOrigins decodeSavedOrigins(const std::map<std::string, std::string>& _entries);
+SavedOrigins decodeSavedOrigins(const std::vector<PersistentEntry>& _entries);
 
 } // namespace roadferry
 
--- a/src/pool_versions.cpp
+++ b/src/pool_versions.cpp
@@ -68,23 +68,39 @@
 	this->observedSince = _now;
 }
 
-void PoolVersions::setSaved(const std::vector<SavedVersions>& _saved, Micros _now)
+void PoolVersions::addEarlier(Pool& _pool, const std::string& _version, Micros _now)
 {
-	this->savedKnown = true;
-	for (const SavedVersions& saved : _saved)
+	if (_pool.listed.count(_version) == 0)
 	{
-		Pool& pool = this->pools[saved.pool];
-		pool.saved = saved.versions;
-		for (const std::string& version : saved.versions)
-		{
-			if (pool.listed.count(version) == 0)
-			{
-				pool.unlistedAt[version] = _now; // It may have been listed until the start of this process.
-			}
-		}
+		_pool.unlistedAt[_version] = _now; // It may have been listed until the start of this process.
+	}
+}
+
+void PoolVersions::addSaved(const SavedVersions& _saved, Micros _now)
+{
+	Pool& pool = this->pools[_saved.pool];
+	pool.saved = _saved.versions;
+	for (const std::string& version : _saved.versions)
+	{
+		addEarlier(pool, version, _now);
+	}
+}
+
+void PoolVersions::addSavedStream(const std::string& _pool, const std::string& _version, Micros _now)
+{
+	const auto found = this->pools.find(_pool);
+	const bool areVersionsSaved = found != this->pools.end() && found->second.saved.has_value();
+	if (areVersionsSaved)
+	{
+		addEarlier(found->second, _version, _now);
 	}
 }
 
+void PoolVersions::endLoading()
+{
+	this->savedKnown = true;
+}
+
 void PoolVersions::recordSaved(const SavedVersions& _saved)
 {
 	this->pools[_saved.pool].saved = _saved.versions;
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -248,12 +248,13 @@
 OriginActions StreamOrigins::setSaved(const SavedOrigins& _saved, Micros _now)
 {
 	this->awaitsSaved = false;
-	this->pools.setSaved(_saved.versions, _now);
-	for (StreamRecord record : _saved.records)
+	for (const SavedEntry& entry : _saved)
 	{
-		record.expiresAt += _now;
-		this->store(record, false);
+		std::visit(Overloaded{[&](const SavedVersions& _versions) { this->pools.addSaved(_versions, _now); },
+							  [&](const SavedStreams& _streams) { this->addSaved(_streams, _now); }},
+				   entry);
 	}
+	this->pools.endLoading();
 	OriginActions actions;
 	this->saveVersions(_now, actions);
 	std::vector<std::uint64_t> ended;
@@ -276,6 +277,16 @@
 	return actions;
 }
 
+void StreamOrigins::addSaved(const SavedStreams& _streams, Micros _now)
+{
+	for (StreamRecord record : _streams.records)
+	{
+		this->pools.addSavedStream(record.origin.pool, record.origin.version, _now);
+		record.expiresAt += _now;
+		this->store(record, false);
+	}
+}
+
 void StreamOrigins::onVersionsSaved(const SavedVersions& _saved, bool _succeeded, Micros _now)
 {
 	this->poolsInSave.erase(_saved.pool);
--- a/tests/test_streams.cpp
+++ b/tests/test_streams.cpp
@@ -149,6 +149,7 @@
 	Micros now = 100 * kSecond;
 	std::size_t recordMessages = 0;
 	std::size_t saves = 0; ///< Of the versions of streams.
+	bool versionSavesFail = false;
 
 private:
 	void load(const std::string& _name)
@@ -159,28 +160,20 @@
 			this->loading.insert(_name);
 			return;
 		}
-		SavedOrigins saved;
-		for (const auto& entry : this->savedVersions)
-		{
-			saved.versions.push_back(SavedVersions{entry.first, entry.second});
-		}
-		for (const auto& entry : this->savedRecords)
-		{
-			saved.records.insert(saved.records.end(), entry.second.begin(), entry.second.end());
-		}
 		if (node != this->nodes.end())
 		{
-			this->perform(_name, node->second.setSaved(saved, this->now));
+			this->perform(_name, node->second.setSaved(this->savedOrigins(), this->now));
 		}
 	}
 
 	void save(const std::string& _node, const SavedVersions& _versions)
 	{
-		if (!this->platformAway)
+		const bool succeeds = !this->platformAway && !this->versionSavesFail;
+		if (succeeds)
 		{
-			this->savedVersions[_versions.pool] = _versions.versions;
+			this->write("versions/" + _versions.pool, _versions);
 		}
-		this->nodes.at(_node).onVersionsSaved(_versions, !this->platformAway, this->now);
+		this->nodes.at(_node).onVersionsSaved(_versions, succeeds, this->now);
 	}
 
 	void save(const std::string& _node, const SaveStreamRecords& _records)
@@ -188,11 +181,29 @@
 		this->saves += 1;
 		if (!this->platformAway)
 		{
-			this->savedRecords[{_records.saver, _records.slot}] = _records.records;
+			const std::string key = "origins/" + std::to_string(_records.saver) + "/" + std::to_string(_records.slot);
+			this->write(key, SavedStreams{_records.records});
 		}
 		this->nodes.at(_node).onRecordsSaved(_records, !this->platformAway);
 	}
 
+	/// Sets the value of a key, as the newest one.
+	void write(const std::string& _key, const SavedEntry& _entry)
+	{
+		std::erase_if(this->saved, [&](const auto& _other) { return _other.first == _key; });
+		this->saved.emplace_back(_key, _entry);
+	}
+
+	[[nodiscard]] SavedOrigins savedOrigins() const
+	{
+		SavedOrigins origins;
+		for (const auto& entry : this->saved)
+		{
+			origins.push_back(entry.second);
+		}
+		return origins;
+	}
+
 	void perform(const std::string& _from, const OriginActions& _actions)
 	{
 		for (const OriginAction& action : _actions)
@@ -217,9 +228,8 @@
 	}
 
 	bool platformAway = false;
-	std::set<std::string> loading; ///< Nodes that wait for the platform.
-	std::map<std::string, std::set<std::string>> savedVersions;
-	std::map<std::pair<std::size_t, std::size_t>, std::vector<StreamRecord>> savedRecords;
+	std::set<std::string> loading;                         ///< Nodes that wait for the platform.
+	std::vector<std::pair<std::string, SavedEntry>> saved; ///< By key, in the order of writing.
 
 	std::map<std::pair<std::string, std::uint64_t>, OriginResolved> resolved;
 };
@@ -436,7 +446,7 @@
 {
 	StreamOrigins node("self", StreamOriginsConfig{});
 	node.setEndpoints(listingOf({"v2"}), false, kSecond);
-	node.setSaved(SavedOrigins{{SavedVersions{kPool, {"v2"}}}, {}}, kSecond);
+	node.setSaved({SavedVersions{kPool, {"v2"}}}, kSecond);
 	const auto resolve = [&](const std::string& _request)
 	{ return std::get<OriginResolved>(node.find(_request, kPool, kStreamLife, kSecond).actions.at(0)).origin; };
 	cr_assert_not(resolve("r").has_value());
@@ -444,6 +454,36 @@
 	cr_assert(resolve("r").has_value());
 }
 
+/// Guards against a stream joined from two versions: the node that saves the versions of the pool could not, and only
+/// the saved streams of other nodes tell that a version had served which is not listed any more.
+Test(streams, saved_stream_of_a_version_that_was_not_saved_proves_that_the_pool_had_it)
+{
+	OriginCluster cluster(3, {"v1"});
+	cluster.versionSavesFail = true;
+	cluster.setVersions({"v1", "v2"});
+	cluster.begin(cluster.names[0], "r", "v2");
+	cluster.advance(kSecond);
+	cluster.setVersions({"v1"});
+	cluster.killAll();
+	cluster.restartAll();
+	cr_assert(cluster.resume(cluster.names[1], "r").origin == (StreamOrigin{kPool, "v2"}));
+	cr_assert_not(cluster.resume(cluster.names[1], "never-seen").origin.has_value());
+}
+
+/// Guards against refusing streams for the sake of a version that left long ago: its saved streams are older than what
+/// was saved of the pool after it had left.
+Test(streams, saved_stream_of_a_version_that_left_long_ago_makes_no_doubt)
+{
+	OriginCluster cluster(3, {"v1", "v2"});
+	cluster.begin(cluster.names[0], "r", "v1");
+	cluster.advance(kSecond);
+	cluster.setVersions({"v2"});
+	cluster.advance(StreamOriginsConfig{}.versionMemory + kSecond);
+	cluster.killAll();
+	cluster.restartAll();
+	cr_assert(cluster.resume(cluster.names[1], "never-seen").origin == (StreamOrigin{kPool, "v2"}));
+}
+
 /// Guards against a stream joined from two versions: the time that its client has left, and the route's limit of today,
 /// may be shorter than the time since it began.
 Test(streams, stream_may_have_begun_longer_ago_than_its_client_still_waits)
