--- a/src/crash_monitor.cpp
+++ b/src/crash_monitor.cpp
@@ -118,23 +118,28 @@
 void CrashMonitor::onConnectionEnded(const BrokenCall& _call, RunningHandler _done)
 {
 	this->endpointCalls.probe(_call.endpoint, _call.address,
-							  [this, _call, done = std::move(_done)](ProbeResult _result) {
-								  this->onProbedAtEnd(EndedConnection{_call, done}, _result);
+							  [this, _call, done = std::move(_done)](const ProbeFinding& _finding) {
+								  this->onProbedAtEnd(EndedConnection{_call, done}, _finding);
 							  });
 }
 
 /// Handles a probe after the end of a connection. What the other nodes report meanwhile, and what this node has
 /// recorded of the endpoint before, does not answer the question: it is asked for one response.
-void CrashMonitor::onProbedAtEnd(EndedConnection _ended, ProbeResult _result)
+void CrashMonitor::onProbedAtEnd(EndedConnection _ended, const ProbeFinding& _finding)
 {
-	if (_result == ProbeResult::Refused)
+	if (_finding.result == ProbeResult::Refused)
 	{
 		this->onCallBroken(_ended.call, monotonicNow(), [done = _ended.done] { done(false); });
 		return;
 	}
+	if (_finding.refusedHere)
+	{
+		_ended.done(false); // Another node may have reached the next process at the address.
+		return;
+	}
 	if (std::exchange(_ended.isProbedAgain, true))
 	{
-		_ended.done(_result == ProbeResult::Accepted);
+		_ended.done(_finding.result == ProbeResult::Accepted);
 		return;
 	}
 	// A process that ends may close its connections before its port.
@@ -150,15 +155,16 @@
 		const EndedConnection ended = std::move(this->endedConnections.front());
 		this->endedConnections.pop_front();
 		this->endpointCalls.probe(ended.call.endpoint, ended.call.address,
-								  [this, ended](ProbeResult _result) { this->onProbedAtEnd(ended, _result); });
+								  [this, ended](const ProbeFinding& _finding)
+								  { this->onProbedAtEnd(ended, _finding); });
 	}
 }
 
 void CrashMonitor::probe(const std::string& _endpoint, const std::string& _address)
 {
 	this->endpointCalls.probe(_endpoint, _address,
-							  [this, _endpoint, _address](ProbeResult _result)
-							  { this->onProbed(_endpoint, _address, _result); });
+							  [this, _endpoint, _address](const ProbeFinding& _finding)
+							  { this->onProbed(_endpoint, _address, _finding.result); });
 }
 
 void CrashMonitor::onProbed(const std::string& _endpoint, const std::string& _address, ProbeResult _result)
--- a/src/crash_monitor.h
+++ b/src/crash_monitor.h
@@ -86,7 +86,7 @@
 
 	void probe(const std::string& _endpoint, const std::string& _address);
 	void onProbed(const std::string& _endpoint, const std::string& _address, ProbeResult _result);
-	void onProbedAtEnd(EndedConnection _ended, ProbeResult _result);
+	void onProbedAtEnd(EndedConnection _ended, const ProbeFinding& _finding);
 	void confirmRunning(Micros _now);
 	void report(const std::vector<EndpointCrash>& _crashes);
 	void onReport(const std::string& _from, const CrashReport& _report, Micros _now);
--- a/src/endpoint_calls.cpp
+++ b/src/endpoint_calls.cpp
@@ -338,7 +338,9 @@
 		"\n# TYPE roadferry_calls_relayed_total counter\nroadferry_calls_relayed_total ", this->relayedCount,
 		"\n# TYPE roadferry_calls_made_for_nodes_total counter\nroadferry_calls_made_for_nodes_total ",
 		this->server.totalCalls(), "\n# TYPE roadferry_idle_connections gauge\nroadferry_idle_connections ",
-		this->client.idleConnections(), "\n");
+		this->client.idleConnections(),
+		"\n# TYPE roadferry_probes_refused_total counter\nroadferry_probes_refused_total ", this->prober.refusals(),
+		"\n");
 }
 
 } // namespace roadferry
--- a/src/endpoint_prober.cpp
+++ b/src/endpoint_prober.cpp
@@ -44,12 +44,13 @@
 	{
 	case ProbeResult::Accepted:
 		this->context.onConnected(_endpoint);
-		_done(_result);
+		_done(ProbeFinding{_result, false});
 		break;
 	case ProbeResult::NoAnswer:
-		_done(_result);
+		_done(ProbeFinding{_result, false});
 		break;
 	case ProbeResult::Refused:
+		this->refusalCount += 1;
 		this->askWitnesses(_endpoint, true, _done);
 		break;
 	}
@@ -62,7 +63,7 @@
 	const Round round{_endpoint, _refusedHere, false, {witnesses.begin(), witnesses.end()}, deadline, _done};
 	if (witnesses.empty())
 	{
-		_done(this->resultWithoutWitness(round));
+		_done(ProbeFinding{this->resultWithoutWitness(round), _refusedHere});
 		return;
 	}
 	const std::uint64_t number = ++this->lastProbe;
@@ -109,9 +110,14 @@
 void EndpointProber::finish(std::uint64_t _probe, ProbeResult _result)
 {
 	const auto found = this->rounds.find(_probe);
-	const ProbeHandler handler = std::move(found->second.done);
+	const Round round = std::move(found->second);
 	this->rounds.erase(found);
-	handler(_result);
+	round.done(ProbeFinding{_result, round.refusedHere});
+}
+
+std::uint64_t EndpointProber::refusals() const
+{
+	return this->refusalCount;
 }
 
 void EndpointProber::tick(Micros _now)
--- a/src/endpoint_prober.h
+++ b/src/endpoint_prober.h
@@ -30,8 +30,17 @@
 	std::function<void(const std::string& _endpoint, const std::string& _node)> onReachedThrough;
 };
 
+/// What a node and its witnesses have found out about an endpoint.
+struct ProbeFinding
+{
+	ProbeResult result = ProbeResult::NoAnswer; ///< Refused only if no node that was asked reaches the endpoint.
+	bool refusedHere = false; ///< This node's connection was refused. If others reach it, the path may be cut here, or
+							  ///< another process has begun to listen meanwhile.
+	bool operator==(const ProbeFinding&) const = default;
+};
+
 /// Receives the result of a probe.
-using ProbeHandler = std::function<void(ProbeResult)>;
+using ProbeHandler = std::function<void(const ProbeFinding&)>;
 
 /// Probes endpoints. That a connection is refused at this node does not show that the endpoint has ended: the path may
 /// be cut. So some other nodes are asked, and one that reaches the endpoint decides (the indirect probe of SWIM). All
@@ -42,7 +51,6 @@
 	/// @param[in] _firstNumber Start of the numbers of the probes.
 	EndpointProber(HttpClient& _client, std::uint64_t _firstNumber, EndpointProberContext _context);
 
-	/// @param[in] _done Receives Refused only if no node that was asked reaches the endpoint.
 	void probe(const std::string& _endpoint, const std::string& _address, const ProbeHandler& _done);
 
 	void receive(const std::string& _from, const EndpointProbeAnswer& _answer);
@@ -50,6 +58,9 @@
 	/// Ends the probes whose answers are late.
 	void tick(Micros _now);
 
+	/// @returns Number of probes that were refused at this node.
+	[[nodiscard]] std::uint64_t refusals() const;
+
 private:
 	/// A probe that waits for other nodes.
 	struct Round
@@ -71,6 +82,7 @@
 	EndpointProberContext context;
 	std::map<std::uint64_t, Round> rounds; ///< By number of the probe; the earliest deadline first.
 	std::uint64_t lastProbe;
+	std::uint64_t refusalCount = 0;
 };
 
 } // namespace roadferry
--- /dev/null
+++ b/tests/test_probes.cpp
@@ -0,0 +1,95 @@
+/*
+ * Copyright 2026 The roadferry maintainers. All rights reserved.
+ * License: https://opensource.org/licenses/BSD-2-Clause
+ */
+
+/// @file
+/// Tests of probes of endpoints that close their port and open it again, with the views of this node and of another
+/// one.
+
+#include "clock.h"
+#include "endpoint_prober.h"
+#include "loopback_port.h"
+
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <future>
+
+namespace
+{
+
+using namespace roadferry;
+
+constexpr const char* kEndpoint = "endpoint-1";
+constexpr const char* kWitness = "10.0.0.2:8500";
+
+/// A node that probes an endpoint and asks one other node for its view.
+class ProbingNode
+{
+public:
+	/// Probes an endpoint. Returns when the other node is asked.
+	std::future<ProbeFinding> probe(const std::string& _address)
+	{
+		this->pool.post(0,
+						[this, _address]
+						{
+							this->prober.probe(kEndpoint, _address,
+											   [this](const ProbeFinding& _finding)
+											   { this->result.set_value(_finding); });
+						});
+		this->asked.get_future().wait();
+		return this->result.get_future();
+	}
+
+	/// The other node answers.
+	void receive(ProbeResult _view)
+	{
+		this->pool.post(0,
+						[this, _view] {
+							this->prober.receive(kWitness, EndpointProbeAnswer{this->question, _view});
+						});
+	}
+
+	std::atomic<bool> isPathLost{false}; ///< The other node reaches what this one does not.
+
+private:
+	EndpointProberContext makeContext()
+	{
+		EndpointProberContext context;
+		context.send = [this](const std::string&, const CallMessage& _message)
+		{
+			this->question = std::get<EndpointProbeRequest>(_message).probe;
+			this->asked.set_value();
+		};
+		context.witnesses = [] { return std::vector<std::string>{kWitness}; };
+		context.isPathLost = [](const std::string&) { return false; };
+		context.hasLostPaths = [] { return false; };
+		context.onConnected = [](const std::string&) {};
+		context.onReachedThrough = [this](const std::string&, const std::string&) { this->isPathLost = true; };
+		return context;
+	}
+
+	std::promise<void> asked;
+	std::promise<ProbeFinding> result;
+	std::uint64_t question = 0;
+	IoPool pool{1};
+	HttpClient client{this->pool};
+	EndpointProber prober{this->client, 1, this->makeContext()};
+};
+
+} // namespace
+
+/// Guards against a response without a length that passes for a whole one: whoever listens at the address when another
+/// node looks need not be the process that closed the connection, if it refused one here.
+Test(probes, refusal_here_is_told_although_another_node_reaches_the_endpoint)
+{
+	LoopbackPort port;
+	port.close();
+	ProbingNode node;
+	std::future<ProbeFinding> finding = node.probe(port.address());
+	port.open();
+	node.receive(ProbeResult::Accepted);
+	cr_assert(finding.get() == (ProbeFinding{ProbeResult::Accepted, true}));
+	cr_assert(node.isPathLost);
+}
