--- a/src/endpoint_calls.cpp
+++ b/src/endpoint_calls.cpp
@@ -245,8 +245,8 @@
 
 void EndpointCalls::setEndpoints(const std::vector<Endpoint>& _endpoints)
 {
+	const std::map<std::string, std::string> before = std::exchange(this->idByAddress, {});
 	this->addresses.clear();
-	this->idByAddress.clear();
 	this->leaving.clear();
 	for (const Endpoint& endpoint : _endpoints)
 	{
@@ -258,6 +258,13 @@
 		this->idByAddress[endpoint.address] = endpoint.id;
 	}
 	this->reach.setEndpoints(_endpoints);
+	for (const auto& entry : before)
+	{
+		if (this->idByAddress.count(entry.first) == 0)
+		{
+			this->client.closeIdle(0, entry.first);
+		}
+	}
 }
 
 void EndpointCalls::setRelays(const std::vector<RelayNode>& _nodes)
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -642,6 +642,11 @@
 	}
 }
 
+void HttpClient::closeIdle(std::size_t _thread, const std::string& _address)
+{
+	this->impl->idle.at(_thread).erase(_address);
+}
+
 std::size_t HttpClient::idleConnections() const
 {
 	std::size_t count = 0;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -124,6 +124,10 @@
 	void probe(std::size_t _thread, const std::string& _address, std::int64_t _timeout,
 			   std::function<void(ProbeResult)> _done);
 
+	/// Closes the idle connections to an address.
+	/// @param[in] _thread Index of the thread that opened them, which must be the calling thread.
+	void closeIdle(std::size_t _thread, const std::string& _address);
+
 	/// @returns Number of idle connections, as of the last second. May be called from any thread.
 	[[nodiscard]] std::size_t idleConnections() const;
 
--- a/tests/test_probes.cpp
+++ b/tests/test_endpoint_calls.cpp
@@ -8,8 +8,10 @@
 /// one.
 
 #include "clock.h"
-#include "endpoint_prober.h"
+#include "deployment.h"
+#include "endpoint_calls.h"
 #include "loopback_port.h"
+#include "script_server.h"
 
 #include <criterion/criterion.h>
 
@@ -93,3 +95,38 @@
 	cr_assert(finding.get() == (ProbeFinding{ProbeResult::Accepted, true}));
 	cr_assert(node.isPathLost);
 }
+
+/// Guards against descriptors that are kept for endpoints which are gone without closing their connections: no call is
+/// made to them any more.
+Test(endpoint_calls, idle_connections_to_an_endpoint_that_is_not_listed_any_more_are_closed)
+{
+	std::promise<void> closed;
+	ScriptServer server(
+		[&](int _socket)
+		{
+			ScriptServer::readHead(_socket);
+			ScriptServer::sendText(_socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+			ScriptServer::readHead(_socket); // Returns at the close.
+			closed.set_value();
+		});
+	IoPool pool(1);
+	HttpClient client(pool);
+	EndpointCalls calls(pool, client, 1, [](const std::string&, const CallMessage&) {});
+	std::promise<CallEnd> answered;
+	pool.post(0,
+			  [&]
+			  {
+				  calls.setEndpoints({Endpoint{kEndpoint, server.address, "pool", "north"}});
+				  EndpointCall call;
+				  call.endpoint = kEndpoint;
+				  call.spec.address = server.address;
+				  call.spec.timeout = kSecond;
+				  CallHandlers handlers;
+				  handlers.onEnd = [&](const CallEnd& _end) { answered.set_value(_end); };
+				  calls.call(std::move(call), std::move(handlers));
+			  });
+	cr_assert(answered.get_future().get().result == CallResult::Complete);
+	pool.post(0, [&] { calls.setEndpoints({}); });
+	constexpr std::chrono::seconds kPatience{5}; // An idle connection would be kept for 30 s.
+	cr_assert(closed.get_future().wait_for(kPatience) == std::future_status::ready, "the connection is still open");
+}
