Split the saving of stream records and rendezvous hashing off StreamOrigins

The third is StreamSaver now, a state machine of its own with its settings; the choice of nodes for a key, which others use too, is in rendezvous.cpp.

Behaviour is as before but for two small things: the saver keeps copies of records in place of request ids, so a record whose own copy was dropped for want of room is still saved; and it gives a failed save's records back with the time that they had left, not reduced by the time of the failed save.

--- a/include/roadferry/parts/stream_origins.h
+++ b/include/roadferry/parts/stream_origins.h
@@ -11,11 +11,11 @@
 
 #include <roadferry/parts/endpoints.h>
 #include <roadferry/parts/pool_versions.h>
+#include <roadferry/parts/stream_saver.h>
 #include <roadferry/parts/time.h>
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -27,23 +27,6 @@
 namespace roadferry
 {
 
-/// Pool and software version of the endpoint that began a stream.
-struct StreamOrigin
-{
-	std::string pool;
-	std::string version;
-	bool operator==(const StreamOrigin&) const = default;
-};
-
-/// Origin of one stream.
-struct StreamRecord
-{
-	std::string request; ///< Id of the submission that brought its first event.
-	StreamOrigin origin;
-	Micros expiresAt = 0; ///< Time point from which no client takes it up; in messages the time until then.
-	bool operator==(const StreamRecord&) const = default;
-};
-
 /// Gives records to a node that keeps them too.
 struct OriginRecords
 {
@@ -91,15 +74,6 @@
 	bool operator==(const OriginResolved&) const = default;
 };
 
-/// Action: save records on the platform, in place of those that were saved in this slot before.
-struct SaveStreamRecords
-{
-	std::size_t saver = 0; ///< Rank of this node among those that save.
-	std::size_t slot = 0;
-	std::vector<StreamRecord> records; ///< With the time until they expire.
-	bool operator==(const SaveStreamRecords&) const = default;
-};
-
 /// Records of streams, as they are saved on the platform.
 struct SavedStreams
 {
@@ -137,19 +111,11 @@
 	/// A stream may have begun that long ago, whatever its request tells: the client's time shrinks from one try to the
 	/// next, and a route's limit may have been changed.
 	Micros minStreamAge = 20 * kSecond;
-	Micros savePeriod = 500 * kMillisecond; ///< Between two saves of records by one node.
-	std::size_t savers = 8;                 ///< Nodes that save records; with more nodes, the others send theirs.
-	std::size_t saveSlots = 64;             ///< Saves that a node keeps: as long as versions are ambiguous.
-	std::size_t maxSavedRecords = 2'000;    ///< Records in one save.
+	Micros versionSavePeriod = 500 * kMillisecond; ///< Between two tries to save the versions of pools.
+	StreamSaverConfig saver;
 	bool operator==(const StreamOriginsConfig&) const = default;
 };
 
-/// Selects nodes for a key by rendezvous hashing: nodes with the same members select the same ones, and few keys move
-/// when members change.
-/// @returns At most _count of the nodes, the first choice first.
-std::vector<std::string> rendezvousNodes(const std::string& _key, const std::vector<std::string>& _nodes,
-										 std::size_t _count);
-
 /// Knows which software version began a stream, so that a client may take the stream up at any node. Soft state: each
 /// record is kept by the node that began the stream and by some others, and expires with the stream. While only one
 /// version of a pool can have begun a stream, no record is sent.
@@ -181,7 +147,7 @@
 	void onVersionsSaved(const SavedVersions& _saved, bool _succeeded, Micros _now);
 
 	/// Ends a save of records.
-	void onRecordsSaved(const SaveStreamRecords& _save, bool _succeeded);
+	void onRecordsSaved(const SaveStreamRecords& _save, bool _succeeded, Micros _now);
 
 	/// Records the origin of a stream, before its first event is sent to the client.
 	OriginActions record(const StreamRecord& _record, Micros _now);
@@ -225,11 +191,8 @@
 	[[nodiscard]] bool isOnlyVersionKnown(const Lookup& _lookup, Micros _now) const;
 	[[nodiscard]] bool isWaiting(const Lookup& _lookup) const;
 	void concludeAll(const std::vector<std::uint64_t>& _lookups, Micros _now, OriginActions& _actions);
-	[[nodiscard]] std::vector<std::string> saversAmongNodes() const;
-	void queueForSaving(const std::string& _request);
 	void saveVersions(Micros _now, OriginActions& _actions);
 	void saveRecords(Micros _now, OriginActions& _actions);
-	[[nodiscard]] std::vector<StreamRecord> takeUnsaved(Micros _now);
 	void conclude(std::uint64_t _lookup, Micros _now, OriginActions& _actions);
 	void onAnswer(const std::string& _from, const OriginAnswer& _answer, Micros _now, OriginActions& _actions);
 	[[nodiscard]] OriginAnswer answer(const OriginQuery& _query, Micros _now) const;
@@ -239,6 +202,7 @@
 	StreamOriginsConfig config;
 	std::vector<std::string> others; ///< Live nodes without this one.
 	PoolVersions pools;
+	StreamSaver saver;
 	std::unordered_map<std::string, Entry> entries;    ///< By request id.
 	std::set<std::pair<Micros, std::string>> expiries; ///< Of the entries, soonest first.
 	std::map<std::uint64_t, Lookup> lookups;           ///< In progress, by id.
@@ -249,10 +213,6 @@
 	std::set<std::string> poolsInSave; ///< Pools whose versions are being saved.
 	Micros nextVersionCheckAt = 0;     ///< Time point.
 	Micros nextVersionSaveAt = 0;      ///< Time point; later than now after a save has failed.
-	std::deque<std::string> unsaved;   ///< Request ids of the records to be saved.
-	Micros nextSaveAt = 0;             ///< Time point.
-	bool isSaving = false;             ///< Records are being saved.
-	std::size_t lastSlot = 0;
 };
 
 } // namespace roadferry
--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -28,9 +28,11 @@
 #include <roadferry/parts/pool_versions.h>
 #include <roadferry/parts/queue_forecast.h>
 #include <roadferry/parts/reachability.h>
+#include <roadferry/parts/rendezvous.h>
 #include <roadferry/parts/routes.h>
 #include <roadferry/parts/shares.h>
 #include <roadferry/parts/stream_origins.h>
+#include <roadferry/parts/stream_saver.h>
 #include <roadferry/parts/table.h>
 #include <roadferry/parts/tickets.h>
 #include <roadferry/parts/time.h>
--- a/src/forward_streams.cpp
+++ b/src/forward_streams.cpp
@@ -53,7 +53,7 @@
 
 void ForwardTraffic::onSaved(const SaveStreamRecords& _save, bool _succeeded)
 {
-	this->pool.post(0, [this, _save, _succeeded] { this->origins.onRecordsSaved(_save, _succeeded); });
+	this->pool.post(0, [this, _save, _succeeded] { this->origins.onRecordsSaved(_save, _succeeded, monotonicNow()); });
 }
 
 /// The first event of a stream is about to be sent to the client: what two software versions write does not fit
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -81,6 +81,7 @@
 {
 	StreamOriginsConfig config;
 	config.firstLookup = _settings.firstNumber;
+	config.saver.firstSlot = _settings.firstNumber;
 	return config;
 }
 
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -8,37 +8,14 @@
 
 #include <roadferry/roadferry.h>
 
-#include <xxhash.h>
-
 #include <algorithm>
 
 namespace roadferry
 {
 
-std::vector<std::string> rendezvousNodes(const std::string& _key, const std::vector<std::string>& _nodes,
-										 std::size_t _count)
-{
-	const std::uint64_t seed = XXH3_64bits(_key.data(), _key.size());
-	std::vector<std::pair<std::uint64_t, std::string>> ranked;
-	ranked.reserve(_nodes.size());
-	for (const std::string& node : _nodes)
-	{
-		ranked.emplace_back(XXH3_64bits_withSeed(node.data(), node.size(), seed), node);
-	}
-	const std::size_t count = std::min(_count, ranked.size());
-	std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(),
-					  std::greater<>());
-	std::vector<std::string> result;
-	for (std::size_t index = 0; index < count; ++index)
-	{
-		result.push_back(ranked[index].second);
-	}
-	return result;
-}
-
 StreamOrigins::StreamOrigins(std::string _self, StreamOriginsConfig _config)
-	: self(std::move(_self)), config(_config), pools(_config.versionMemory), lastLookup(_config.firstLookup),
-	  lastSlot(_config.firstLookup % _config.saveSlots)
+	: self(std::move(_self)), config(_config), pools(_config.versionMemory), saver(this->self, _config.saver),
+	  lastLookup(_config.firstLookup)
 {
 }
 
@@ -53,6 +30,7 @@
 	std::erase(members, this->self);
 	OriginActions actions;
 	const std::vector<std::string> before = std::exchange(this->others, members);
+	this->saver.setOthers(members);
 	std::map<std::string, OriginRecords> messages;
 	for (const auto& entry : this->entries)
 	{
@@ -119,7 +97,7 @@
 	{
 		if (entry.second.isOwn && this->pools.isAmbiguous(entry.second.record.origin.pool, _now))
 		{
-			this->queueForSaving(entry.first);
+			this->saver.add(entry.second.record);
 		}
 	}
 	return actions;
@@ -162,7 +140,7 @@
 	OriginActions actions;
 	if (this->pools.isAmbiguous(_record.origin.pool, _now))
 	{
-		this->queueForSaving(_record.request);
+		this->saver.add(_record);
 	}
 	if (this->pools.within(_record.origin.pool, _record.expiresAt - _now, _now).size() <= 1)
 	{
@@ -292,41 +270,15 @@
 	this->poolsInSave.erase(_saved.pool);
 	if (!_succeeded)
 	{
-		this->nextVersionSaveAt = _now + this->config.savePeriod;
+		this->nextVersionSaveAt = _now + this->config.versionSavePeriod;
 		return;
 	}
 	this->pools.recordSaved(_saved);
 }
 
-void StreamOrigins::onRecordsSaved(const SaveStreamRecords& _save, bool _succeeded)
+void StreamOrigins::onRecordsSaved(const SaveStreamRecords& _save, bool _succeeded, Micros _now)
 {
-	this->isSaving = false;
-	if (_succeeded)
-	{
-		return;
-	}
-	for (const StreamRecord& record : _save.records)
-	{
-		this->queueForSaving(record.request);
-	}
-}
-
-void StreamOrigins::queueForSaving(const std::string& _request)
-{
-	this->unsaved.push_back(_request);
-	if (this->unsaved.size() > this->config.maxRecords)
-	{
-		this->unsaved.pop_front();
-	}
-}
-
-/// Returns the nodes that save, which is each node where there are few.
-std::vector<std::string> StreamOrigins::saversAmongNodes() const
-{
-	std::vector<std::string> nodes = this->others;
-	nodes.push_back(this->self);
-	std::sort(nodes.begin(), nodes.end());
-	return nodes.size() <= this->config.savers ? nodes : rendezvousNodes("savers", nodes, this->config.savers);
+	this->saver.onSaved(_save, _succeeded, _now);
 }
 
 /// Saves versions that have changed. One node does it for a pool.
@@ -337,7 +289,7 @@
 	{
 		return;
 	}
-	const std::vector<std::string> savers = this->saversAmongNodes();
+	const std::vector<std::string> savers = this->saver.savers();
 	for (SavedVersions& versions : unsavedVersions)
 	{
 		const bool isMine = this->resumablePools.count(versions.pool) > 0 &&
@@ -349,42 +301,19 @@
 	}
 }
 
-std::vector<StreamRecord> StreamOrigins::takeUnsaved(Micros _now)
-{
-	std::vector<StreamRecord> records;
-	while (!this->unsaved.empty() && records.size() < this->config.maxSavedRecords)
-	{
-		const auto known = this->entries.find(this->unsaved.front());
-		this->unsaved.pop_front();
-		if (known != this->entries.end()) // Otherwise it has expired.
-		{
-			records.push_back(known->second.record);
-			records.back().expiresAt -= _now;
-		}
-	}
-	return records;
-}
-
 void StreamOrigins::saveRecords(Micros _now, OriginActions& _actions)
 {
-	if (this->unsaved.empty() || this->isSaving || _now < this->nextSaveAt)
-	{
-		return;
-	}
-	this->nextSaveAt = _now + this->config.savePeriod;
-	const std::vector<std::string> savers = this->saversAmongNodes();
-	const auto own = std::find(savers.begin(), savers.end(), this->self);
-	std::vector<StreamRecord> records = this->takeUnsaved(_now);
-	if (own == savers.end())
+	const std::optional<StreamSave> save = this->saver.next(_now);
+	if (!save)
 	{
-		const std::string saver = rendezvousNodes(this->self, savers, 1).front();
-		_actions.emplace_back(SendOriginMessage{saver, OriginRecords{std::move(records), true}});
 		return;
 	}
-	this->isSaving = true;
-	this->lastSlot = (this->lastSlot + 1) % this->config.saveSlots;
-	const auto rank = static_cast<std::size_t>(own - savers.begin());
-	_actions.emplace_back(SaveStreamRecords{rank, this->lastSlot, std::move(records)});
+	std::visit(
+		Overloaded{[&](const SaveStreamRecords& _save) { _actions.emplace_back(_save); },
+				   [&](const PassOnStreamRecords& _passOn) {
+					   _actions.emplace_back(SendOriginMessage{_passOn.to, OriginRecords{_passOn.records, true}});
+				   }},
+		*save);
 }
 
 OriginAnswer StreamOrigins::answer(const OriginQuery& _query, Micros _now) const
@@ -436,7 +365,7 @@
 								  this->store(record, false);
 								  if (_records.save)
 								  {
-									  this->queueForSaving(record.request);
+									  this->saver.add(record);
 								  }
 							  }
 						  },
@@ -488,7 +417,7 @@
 	this->concludeAll(overdue, _now, actions);
 	if (_now >= this->nextVersionCheckAt)
 	{
-		this->nextVersionCheckAt = _now + this->config.savePeriod;
+		this->nextVersionCheckAt = _now + this->config.versionSavePeriod;
 		this->saveVersions(_now, actions);
 	}
 	this->saveRecords(_now, actions);
--- a/tests/test_streams.cpp
+++ b/tests/test_streams.cpp
@@ -46,7 +46,7 @@
 		{
 			this->restart(name);
 		}
-		this->advance(StreamOriginsConfig{}.savePeriod); // For the first save of the versions.
+		this->advance(StreamOriginsConfig{}.versionSavePeriod); // For the first save of the versions.
 	}
 
 	/// Starts a node, or starts it again without what it knew.
@@ -184,7 +184,7 @@
 			const std::string key = "origins/" + std::to_string(_records.saver) + "/" + std::to_string(_records.slot);
 			this->write(key, SavedStreams{_records.records});
 		}
-		this->nodes.at(_node).onRecordsSaved(_records, !this->platformAway);
+		this->nodes.at(_node).onRecordsSaved(_records, !this->platformAway, this->now);
 	}
 
 	/// Sets the value of a key, as the newest one.
@@ -441,6 +441,20 @@
 	cr_assert(cluster.resume(cluster.names[1], "r").origin == (StreamOrigin{kPool, "v1"}));
 }
 
+/// Guards against records that are lost with the save that failed.
+Test(streams, streams_that_could_not_be_saved_are_saved_when_the_platform_is_back)
+{
+	OriginCluster cluster(3, {"v1", "v2"});
+	cluster.setPlatformAway(true);
+	cluster.begin(cluster.names[0], "r", "v1");
+	cluster.advance(kSecond);
+	cluster.setPlatformAway(false);
+	cluster.advance(kSecond);
+	cluster.killAll();
+	cluster.restartAll();
+	cr_assert(cluster.resume(cluster.names[1], "r").origin == (StreamOrigin{kPool, "v1"}));
+}
+
 /// Guards against taking a part of the listing for all of it.
 Test(streams, version_is_not_the_only_one_while_the_listing_is_incomplete)
 {
