--- a/tests/test_dispatcher.cpp
+++ b/tests/test_dispatcher.cpp
@@ -9,6 +9,7 @@
 /// outcomes.
 
 #include "property.h"
+#include "retry_budget.h"
 
 #include <roadferry/roadferry.h>
 
@@ -441,3 +442,42 @@
 	cr_assert(std::any_of(after.begin(), after.end(),
 						  [](const Action& _action) { return std::holds_alternative<StartAttempt>(_action); }));
 }
+
+/// Guards against more retries than the platform allows when all nodes are killed again and again while endpoints
+/// reject: the budget of a new process must not begin full. The figures are those of a day of the portal.
+Test(dispatcher, retries_of_nodes_that_are_killed_in_series_stay_within_the_budget)
+{
+	constexpr int kNodes = 6;
+	constexpr int kWindowSeconds = 10;
+	constexpr int kSecondsBetweenKills = 3;
+	constexpr int kRequestsPerSecond = 4; // To each node.
+	constexpr int kWantedRetries = 3;     // Of each request.
+	constexpr double kAllowedShare = 0.2;
+	constexpr double kAllowedBurst = 52;
+	constexpr double kSafetyFactor = 0.6; // As in ForwardControl.
+	int requests = 0;
+	int retries = 0;
+	std::vector<RetryBudget> budgets;
+	for (int second = 0; second < kWindowSeconds; ++second)
+	{
+		const bool isKilled = second % kSecondsBetweenKills == 0;
+		if (isKilled)
+		{
+			budgets.assign(kNodes, RetryBudget(kSafetyFactor * kAllowedShare, kSafetyFactor * kAllowedBurst / kNodes));
+		}
+		for (RetryBudget& budget : budgets)
+		{
+			for (int index = 0; index < kRequestsPerSecond; ++index)
+			{
+				requests += 1;
+				budget.recordFirstAttempt();
+				for (int retry = 0; retry < kWantedRetries; ++retry)
+				{
+					retries += budget.tryTakeRetry() ? 1 : 0;
+				}
+			}
+		}
+	}
+	const double allowed = kAllowedShare * requests + kAllowedBurst;
+	cr_assert_leq(retries, allowed, "%d retries of %d requests, %.0f allowed", retries, requests, allowed);
+}
