--- a/include/roadferry/parts/stream_origins.h
+++ b/include/roadferry/parts/stream_origins.h
@@ -70,7 +70,7 @@
 {
 	std::uint64_t lookup = 0;
 	std::optional<StreamOrigin> origin; ///< Not set if no node knows it and more than one version can have begun it.
-	std::string source;                 ///< "this node", the address of another node, "only version" or "unknown".
+	std::string source; ///< "this node", "platform", the address of another node, "only version" or "unknown".
 	bool operator==(const OriginResolved&) const = default;
 };
 
