--- a/src/feed_loop.cpp
+++ b/src/feed_loop.cpp
@@ -119,8 +119,9 @@
 	}
 	if (this->lastReadFailed())
 	{
-		logEvent("feed", "regained", {{"topic", nameOf(this->topic)}});
+		logEvent("feed", "regained", {{"topic", nameOf(this->topic)}, {"failed_reads", this->failedReads}});
 	}
+	this->failedReads = 0;
 	this->backoff = 0;
 	this->everRead = true;
 	// The platform answers without changes only after the wait, and the answer covers that time, too.
@@ -140,13 +141,13 @@
 		this->timer.start(0);
 		return;
 	}
-	if (!this->lastReadFailed())
-	{
-		logEvent("feed", "lost",
-				 {{"topic", nameOf(this->topic)},
-				  {"error", std::string(_status.message())},
-				  {"after_ms", (monotonicNow() - this->readStartedAt) / kMillisecond}});
-	}
+	this->failedReads += 1;
+	logEvent("feed", this->lastReadFailed() ? "still_lost" : "lost",
+			 {{"topic", nameOf(this->topic)},
+			  {"error", std::string(_status.message())},
+			  {"after_ms", (monotonicNow() - this->readStartedAt) / kMillisecond},
+			  {"failed_reads", this->failedReads},
+			  {"is_snapshot", !this->position.has_value()}});
 	this->handlers.onFailed();
 	this->backoff = this->lastReadFailed() ? std::min(kMaxBackoff, this->backoff * 2) : kInitialBackoff;
 	this->timer.start(toMs(this->backoff));
--- a/src/feed_loop.h
+++ b/src/feed_loop.h
@@ -75,6 +75,7 @@
 	std::optional<std::uint64_t> position; ///< Where the next read starts; not set until a snapshot was read.
 	std::uint64_t generation = 0; ///< Counts starts and stops; answers to reads before the last one are dropped.
 	Micros backoff = 0;
+	int failedReads = 0; ///< Reads that failed since the last successful one.
 	bool everRead = false;
 	Micros readStartedAt = 0; ///< Start of the current read.
 	Micros requestedWait = 0; ///< Longest wait of the current read for a change.
