--- a/include/roadferry/parts/feed_exchange.h
+++ b/include/roadferry/parts/feed_exchange.h
@@ -128,7 +128,10 @@
 	/// Applies a successful read of the endpoints.
 	FeedActions onEndpointsRead(const ListingRead& _read, Micros _now);
 
-	/// Records a failed read.
+	/// Adds endpoints of a listing that is still being read, unless a whole one is known.
+	FeedActions addPartOfListing(const std::vector<ListedEndpoint>& _endpoints, Micros _now);
+
+	/// Records that a topic cannot be read, or not in time.
 	void onReadFailed(FeedTopic _topic);
 
 	/// Merges the endpoints of another node while the platform is unavailable.
--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -22,6 +22,7 @@
 #include <roadferry/parts/endpoints.h>
 #include <roadferry/parts/fatal_parts.h>
 #include <roadferry/parts/feed_exchange.h>
+#include <roadferry/parts/feed_poll.h>
 #include <roadferry/parts/feed_relay.h>
 #include <roadferry/parts/membership.h>
 #include <roadferry/parts/placement.h>
--- a/src/adapter.h
+++ b/src/adapter.h
@@ -40,11 +40,25 @@
 struct FeedPage
 {
 	std::uint64_t next = 0; ///< Position after the last entry that was read.
+	std::string nextPage;   ///< Of a snapshot: where its next page starts, empty if this is the last one.
 	std::vector<FeedChange> changes;
 	bool isTruncated = false; ///< Changes that were made before the read may be missing.
 };
 
-using FeedCallback = std::function<void(absl::StatusOr<FeedPage>)>;
+/// Time limits of one read, in microseconds without any data from the platform.
+struct FeedReadLimits
+{
+	Micros lateAfter = 0; ///< Until the read is reported as late.
+	Micros timeout = 0;   ///< Until it fails.
+	bool operator==(const FeedReadLimits&) const = default;
+};
+
+/// Callbacks of one read.
+struct FeedReadHandlers
+{
+	std::function<void()> onLate; ///< The answer is late, and still awaited.
+	std::function<void(const absl::StatusOr<FeedPage>&)> onEnd;
+};
 
 /// Source of routes and endpoints on the platform. Called on the control thread; results are delivered on that thread
 /// too.
@@ -53,16 +67,19 @@
 public:
 	virtual ~Feed() = default;
 
-	/// Reads the newest entry for every name.
-	virtual void readSnapshot(FeedTopic _topic, FeedCallback _done) = 0;
+	/// Reads a page of the newest entries for every name.
+	/// @param[in] _page FeedPage::nextPage of the page before, empty for the first one.
+	/// @param[in] _handlers Called with Internal when the pages cannot be used and have to be read from the first one.
+	virtual void readSnapshot(FeedTopic _topic, const std::string& _page, const FeedReadLimits& _limits,
+							  FeedReadHandlers _handlers) = 0;
 
 	/// Reads the changes from a position on.
 	/// @param[in] _position Position that an earlier page returned.
 	/// @param[in] _wait Time to wait for new changes in microseconds, 0 to return at once.
-	/// @param[in] _limit Time allowed for the answer beyond _wait, in microseconds.
-	/// @param[in] _done Called with OutOfRange when the platform no longer holds these changes.
-	virtual void readChanges(FeedTopic _topic, std::uint64_t _position, Micros _wait, Micros _limit,
-							 FeedCallback _done) = 0;
+	/// @param[in] _limits These include _wait.
+	/// @param[in] _handlers Called with OutOfRange when the platform no longer holds these changes.
+	virtual void readChanges(FeedTopic _topic, std::uint64_t _position, Micros _wait, const FeedReadLimits& _limits,
+							 FeedReadHandlers _handlers) = 0;
 
 	/// Decodes a record received from another node.
 	[[nodiscard]] virtual absl::StatusOr<RoutesUpdate> decodeRecord(const std::string& _record) const = 0;
@@ -84,10 +101,13 @@
 	virtual ~PersistentMap() = default;
 
 	/// Reads the newest value of every key; the entries are in the order in which these were written.
-	virtual void readAll(std::function<void(absl::StatusOr<std::vector<PersistentEntry>>)> _done) = 0;
+	/// @param[in] _timeout Longest silence of the platform in microseconds; then it ends with DeadlineExceeded.
+	virtual void readAll(Micros _timeout, std::function<void(absl::StatusOr<std::vector<PersistentEntry>>)> _done) = 0;
 
 	/// Sets the value of a key. If it fails, the value may have been set, or may be set later.
-	virtual void write(const std::string& _key, const std::string& _value, std::function<void(absl::Status)> _done) = 0;
+	/// @param[in] _timeout As for readAll().
+	virtual void write(const std::string& _key, const std::string& _value, Micros _timeout,
+					   std::function<void(absl::Status)> _done) = 0;
 };
 
 /// What the answer to an identity request tells about the process at an endpoint's address.
--- a/src/feed_exchange.cpp
+++ b/src/feed_exchange.cpp
@@ -222,6 +222,19 @@
 	return actions;
 }
 
+FeedActions FeedExchange::addPartOfListing(const std::vector<ListedEndpoint>& _endpoints, Micros _now)
+{
+	FeedActions actions;
+	if (this->directory.completeAsOf() > 0 || _endpoints.empty())
+	{
+		return actions;
+	}
+	this->listingKnown = true;
+	this->directory.merge(DirectoryChanges{0, 0, false, _endpoints, {}}, 0, _now);
+	this->addEndpointsChanged(actions);
+	return actions;
+}
+
 void FeedExchange::onReadFailed(FeedTopic _topic)
 {
 	(_topic == FeedTopic::Routes ? this->routesReadFailed : this->listingReadFailed) = true;
--- a/src/feed_loop.cpp
+++ b/src/feed_loop.cpp
@@ -17,140 +17,192 @@
 namespace
 {
 
-constexpr Micros kInitialBackoff = 250 * kMillisecond;
-constexpr Micros kMaxAge = 1'500 * kMillisecond; ///< Approximate maximum age of the data before the next answer.
-constexpr Micros kMinPollWait = 200 * kMillisecond;
-/// Time after the end of the wait until a platform that has answered so far counts as unavailable. At that point, less
-/// than the lease under which requests are handled is left.
-constexpr Micros kResponseTimeout = 800 * kMillisecond;
-/// The same while the platform counts as unavailable: it may merely be slow.
-constexpr Micros kRecoveryTimeout = 1'500 * kMillisecond;
-constexpr Micros kMaxBackoff = kSecond; ///< Bounds how late the platform's recovery is noticed.
+constexpr std::size_t kMaxPages = 1'000; ///< Of a snapshot, several hundred entries in each.
 
 const char* nameOf(FeedTopic _topic)
 {
 	return _topic == FeedTopic::Routes ? "routes" : "endpoints";
 }
 
-int toMs(Micros _time)
-{
-	return static_cast<int>(_time / kMillisecond);
-}
-
 } // namespace
 
-FeedLoop::FeedLoop(Feed& _feed, FeedTopic _topic, FeedPollTiming _timing, FeedHandlers _handlers)
-	: feed(_feed), topic(_topic), timing(_timing), handlers(std::move(_handlers))
+FeedLoop::FeedLoop(Feed& _feed, FeedTopic _topic, FeedPollConfig _config, FeedHandlers _handlers)
+	: feed(_feed), topic(_topic), poll(_config), handlers(std::move(_handlers))
 {
 	this->timer.setSingleShot(true);
 	this->timer.setTimerType(Qt::PreciseTimer);
-	QObject::connect(&this->timer, &QTimer::timeout, [this] { this->read(); });
+	QObject::connect(&this->timer, &QTimer::timeout, [this] { this->perform(this->poll.wake(monotonicNow())); });
 }
 
 void FeedLoop::start()
 {
-	this->generation += 1;
-	this->position.reset();
-	this->backoff = 0;
-	this->read();
+	this->stop();
+	this->perform(this->poll.start(monotonicNow()));
 }
 
 void FeedLoop::stop()
 {
-	this->generation += 1;
-	this->backoff = 0;
+	this->poll.stop();
 	this->timer.stop();
+	this->discardSnapshot();
 }
 
 void FeedLoop::setPollWait(Micros _wait)
 {
-	this->timing.pollWait = _wait;
+	this->poll.setPollWait(_wait);
 }
 
-bool FeedLoop::hasRead() const
+/// Performs the actions other than ApplyFeedAnswer, which comes with a page.
+void FeedLoop::perform(const FeedPollActions& _actions)
 {
-	return this->everRead;
+	for (const FeedPollAction& action : _actions)
+	{
+		std::visit(
+			Overloaded{
+				[&](const StartFeedRead& _read) { this->send(_read); }, [](const ApplyFeedAnswer&) {},
+				[&](const WakeFeedPoll& _wake)
+				{
+					// Rounded up: FeedPoll ignores a call that comes too early.
+					const Micros delay = std::max<Micros>(0, _wake.at - monotonicNow());
+					this->timer.start(static_cast<int>((delay + kMillisecond - 1) / kMillisecond));
+				},
+				[&](const FeedLost&) { this->handlers.onLost(); },
+				[&](const FeedRegained&)
+				{
+					logEvent("feed", "regained", {{"topic", nameOf(this->topic)}, {"failed_reads", this->failedReads}});
+					this->failedReads = 0;
+				}},
+			action);
+	}
 }
 
-bool FeedLoop::lastReadFailed() const
+void FeedLoop::send(const StartFeedRead& _read)
 {
-	return this->backoff > 0;
+	const SentRead sent{_read, monotonicNow()};
+	const FeedReadLimits limits{_read.lateAfter, _read.timeout};
+	FeedReadHandlers callbacks;
+	callbacks.onLate = [this, sent]
+	{
+		const FeedPollActions actions = this->poll.onLate(sent.read.id, monotonicNow());
+		if (actions.empty())
+		{
+			return;
+		}
+		this->logFailedRead(sent, "the answer is late");
+		this->perform(actions);
+		if (this->pages > 0)
+		{
+			this->handlers.onPartOfSnapshot(this->snapshot);
+		}
+	};
+	callbacks.onEnd = [this, sent](const absl::StatusOr<FeedPage>& _page) { this->onEnd(sent, _page); };
+	if (_read.isSnapshot)
+	{
+		this->feed.readSnapshot(this->topic, this->snapshot.nextPage, limits, std::move(callbacks));
+	}
+	else
+	{
+		this->feed.readChanges(this->topic, this->position, _read.wait, limits, std::move(callbacks));
+	}
 }
 
-void FeedLoop::read()
+void FeedLoop::onEnd(const SentRead& _sent, const absl::StatusOr<FeedPage>& _page)
 {
-	this->readStartedAt = monotonicNow();
-	const auto whenDone = [this, readGeneration = this->generation](bool _isSnapshot)
+	const Micros now = monotonicNow();
+	if (_page.ok())
 	{
-		return [this, readGeneration, _isSnapshot](const absl::StatusOr<FeedPage>& _page)
-		{
-			if (readGeneration == this->generation)
-			{
-				this->onReadDone(_page, _isSnapshot);
-			}
-		};
-	};
-	if (!this->position)
+		this->onPage(_sent, *_page);
+	}
+	else if (absl::IsOutOfRange(_page.status()))
 	{
-		this->feed.readSnapshot(this->topic, whenDone(true));
-		return;
+		logEvent("feed", "changes_gone", {{"topic", nameOf(this->topic)}});
+		this->perform(this->poll.onChangesGone(_sent.read.id, now));
+	}
+	else
+	{
+		this->onFailed(_sent, _page.status());
 	}
-	this->requestedWait = this->nextPollWait();
-	const Micros limit = this->lastReadFailed() ? kRecoveryTimeout : kResponseTimeout;
-	this->feed.readChanges(this->topic, *this->position, this->requestedWait, limit, whenDone(false));
 }
 
-Micros FeedLoop::nextPollWait() const
+void FeedLoop::onFailed(const SentRead& _sent, const absl::Status& _status)
 {
-	if (this->lastReadFailed())
+	const bool isUnusable = absl::IsInternal(_status);
+	const Micros now = monotonicNow();
+	const FeedPollActions actions =
+		isUnusable ? this->poll.onSnapshotUnusable(_sent.read.id, now) : this->poll.onFailed(_sent.read.id, now);
+	if (actions.empty())
+	{
+		return; // Another read was answered before.
+	}
+	this->logFailedRead(_sent, std::string(_status.message()));
+	if (isUnusable)
 	{
-		return 0; // An immediate answer shows the platform's recovery earlier.
+		this->discardSnapshot();
 	}
-	const Micros remaining = kMaxAge - (this->readStartedAt - this->asOf);
-	return std::min(this->timing.pollWait, std::max(kMinPollWait, remaining));
+	this->perform(actions);
+}
+
+void FeedLoop::discardSnapshot()
+{
+	this->snapshot = FeedPage{};
+	this->pages = 0;
 }
 
-void FeedLoop::onReadDone(const absl::StatusOr<FeedPage>& _page, bool _isSnapshot)
+void FeedLoop::onPage(const SentRead& _sent, const FeedPage& _page)
 {
-	if (!_page.ok())
+	if (_sent.read.isSnapshot && this->pages >= kMaxPages)
 	{
-		this->onReadError(_page.status());
+		this->onFailed(_sent, absl::InternalError("the pages of the snapshot do not end"));
 		return;
 	}
-	if (this->lastReadFailed())
+	const bool isUnchanged = !_sent.read.isSnapshot && _page.next == this->position;
+	const FeedAnswerSummary summary{!_page.nextPage.empty(), isUnchanged};
+	const FeedPollActions actions = this->poll.onAnswer(_sent.read.id, summary, monotonicNow());
+	if (actions.empty())
 	{
-		logEvent("feed", "regained", {{"topic", nameOf(this->topic)}, {"failed_reads", this->failedReads}});
+		return; // Another read was answered before.
 	}
-	this->failedReads = 0;
-	this->backoff = 0;
-	this->everRead = true;
-	// The platform answers without changes only after the wait, and the answer covers that time, too.
-	const bool isUnchanged = !_isSnapshot && _page->next == this->position;
-	this->asOf = this->readStartedAt + (isUnchanged ? this->requestedWait : 0);
-	this->position = _page->next;
-	this->handlers.onRead(FeedReadResult{*_page, _isSnapshot, this->asOf});
-	this->timer.start(toMs(this->timing.pause));
+	this->apply(std::get<ApplyFeedAnswer>(actions.front()), _page);
+	this->perform(actions);
 }
 
-void FeedLoop::onReadError(const absl::Status& _status)
+void FeedLoop::apply(const ApplyFeedAnswer& _answer, const FeedPage& _page)
 {
-	if (absl::IsOutOfRange(_status))
+	if (!_answer.isSnapshot)
 	{
-		logEvent("feed", "changes_gone", {{"topic", nameOf(this->topic)}});
-		this->position.reset();
-		this->timer.start(0);
+		this->position = _page.next;
+		this->handlers.onRead(FeedReadResult{_page, false, _answer.asOf, _answer.isLate});
+		return;
+	}
+	// Keep the position of the first page: changes made while later pages are read come after it.
+	this->snapshot.next = this->pages == 0 ? _page.next : this->snapshot.next;
+	this->snapshot.nextPage = _page.nextPage;
+	this->snapshot.changes.insert(this->snapshot.changes.end(), _page.changes.begin(), _page.changes.end());
+	this->pages += 1;
+	if (!_answer.isLast)
+	{
+		if (_answer.isLate)
+		{
+			this->handlers.onPartOfSnapshot(this->snapshot);
+		}
 		return;
 	}
+	const FeedPage whole = std::exchange(this->snapshot, FeedPage{});
+	this->pages = 0;
+	this->position = whole.next;
+	this->handlers.onRead(FeedReadResult{whole, true, _answer.asOf, _answer.isLate});
+}
+
+/// Logs a read that failed or is late. There is at most about one in a second, by the backoff of FeedPoll.
+void FeedLoop::logFailedRead(const SentRead& _sent, const std::string& _error)
+{
 	this->failedReads += 1;
-	logEvent("feed", this->lastReadFailed() ? "still_lost" : "lost",
+	logEvent("feed", this->failedReads == 1 ? "lost" : "still_lost",
 			 {{"topic", nameOf(this->topic)},
-			  {"error", std::string(_status.message())},
-			  {"after_ms", (monotonicNow() - this->readStartedAt) / kMillisecond},
+			  {"error", _error},
+			  {"after_ms", (monotonicNow() - _sent.sentAt) / kMillisecond},
 			  {"failed_reads", this->failedReads},
-			  {"is_snapshot", !this->position.has_value()}});
-	this->handlers.onFailed();
-	this->backoff = this->lastReadFailed() ? std::min(kMaxBackoff, this->backoff * 2) : kInitialBackoff;
-	this->timer.start(toMs(this->backoff));
+			  {"is_snapshot", _sent.read.isSnapshot}});
 }
 
 } // namespace roadferry
--- a/src/feed_loop.h
+++ b/src/feed_loop.h
@@ -16,35 +16,28 @@
 namespace roadferry
 {
 
-/// Time limits of the reads of a topic.
-struct FeedPollTiming
-{
-	Micros pollWait = 0; ///< Longest wait of a read for a change.
-	Micros pause = 0;    ///< Between the end of a read and the start of the next.
-	bool operator==(const FeedPollTiming&) const = default;
-};
-
 /// Result of one successful read of a topic.
 struct FeedReadResult
 {
 	FeedPage page;
 	bool isSnapshot = false; ///< Whether the page has all entries of the topic.
 	Micros asOf = 0;         ///< All changes before this time are included.
+	bool isLate = false;     ///< It came so late that the platform still counts as unavailable.
 };
 
 /// Callbacks of a FeedLoop, called on the control thread.
 struct FeedHandlers
 {
 	std::function<void(const FeedReadResult& _result)> onRead;
-	std::function<void()> onFailed; ///< A read failed and will be retried.
+	std::function<void(const FeedPage& _pages)> onPartOfSnapshot; ///< Pages so far; the following one is late.
+	std::function<void()> onLost; ///< The platform does not answer in time; reads go on.
 };
 
-/// Keeps a topic up to date. Reads a snapshot first and then the changes after it, or another snapshot when the
-/// platform does not keep those changes any more. Backs off exponentially while the platform does not answer.
+/// Keeps a topic up to date: performs the reads that a FeedPoll decides on.
 class FeedLoop
 {
 public:
-	FeedLoop(Feed& _feed, FeedTopic _topic, FeedPollTiming _timing, FeedHandlers _handlers);
+	FeedLoop(Feed& _feed, FeedTopic _topic, FeedPollConfig _config, FeedHandlers _handlers);
 
 	/// Starts reading with a snapshot of the topic.
 	void start();
@@ -55,31 +48,32 @@
 	/// @param[in] _wait Longest wait of each following read for a change.
 	void setPollWait(Micros _wait);
 
-	/// @returns Whether the topic was read at least once.
-	[[nodiscard]] bool hasRead() const;
-
-	/// @returns Whether the last read failed.
-	[[nodiscard]] bool lastReadFailed() const;
-
 private:
-	void read();
-	[[nodiscard]] Micros nextPollWait() const;
-	void onReadDone(const absl::StatusOr<FeedPage>& _page, bool _isSnapshot);
-	void onReadError(const absl::Status& _status);
+	/// What is known of the read whose end is reported.
+	struct SentRead
+	{
+		StartFeedRead read;
+		Micros sentAt = 0;
+	};
+
+	void perform(const FeedPollActions& _actions);
+	void send(const StartFeedRead& _read);
+	void onEnd(const SentRead& _sent, const absl::StatusOr<FeedPage>& _page);
+	void onFailed(const SentRead& _sent, const absl::Status& _status);
+	void onPage(const SentRead& _sent, const FeedPage& _page);
+	void discardSnapshot();
+	void apply(const ApplyFeedAnswer& _answer, const FeedPage& _page);
+	void logFailedRead(const SentRead& _sent, const std::string& _error);
 
 	Feed& feed;
 	FeedTopic topic;
-	FeedPollTiming timing;
+	FeedPoll poll;
 	FeedHandlers handlers;
 	QTimer timer;
-	std::optional<std::uint64_t> position; ///< Where the next read starts; not set until a snapshot was read.
-	std::uint64_t generation = 0; ///< Counts starts and stops; answers to reads before the last one are dropped.
-	Micros backoff = 0;
-	int failedReads = 0; ///< Reads that failed since the last successful one.
-	bool everRead = false;
-	Micros readStartedAt = 0; ///< Start of the current read.
-	Micros requestedWait = 0; ///< Longest wait of the current read for a change.
-	Micros asOf = 0;          ///< All changes before this time were read; 0 for never.
+	FeedPage snapshot;          ///< Pages of the snapshot in progress.
+	std::size_t pages = 0;      ///< Number of these.
+	std::uint64_t position = 0; ///< Where the next read of changes starts.
+	int failedReads = 0;        ///< Reads that failed or were late since the last one that was answered in time.
 };
 
 } // namespace roadferry
--- a/src/forward_control.cpp
+++ b/src/forward_control.cpp
@@ -34,12 +34,14 @@
 							   std::function<void(const RoutePlan&)> _onPlan)
 	: feed(_feed), traffic(_traffic), settings(std::move(_settings)), send(std::move(_send)),
 	  onPlan(std::move(_onPlan)),
-	  routeLoop(_feed, FeedTopic::Routes, FeedPollTiming{settings.relay.routesPollWait, 0},
+	  routeLoop(_feed, FeedTopic::Routes, FeedPollConfig{settings.relay.routesPollWait, 0},
 				FeedHandlers{[this](const FeedReadResult& _result) { this->onRoutes(_result); },
-							 [this] { this->exchange.onReadFailed(FeedTopic::Routes); }}),
+							 [](const FeedPage&) {}, // The operator's other documents do not concern this system.
+							 [this] { this->onLost(FeedTopic::Routes); }}),
 	  endpointLoop(_feed, FeedTopic::Endpoints, settings.endpoints,
 				   FeedHandlers{[this](const FeedReadResult& _result) { this->onEndpoints(_result); },
-								[this] { this->exchange.onReadFailed(FeedTopic::Endpoints); }}),
+								[this](const FeedPage& _page) { this->onPartOfListing(_page); },
+								[this] { this->onLost(FeedTopic::Endpoints); }}),
 	  membership(settings.self, static_cast<std::uint64_t>(wallNanoseconds() / kNanosPerMicro), MembershipConfig{},
 				 randomNumber()),
 	  exchange(settings.self, settings.relay, settings.directory, randomNumber() >> 1) // Fits a signed CBOR integer.
@@ -111,6 +113,31 @@
 		}
 	}
 	this->exchange.onRoutesRead(_result.asOf);
+	if (_result.isLate)
+	{
+		this->exchange.onReadFailed(FeedTopic::Routes);
+	}
+	this->publishFreshness();
+}
+
+void ForwardControl::onLost(FeedTopic _topic)
+{
+	this->exchange.onReadFailed(_topic);
+	this->publishFreshness();
+}
+
+/// Serves with the endpoints that are known while the rest of the listing is late.
+void ForwardControl::onPartOfListing(const FeedPage& _page)
+{
+	std::vector<ListedEndpoint> listed;
+	for (const FeedChange& change : _page.changes)
+	{
+		if (const auto* entry = std::get_if<ListedEndpoint>(&change))
+		{
+			listed.push_back(*entry);
+		}
+	}
+	this->perform(this->exchange.addPartOfListing(listed, monotonicNow()));
 	this->publishFreshness();
 }
 
@@ -186,6 +213,10 @@
 		logEvent("control", "more_endpoints_unreadable", {{"entries", unreadable - kMaxUnreadableLogged}});
 	}
 	this->perform(this->exchange.onEndpointsRead(read, monotonicNow()));
+	if (_result.isLate)
+	{
+		this->exchange.onReadFailed(FeedTopic::Endpoints);
+	}
 	const std::vector<ProcessProof> proofs = this->exchange.takeProofs();
 	if (!proofs.empty())
 	{
--- a/src/forward_control.h
+++ b/src/forward_control.h
@@ -26,7 +26,7 @@
 	RetryAllowance retries;
 	DirectoryConfig directory;
 	FeedRelayConfig relay;
-	FeedPollTiming endpoints{0, 600 * kMillisecond};
+	FeedPollConfig endpoints{0, 600 * kMillisecond};
 };
 
 /// Keeps routes, endpoints and members up to date and passes immutable copies to ForwardTraffic.
@@ -60,6 +60,8 @@
 	void stopReading();
 	void onRoutes(const FeedReadResult& _result);
 	void onEndpoints(const FeedReadResult& _result);
+	void onPartOfListing(const FeedPage& _page);
+	void onLost(FeedTopic _topic);
 	void logListed(const ListedEndpoint& _listed) const;
 	void logFeedResponse(const std::string& _peer, const FeedResponse& _response, Micros _now) const;
 	void applyRecord(const std::string& _peer, const std::string& _record);
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -317,7 +317,8 @@
 
 	void armTimer()
 	{
-		this->timer.expires_after(std::chrono::microseconds(std::max<std::int64_t>(0, this->spec.timeout)));
+		const std::int64_t limit = this->awaitsLate() ? this->spec.lateAfter : this->spec.timeout - this->reportedAfter;
+		this->timer.expires_after(std::chrono::microseconds(std::max<std::int64_t>(0, limit)));
 		this->timer.async_wait(
 			[self = this->shared_from_this()](const Error& _error)
 			{
@@ -328,8 +329,14 @@
 			});
 	}
 
-	/// Ends the call, or restarts the timeout if this process was not running when it expired. The error tells a slow
-	/// response from a stalled process.
+	/// @returns Whether the next expiry of the timer reports the response as late.
+	[[nodiscard]] bool awaitsLate() const
+	{
+		return this->spec.lateAfter > 0 && this->reportedAfter == 0;
+	}
+
+	/// Ends the call or reports it as late, or restarts the timeout if this process was not running when it expired.
+	/// The error tells a slow response from a stalled process.
 	void onTimeout()
 	{
 		const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - this->timer.expiry());
@@ -340,6 +347,18 @@
 			this->armTimer();
 			return;
 		}
+		if (this->awaitsLate() && !this->done)
+		{
+			this->reportedAfter = this->spec.lateAfter;
+			this->armTimer();
+			const auto handler = this->handlers.onLate;
+			if (handler)
+			{
+				handler();
+			}
+			return;
+		}
+		this->timedOut = true;
 		this->fail("timed out after " + std::to_string(this->receivedBytes) + " bytes, noticed " +
 				   std::to_string(delay.count()) + " ms late");
 	}
@@ -570,6 +589,7 @@
 		CallEnd end;
 		end.result = this->maybeSent ? CallResult::Interrupted : CallResult::NotSent;
 		end.error = _error;
+		end.timedOut = this->timedOut;
 		end.connectionLost = this->connectionLost;
 		end.endsWithConnection = this->headHandled && this->parser->need_eof();
 		end.lacksIdleConnection = this->lacksIdleConnection;
@@ -620,6 +640,8 @@
 	bool headHandled = false; ///< The head of the current response was processed.
 	bool skipping = false;    ///< The current response belongs to another request.
 	bool connectionLost = false;
+	bool timedOut = false;
+	std::int64_t reportedAfter = 0;   ///< Time after which the response was reported as late, 0 if it was not.
 	bool lacksIdleConnection = false; ///< There is no idle connection that the call may use.
 	bool done = false;
 };
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -35,6 +35,7 @@
 	HttpHeaders headers;
 	std::string body; ///< Empty when the body was passed to CallHandlers::onData.
 	std::string error;
+	bool timedOut = false;       ///< CallSpec::timeout has passed.
 	bool connectionLost = false; ///< The remote host closed or reset the connection before the end of the response.
 	/// The response has neither a length nor chunks, so the end of the connection is its only end.
 	bool endsWithConnection = false;
@@ -64,6 +65,9 @@
 	HttpRequest request;
 	std::int64_t timeout = 0;        ///< Microseconds from the start of the call to the end of the response.
 	std::int64_t connectTimeout = 0; ///< Microseconds to open a connection; 0 for no separate limit.
+	/// Microseconds without data after which CallHandlers::onLate is called and the call goes on; 0 for never. Less
+	/// than the timeout.
+	std::int64_t lateAfter = 0;
 	/// Ends the call within about 3 s when the remote host is down or the connection is dead. Only for calls that may
 	/// be repeated, since a host that is unreachable for a short time would still respond.
 	bool detectDeadConnection = false;
@@ -94,6 +98,9 @@
 
 	/// Receives the body in parts as it arrives. If not set, the body is in CallEnd.
 	std::function<void(const std::string&)> onData;
+
+	/// Called once when the response is late, see CallSpec::lateAfter.
+	std::function<void()> onLate;
 	std::function<void(const CallEnd&)> onEnd;
 };
 
--- a/src/origin_store.cpp
+++ b/src/origin_store.cpp
@@ -26,8 +26,9 @@
 
 constexpr int kFirstRetryMs = 100;
 constexpr int kMaxRetryMs = 1'000;
-constexpr const char* kVersionsPrefix = "versions/"; ///< Followed by the pool.
-constexpr const char* kRecordsPrefix = "origins/";   ///< Followed by the saver and the slot.
+constexpr Micros kCallTimeout = 1'500 * kMillisecond; ///< Of a call to the platform.
+constexpr const char* kVersionsPrefix = "versions/";  ///< Followed by the pool.
+constexpr const char* kRecordsPrefix = "origins/";    ///< Followed by the saver and the slot.
 
 std::string toBytes(const QCborMap& _map)
 {
@@ -95,7 +96,8 @@
 
 void OriginStore::load()
 {
-	this->map.readAll([this](const absl::StatusOr<std::vector<PersistentEntry>>& _entries) { this->onRead(_entries); });
+	this->map.readAll(kCallTimeout,
+					  [this](const absl::StatusOr<std::vector<PersistentEntry>>& _entries) { this->onRead(_entries); });
 }
 
 void OriginStore::onRead(const absl::StatusOr<std::vector<PersistentEntry>>& _entries)
@@ -115,7 +117,7 @@
 void OriginStore::save(const SavedVersions& _versions)
 {
 	const QCborMap value{{"versions", toCborArray({_versions.versions.begin(), _versions.versions.end()})}};
-	this->map.write(absl::StrCat(kVersionsPrefix, _versions.pool), toBytes(value),
+	this->map.write(absl::StrCat(kVersionsPrefix, _versions.pool), toBytes(value), kCallTimeout,
 					[this, _versions](const absl::Status& _status)
 					{
 						logEvent("origins", "versions_saved",
@@ -129,7 +131,7 @@
 void OriginStore::save(const SaveStreamRecords& _records)
 {
 	const std::string key = absl::StrCat(kRecordsPrefix, _records.saver, "/", _records.slot);
-	this->map.write(key, toBytes(toCbor(OriginRecords{_records.records, false})),
+	this->map.write(key, toBytes(toCbor(OriginRecords{_records.records, false})), kCallTimeout,
 					[this, _records](const absl::Status& _status)
 					{
 						if (!_status.ok())
