--- a/src/origin_store.cpp
+++ b/src/origin_store.cpp
@@ -8,6 +8,7 @@
 
 #include "origin_store.h"
 
+#include "clock.h"
 #include "logging.h"
 #include "origin_messages.h"
 
@@ -26,9 +27,10 @@
 
 constexpr int kFirstRetryMs = 100;
 constexpr int kMaxRetryMs = 1'000;
-constexpr Micros kCallTimeout = 1'500 * kMillisecond; ///< Of a call to the platform.
-constexpr const char* kVersionsPrefix = "versions/";  ///< Followed by the pool.
-constexpr const char* kRecordsPrefix = "origins/";    ///< Followed by the saver and the slot.
+constexpr Micros kShortestTimeout = 1'500 * kMillisecond; ///< Of a call to the platform.
+constexpr Micros kLongestTimeout = 24 * kSecond;
+constexpr const char* kVersionsPrefix = "versions/"; ///< Followed by the pool.
+constexpr const char* kRecordsPrefix = "origins/";   ///< Followed by the saver and the slot.
 
 std::string toBytes(const QCborMap& _map)
 {
@@ -88,7 +90,7 @@
 }
 
 OriginStore::OriginStore(PersistentMap& _map, OriginStoreHandlers _handlers)
-	: map(_map), handlers(std::move(_handlers)), retryMs(kFirstRetryMs)
+	: map(_map), handlers(std::move(_handlers)), timeout(kShortestTimeout, kLongestTimeout), retryMs(kFirstRetryMs)
 {
 	this->retryTimer.setSingleShot(true);
 	QObject::connect(&this->retryTimer, &QTimer::timeout, [this] { this->load(); });
@@ -96,8 +98,42 @@
 
 void OriginStore::load()
 {
-	this->map.readAll(kCallTimeout,
-					  [this](const absl::StatusOr<std::vector<PersistentEntry>>& _entries) { this->onRead(_entries); });
+	const StartedCall call = this->startCall();
+	this->map.readAll(call.timeout,
+					  [this, call](const absl::StatusOr<std::vector<PersistentEntry>>& _entries)
+					  {
+						  this->endCall(call, _entries.status());
+						  this->onRead(_entries);
+					  });
+}
+
+OriginStore::StartedCall OriginStore::startCall() const
+{
+	return StartedCall{monotonicNow(), this->timeout.current()};
+}
+
+void OriginStore::endCall(const StartedCall& _call, const absl::Status& _status)
+{
+	if (absl::IsDeadlineExceeded(_status))
+	{
+		this->timeout.onTimedOut(_call.timeout);
+	}
+	else if (_status.ok())
+	{
+		this->timeout.onAnswered(monotonicNow() - _call.startedAt);
+	}
+}
+
+void OriginStore::write(const std::string& _key, const std::string& _value,
+						std::function<void(const absl::Status&)> _done)
+{
+	const StartedCall call = this->startCall();
+	this->map.write(_key, _value, call.timeout,
+					[this, call, done = std::move(_done)](const absl::Status& _status)
+					{
+						this->endCall(call, _status);
+						done(_status);
+					});
 }
 
 void OriginStore::onRead(const absl::StatusOr<std::vector<PersistentEntry>>& _entries)
@@ -117,30 +153,30 @@
 void OriginStore::save(const SavedVersions& _versions)
 {
 	const QCborMap value{{"versions", toCborArray({_versions.versions.begin(), _versions.versions.end()})}};
-	this->map.write(absl::StrCat(kVersionsPrefix, _versions.pool), toBytes(value), kCallTimeout,
-					[this, _versions](const absl::Status& _status)
-					{
-						logEvent("origins", "versions_saved",
-								 {{"pool", _versions.pool},
-								  {"versions", _versions.versions.size()},
-								  {"error", std::string(_status.message())}});
-						this->handlers.onVersionsSaved(_versions, _status.ok());
-					});
+	this->write(absl::StrCat(kVersionsPrefix, _versions.pool), toBytes(value),
+				[this, _versions](const absl::Status& _status)
+				{
+					logEvent("origins", "versions_saved",
+							 {{"pool", _versions.pool},
+							  {"versions", _versions.versions.size()},
+							  {"error", std::string(_status.message())}});
+					this->handlers.onVersionsSaved(_versions, _status.ok());
+				});
 }
 
 void OriginStore::save(const SaveStreamRecords& _records)
 {
 	const std::string key = absl::StrCat(kRecordsPrefix, _records.saver, "/", _records.slot);
-	this->map.write(key, toBytes(toCbor(OriginRecords{_records.records, false})), kCallTimeout,
-					[this, _records](const absl::Status& _status)
+	this->write(key, toBytes(toCbor(OriginRecords{_records.records, false})),
+				[this, _records](const absl::Status& _status)
+				{
+					if (!_status.ok())
 					{
-						if (!_status.ok())
-						{
-							logEvent("origins", "save_failed",
-									 {{"streams", _records.records.size()}, {"error", std::string(_status.message())}});
-						}
-						this->handlers.onRecordsSaved(_records, _status.ok());
-					});
+						logEvent("origins", "save_failed",
+								 {{"streams", _records.records.size()}, {"error", std::string(_status.message())}});
+					}
+					this->handlers.onRecordsSaved(_records, _status.ok());
+				});
 }
 
 } // namespace roadferry
--- a/src/origin_store.h
+++ b/src/origin_store.h
@@ -37,10 +37,21 @@
 	void save(const SaveStreamRecords& _records);
 
 private:
+	/// A call to the platform in progress.
+	struct StartedCall
+	{
+		Micros startedAt = 0;
+		Micros timeout = 0;
+	};
+
 	void onRead(const absl::StatusOr<std::vector<PersistentEntry>>& _entries);
+	void write(const std::string& _key, const std::string& _value, std::function<void(const absl::Status&)> _done);
+	[[nodiscard]] StartedCall startCall() const;
+	void endCall(const StartedCall& _call, const absl::Status& _status);
 
 	PersistentMap& map;
 	OriginStoreHandlers handlers;
+	ResponseTimeout timeout;
 	QTimer retryTimer;
 	int retryMs = 0;
 };
--- a/tests/test_feed_poll.cpp
+++ b/tests/test_feed_poll.cpp
@@ -246,3 +246,21 @@
 	cr_assert(poll.onAnswer(first.id, FeedAnswerSummary{}, 3 * kSecond).empty());
 	cr_assert_not(poll.onAnswer(second.id, FeedAnswerSummary{}, 3 * kSecond).empty());
 }
+
+/// Guards against a timeout that stays too short for a platform that has become slow, or too long once it is fast.
+Test(response_timeout, follows_the_time_that_answers_take)
+{
+	ResponseTimeout timeout(kSecond, 20 * kSecond);
+	timeout.onTimedOut(kSecond);
+	timeout.onTimedOut(kSecond); // Another call with the same timeout.
+	cr_assert_eq(timeout.current(), 2 * kSecond);
+	for (int count = 0; count < 10; ++count)
+	{
+		timeout.onTimedOut(timeout.current());
+	}
+	cr_assert_eq(timeout.current(), 20 * kSecond);
+	timeout.onAnswered(3 * kSecond);
+	cr_assert_eq(timeout.current(), 6 * kSecond);
+	timeout.onAnswered(5 * kMillisecond);
+	cr_assert_eq(timeout.current(), kSecond);
+}
