--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -11,6 +11,8 @@
 
 #include "http_client.h"
 
+#include "http_body.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -472,6 +474,11 @@
 		{
 			this->handleHead();
 		}
+		if (this->headHandled && this->exceedsLimit())
+		{
+			this->fail("response is longer than the limit");
+			return;
+		}
 		if (this->headHandled && this->skipping)
 		{
 			this->discardData();
@@ -510,6 +517,18 @@
 			informational || handler(this->parser->get().result_int(), this->headers()) == HeadVerdict::Skip;
 	}
 
+	/// @returns Whether a body that is kept is, or is announced to be, longer than allowed. An eager parser of
+	/// Beast 1.74 passes over its own limit if the first bytes of the body arrive with the head.
+	[[nodiscard]] bool exceedsLimit()
+	{
+		if (this->skipping || this->handlers.onData)
+		{
+			return false;
+		}
+		const std::uint64_t announced = this->parser->content_length().value_or(0);
+		return std::max<std::uint64_t>(announced, this->parser->get().body().size()) > this->spec.maxResponseBytes;
+	}
+
 	/// Reads the next response after one that belongs to another request.
 	void readNextResponse()
 	{
@@ -627,7 +646,7 @@
 	asio::steady_timer connectTimer;
 	std::unique_ptr<Tcp::socket> socket;
 	http::request<http::string_body> request;
-	boost::optional<http::response_parser<http::string_body>> parser;
+	boost::optional<http::response_parser<ReceivedBody>> parser;
 	beast::flat_buffer buffer{kReadSize * 4};
 	std::int64_t openedAt = 0; ///< When the connection was opened, in microseconds of the monotonic clock.
 	int skippedResponses = 0;
--- a/src/http_connection.h
+++ b/src/http_connection.h
@@ -9,6 +9,7 @@
 #ifndef ROADFERRY_HTTP_CONNECTION_H_HEADER_GUARD
 #define ROADFERRY_HTTP_CONNECTION_H_HEADER_GUARD
 
+#include "http_body.h"
 #include "http_server.h"
 
 #include <boost/asio/dispatch.hpp>
@@ -530,7 +531,7 @@
 	asio::steady_timer timer;
 	std::size_t threadIndex;
 	beast::flat_buffer buffer;
-	boost::optional<http::request_parser<http::string_body>> parser;
+	boost::optional<http::request_parser<ReceivedBody>> parser;
 	boost::optional<http::response<http::string_body>> response;
 	std::deque<std::pair<std::string, bool>> chunks;
 	std::size_t unsentBytes = 0;
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -732,6 +732,27 @@
 	}
 }
 
+/// Guards against memory that is reserved for a length which is only announced: the process ended.
+Test(client, announced_length_reserves_no_memory)
+{
+	ScriptServer server(
+		[&](int _socket)
+		{
+			ScriptServer::readHead(_socket);
+			ScriptServer::sendText(_socket,
+								   "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 900000000000\r\n\r\nbody");
+		});
+	BlockingClient client;
+	std::string received;
+	const auto onData = [&](const std::string& _bytes) { received += _bytes; };
+	const CallEnd kept = client.call(server.address, "mine");
+	cr_assert(kept.result == CallResult::Interrupted);
+	cr_assert_eq(kept.error, "response is longer than the limit");
+	const CallEnd streamed = client.call(server.address, "mine", {}, onData);
+	cr_assert(streamed.result == CallResult::Interrupted);
+	cr_assert_eq(received, "body");
+}
+
 /// Guards against a response with chunks that is cut inside its trailer and passes as a whole one.
 Test(client, response_cut_inside_its_trailer_is_never_complete)
 {
--- a/tests/test_messages.cpp
+++ b/tests/test_messages.cpp
@@ -16,6 +16,8 @@
 #include <QCborMap>
 #include <QCborValue>
 
+#include <sys/resource.h>
+
 namespace
 {
 
@@ -168,6 +170,24 @@
 				   });
 }
 
+/// Guards against memory that is reserved for a length which another node's message only announces.
+Test(messages, announced_lengths_reserve_no_memory)
+{
+	constexpr rlim_t kMemoryLimit = 1ULL << 30U;
+	const rlimit limit{kMemoryLimit, kMemoryLimit};
+	cr_assert_eq(::setrlimit(RLIMIT_AS, &limit), 0);
+	for (const unsigned char type : {0x5b, 0x7b, 0x9b, 0xbb}) // Bytes, text, array and map; the length takes 8 bytes.
+	{
+		for (const std::string& length : {std::string("\x00\x00\x01\x00", 4), std::string("\x00\x00\x00\x00", 4)})
+		{
+			const std::string announced = length + std::string("\x7f\xff\xff\xff", 4);
+			const std::string value = static_cast<char>(type) + announced + "a";
+			cr_assert_not(decode(value).ok());
+			cr_assert_not(decode("\xa1\x64type" + value).ok());
+		}
+	}
+}
+
 Test(messages, packed_records_round_trip_and_corrupted_ones_give_an_error_or_a_record)
 {
 	checkHistories("packed records",
