--- a/src/endpoint_calls.cpp
+++ b/src/endpoint_calls.cpp
@@ -77,6 +77,14 @@
 		return this->direct != nullptr && this->direct->isConnectionOpen();
 	}
 
+	void setReading(bool _on) override
+	{
+		if (this->direct != nullptr)
+		{
+			this->direct->setReading(_on);
+		}
+	}
+
 	void cancel() override
 	{
 		this->done = true;
--- a/src/forward_attempts.cpp
+++ b/src/forward_attempts.cpp
@@ -109,6 +109,12 @@
 				this->freeInputs(active);
 				this->noteResponseBegun(*active);
 			}
+			// The endpoint waits for a client that reads slowly; nothing is kept for it beyond the limit of its
+			// connection.
+			if (active->call != nullptr && active->answer.reply()->isCongested())
+			{
+				active->call->setReading(false);
+			}
 		};
 	}
 	handlers.onEnd = [this, active, number = _attempt.attempt](const CallEnd& _end)
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -452,6 +452,7 @@
 	{
 		return; // The client had already disconnected.
 	}
+	_active->answer.reply()->onDrained([this, id = _active->id] { this->onClientDrained(id); });
 	if (_active->graph.isComplete())
 	{
 		this->submit(_active);
@@ -604,6 +605,16 @@
 			  {"longest_pause_ms", times.longestPause / kMillisecond}});
 }
 
+/// The client of a stream has read what was kept for it.
+void ForwardTraffic::onClientDrained(std::uint64_t _id)
+{
+	const ActiveRequestPtr active = this->findActive(_id);
+	if (active != nullptr && active->call != nullptr)
+	{
+		active->call->setReading(true);
+	}
+}
+
 void ForwardTraffic::onClientGone(std::uint64_t _id)
 {
 	const ActiveRequestPtr active = this->findActive(_id);
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -189,6 +189,7 @@
 	void giveUp(const ActiveRequestPtr& _active, Reason _reason, Micros _retryAfter);
 	void endRequest(const ActiveRequestPtr& _active, const Outcome& _outcome, const std::string& _event);
 	void onClientGone(std::uint64_t _id);
+	void onClientDrained(std::uint64_t _id);
 	void refuse(const std::string& _id, const std::string& _target, const std::shared_ptr<HttpReply>& _reply,
 				unsigned _status, const std::string& _code, const std::string& _message);
 	[[nodiscard]] LogField routesAgeField(Micros _now) const;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -262,6 +262,15 @@
 		this->closeSocket();
 	}
 
+	void setReading(bool _on) override
+	{
+		this->isReading = _on;
+		if (_on && !this->done && std::exchange(this->readIsDue, false))
+		{
+			this->read();
+		}
+	}
+
 	[[nodiscard]] std::int64_t connectionOpenedAt() const override
 	{
 		return this->openedAt;
@@ -446,6 +455,11 @@
 
 	void read()
 	{
+		if (!this->isReading)
+		{
+			this->readIsDue = true;
+			return;
+		}
 		http::async_read_some(*this->socket, this->buffer, *this->parser,
 							  [self = this->shared_from_this()](const Error& _error, std::size_t _bytes)
 							  {
@@ -660,6 +674,8 @@
 	bool skipping = false;    ///< The current response belongs to another request.
 	bool connectionLost = false;
 	bool timedOut = false;
+	bool isReading = true;
+	bool readIsDue = false;           ///< The next read waits until it is allowed.
 	std::int64_t reportedAfter = 0;   ///< Time after which the response was reported as late, 0 if it was not.
 	bool lacksIdleConnection = false; ///< There is no idle connection that the call may use.
 	bool done = false;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -113,6 +113,10 @@
 	/// Closes the connection; onEnd is not called afterwards. Must be called on the thread of the call.
 	virtual void cancel() = 0;
 
+	/// Stops reading the response, so that its sender waits, or goes on. Has no effect on a call that another node
+	/// makes. Must be called on the thread of the call.
+	virtual void setReading(bool _on) = 0;
+
 	/// @returns Time point at which its connection was opened, 0 while there is none or if another node opened it.
 	[[nodiscard]] virtual std::int64_t connectionOpenedAt() const = 0;
 
--- a/src/http_connection.h
+++ b/src/http_connection.h
@@ -190,6 +190,17 @@
 			});
 	}
 
+	[[nodiscard]] bool isCongested() const override
+	{
+		return this->unsentBytes > this->limits.congestedBytes;
+	}
+
+	void onDrained(std::function<void()> _function) override
+	{
+		this->runOnThread([this, function = std::move(_function)]() mutable
+						  { this->drainedHandler = std::move(function); });
+	}
+
 	[[nodiscard]] std::size_t thread() const override
 	{
 		return this->threadIndex;
@@ -451,6 +462,7 @@
 			return;
 		}
 		const bool last = this->chunks.front().second;
+		const bool wasCongested = this->isCongested();
 		this->unsentBytes -= this->chunks.front().first.size();
 		this->chunks.pop_front();
 		if (last)
@@ -462,6 +474,11 @@
 		{
 			this->writeChunk();
 		}
+		if (wasCongested && !this->isCongested() && this->drainedHandler)
+		{
+			const auto handler = this->drainedHandler;
+			handler();
+		}
 	}
 
 	void onResponseWritten(const Error& _error)
@@ -469,6 +486,7 @@
 		this->answering = false;
 		this->requestNumber += 1;
 		this->disconnectHandler = nullptr;
+		this->drainedHandler = nullptr;
 		this->response.reset();
 		if (_error || this->isClosed)
 		{
@@ -515,6 +533,7 @@
 			return;
 		}
 		this->isClosed = true;
+		this->drainedHandler = nullptr;
 		this->timer.cancel();
 		Error ignored;
 		this->socket().shutdown(Tcp::socket::shutdown_send, ignored);
@@ -536,6 +555,7 @@
 	std::deque<std::pair<std::string, bool>> chunks;
 	std::size_t unsentBytes = 0;
 	std::function<void()> disconnectHandler;
+	std::function<void()> drainedHandler;
 	std::chrono::steady_clock::time_point idleSince;
 	std::uint64_t requestNumber = 0;
 	bool requestKeepAlive = false;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -25,6 +25,8 @@
 	std::size_t headerBytes = 16 * 1024;
 	std::size_t bodyBytes = 4 * 1024 * 1024;
 	std::size_t connections = 4'096;
+	/// Unsent data of a stream from which on it is congested, see HttpReply::isCongested().
+	std::size_t congestedBytes = 64 * 1024;
 	/// Maximum unsent data of a stream. The connection of a client that reads too slowly is closed.
 	std::size_t unsentBytes = 4 * 1024 * 1024;
 	std::int64_t headerTimeout = 10'000'000;  ///< Microseconds from the first byte of a request to the end of its head.
@@ -60,6 +62,13 @@
 	/// connection, at once if the connection is closed already.
 	virtual void onDisconnect(std::function<void()> _function) = 0;
 
+	/// @returns Whether much of what was written is not sent yet, since the client reads slowly. Called on the thread
+	/// of the connection.
+	[[nodiscard]] virtual bool isCongested() const = 0;
+
+	/// Sets a function to call, on the thread of the connection, whenever isCongested() ends.
+	virtual void onDrained(std::function<void()> _function) = 0;
+
 	/// @returns Index of the connection's thread in the pool.
 	[[nodiscard]] virtual std::size_t thread() const = 0;
 };
