--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -31,6 +31,7 @@
 #include <roadferry/parts/queue_forecast.h>
 #include <roadferry/parts/reachability.h>
 #include <roadferry/parts/rendezvous.h>
+#include <roadferry/parts/response_budget.h>
 #include <roadferry/parts/response_timeout.h>
 #include <roadferry/parts/routes.h>
 #include <roadferry/parts/shares.h>
--- a/src/endpoint_calls.cpp
+++ b/src/endpoint_calls.cpp
@@ -154,6 +154,7 @@
 		{ this->calls.onReachedThrough(this->call.endpoint, this->relay); };
 		relayHandlers.onHead = this->handlers.onHead;
 		relayHandlers.onData = this->handlers.onData;
+		relayHandlers.onBuffered = this->handlers.onBuffered;
 		relayHandlers.onEnd = [this, self = this->shared_from_this()](const CallEnd& _end, bool _cutOff)
 		{ this->onRelayEnd(_end, _cutOff); };
 		this->relayId = this->calls.relayed.start(_node, this->call, std::move(relayHandlers), monotonicNow());
--- a/src/event_stream.cpp
+++ b/src/event_stream.cpp
@@ -75,6 +75,11 @@
 	return !this->buffer.empty();
 }
 
+std::size_t EventSplitter::size() const
+{
+	return this->buffer.size();
+}
+
 bool EventSplitter::exceedsLimit() const
 {
 	return this->buffer.size() > kEventLimit;
--- a/src/event_stream.h
+++ b/src/event_stream.h
@@ -31,6 +31,9 @@
 	/// @returns Whether the buffer holds bytes of an incomplete event.
 	[[nodiscard]] bool hasPartialEvent() const;
 
+	/// @returns Bytes of the incomplete event.
+	[[nodiscard]] std::size_t size() const;
+
 	/// @returns Whether the incomplete event is longer than an event may be.
 	[[nodiscard]] bool exceedsLimit() const;
 
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -55,7 +55,7 @@
 	this->hasEvents = false;
 	this->currentHead.reset();
 	this->splitter = EventSplitter();
-	this->body.clear();
+	this->body = std::string(); // Also frees its memory.
 	this->attemptLastId.reset();
 	this->streamInvalid = false;
 }
@@ -99,6 +99,11 @@
 	return !this->streamInvalid;
 }
 
+std::size_t ForwardAnswer::bufferedBytes() const
+{
+	return this->body.size() + this->splitter.size();
+}
+
 /// @returns Whether no event is missing before this one. The first one of an attempt may be one that the client has.
 bool ForwardAnswer::follows(const std::string& _event) const
 {
--- a/src/forward_answer.h
+++ b/src/forward_answer.h
@@ -45,6 +45,9 @@
 	/// @returns Whether more of the body can be used. If not, the call must be cancelled.
 	[[nodiscard]] bool receiveData(const std::string& _bytes);
 
+	/// @returns Bytes of the attempt's response that are kept until the rest arrives.
+	[[nodiscard]] std::size_t bufferedBytes() const;
+
 	/// Ends an attempt.
 	/// @returns Result of the attempt. A response that can be passed on is kept for deliver(). The end of a connection
 	/// does not tell that no events are missing: a stream that may be resumed is answered once an endpoint, asked for
--- a/src/forward_attempts.cpp
+++ b/src/forward_attempts.cpp
@@ -104,6 +104,7 @@
 				this->cutOffAttempt(active, number);
 				return;
 			}
+			this->noteBuffered(active, active->answer.bufferedBytes());
 			if (active->answer.hasStarted())
 			{
 				this->freeInputs(active);
@@ -117,6 +118,10 @@
 			}
 		};
 	}
+	else
+	{
+		handlers.onBuffered = [this, active](std::size_t _bytes) { this->noteBuffered(active, _bytes); };
+	}
 	handlers.onEnd = [this, active, number = _attempt.attempt](const CallEnd& _end)
 	{ this->attemptEnded(active, number, _end); };
 	EndpointCall call{std::move(spec), _attempt.endpoint, active->request.id};
@@ -181,6 +186,17 @@
 	}
 }
 
+/// Records how much of a response is kept. The longest one is cut off if all of them take too much memory.
+void ForwardTraffic::noteBuffered(const ActiveRequestPtr& _active, std::size_t _bytes)
+{
+	const std::optional<std::uint64_t> longest = this->responseBudget.set(_active->id, _bytes);
+	const ActiveRequestPtr cut = longest ? this->findActive(*longest) : nullptr;
+	if (cut != nullptr)
+	{
+		this->cutOffAttempt(cut, cut->currentAttempt);
+	}
+}
+
 /// Ends an attempt whose response does not end or is too long.
 void ForwardTraffic::cutOffAttempt(const ActiveRequestPtr& _active, std::uint64_t _attempt)
 {
@@ -203,6 +219,7 @@
 		this->dispatcher.reportLoad(_active->endpoint, *head->load);
 	}
 	_active->call.reset();
+	this->responseBudget.release(_active->id);
 	if (!_end.connectionLost && !_end.endsWithConnection)
 	{
 		this->endAttempt(_active, _attempt, _end);
@@ -333,6 +350,7 @@
 	{
 		active->call->cancel();
 		active->call.reset();
+		this->responseBudget.release(active->id);
 		active->currentAttempt = 0;
 	}
 }
--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -77,6 +77,7 @@
 	forward.pieces.sharedBatches = this->settings.sharedBatches;
 	forward.lease = std::min(this->settings.maxRouteUpdateDelay, this->settings.maxEndpointLeaveDelay) - kLeaseMargin;
 	forward.maxResponseBytes = this->settings.maxResponseBytes;
+	forward.responseMemory = this->settings.responseMemory;
 	forward.crashes.memory = this->settings.crashMemory;
 	forward.parts.memory = this->settings.crashMemory;
 	const auto sendTyped = [this](const std::string& _to, const auto& _message)
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -90,8 +90,8 @@
 ForwardTraffic::ForwardTraffic(IoPool& _pool, HttpClient& _client, const WireFormat& _wire, Metrics& _metrics,
 							   const ForwardSettings& _settings, const ForwardSends& _sends)
 	: pool(_pool), endpointCalls(_pool, _client, _settings.firstNumber, _sends.call), wire(_wire), metrics(_metrics),
-	  dispatcher(_settings.dispatcher), maxResponseBytes(_settings.maxResponseBytes), self(_settings.self),
-	  lease(_settings.lease),
+	  dispatcher(_settings.dispatcher), maxResponseBytes(_settings.maxResponseBytes),
+	  responseBudget(_settings.responseMemory), self(_settings.self), lease(_settings.lease),
 	  crashes(
 		  this->endpointCalls, _settings.crashes,
 		  CrashMonitorHandlers{_sends.crash,
@@ -302,7 +302,8 @@
 		this->endpointCalls.metricsText(), "# TYPE roadferry_limited_pools gauge\nroadferry_limited_pools ",
 		this->dispatcher.limitedPools(now), "\n", "# TYPE roadferry_blocked_parts gauge\nroadferry_blocked_parts ",
 		this->parts.blockedCount(), "\n", "# TYPE roadferry_live_nodes gauge\nroadferry_live_nodes ", this->liveNodes,
-		"\n", ageGauge("roadferry_routes_age_seconds", this->freshness.routesAsOf, now),
+		"\n# TYPE roadferry_response_bytes gauge\nroadferry_response_bytes ", this->responseBudget.total(), "\n",
+		ageGauge("roadferry_routes_age_seconds", this->freshness.routesAsOf, now),
 		ageGauge("roadferry_listing_age_seconds", this->freshness.listingAsOf, now));
 }
 
@@ -582,6 +583,7 @@
 	{
 		this->keepUnprovenOrigin(*_active);
 	}
+	this->responseBudget.release(_active->id);
 	this->activeRequests.erase(_active->id);
 	this->activeCount = this->activeRequests.size();
 	if (!orders.empty())
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -34,6 +34,7 @@
 	CrashLedgerConfig crashes;
 	FatalPartConfig parts;
 	std::size_t maxResponseBytes = 4 * 1024 * 1024; ///< Maximum size of a response that is not a stream of events.
+	std::size_t responseMemory = 24 * 1024 * 1024;  ///< Bytes of all responses in progress, see ResponseBudget.
 	Micros lease = 2 * kSecond; ///< Maximum age of routes and endpoints that are used to handle a request.
 };
 
@@ -172,6 +173,7 @@
 	void endAttempt(const ActiveRequestPtr& _active, std::uint64_t _attempt, const CallEnd& _end);
 	void identifyAtEnd(const std::string& _endpoint, const std::string& _address, IdentityHandler _done);
 	static void logAttemptEnd(const ActiveRequest& _active, const CallEnd& _end, const AttemptEnd& _result);
+	void noteBuffered(const ActiveRequestPtr& _active, std::size_t _bytes);
 	void cutOffAttempt(const ActiveRequestPtr& _active, std::uint64_t _attempt);
 	void concludeAttempt(const ActiveRequestPtr& _active, std::uint64_t _attempt, const AttemptEnd& _end);
 	void cancelAttempt(const CancelAttempt& _cancel);
@@ -204,8 +206,9 @@
 	Metrics& metrics;
 	Dispatcher dispatcher;
 	std::size_t maxResponseBytes; ///< Maximum size of a response that is not a stream of events.
-	std::string self;             ///< Address of this node as used by other nodes.
-	Micros lease;                 ///< Maximum age of routes and endpoints that are used to handle a request.
+	ResponseBudget responseBudget;
+	std::string self; ///< Address of this node as used by other nodes.
+	Micros lease;     ///< Maximum age of routes and endpoints that are used to handle a request.
 	CrashMonitor crashes;
 	FatalPartDetector parts;
 	std::function<void(const std::string&, const PartMessage&)> sendPart;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -501,6 +501,11 @@
 		{
 			this->deliverData();
 		}
+		else if (this->headHandled && this->handlers.onBuffered)
+		{
+			const auto handler = this->handlers.onBuffered;
+			handler(this->parser->get().body().size());
+		}
 		if (this->done)
 		{
 			return;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -99,6 +99,9 @@
 	/// Receives the body in parts as it arrives. If not set, the body is in CallEnd.
 	std::function<void(const std::string&)> onData;
 
+	/// Called when the part of the body that is kept for CallEnd has grown to this size.
+	std::function<void(std::size_t _bytes)> onBuffered;
+
 	/// Called once when the response is late, see CallSpec::lateAfter.
 	std::function<void()> onLate;
 	std::function<void(const CallEnd&)> onEnd;
--- a/src/relayed_call.cpp
+++ b/src/relayed_call.cpp
@@ -139,6 +139,12 @@
 	if (entry->body.size() > entry->maxResponseBytes)
 	{
 		this->interrupt(_message.call, "response is longer than the limit");
+		return;
+	}
+	const auto onBuffered = entry->handlers.onBuffered;
+	if (onBuffered)
+	{
+		onBuffered(entry->body.size());
 	}
 }
 
--- a/src/relayed_call.h
+++ b/src/relayed_call.h
@@ -31,7 +31,8 @@
 {
 	std::function<void()> onConnected; ///< The other node has opened a connection to the endpoint.
 	std::function<HeadVerdict(unsigned _status, const HttpHeaders& _headers)> onHead; ///< May be empty.
-	std::function<void(const std::string&)> onData; ///< If empty, the body is in CallEnd.
+	std::function<void(const std::string&)> onData;     ///< If empty, the body is in CallEnd.
+	std::function<void(std::size_t _bytes)> onBuffered; ///< The body that is kept has grown to this size; may be empty.
 	/// @param[in] _cutOff Whether the other node has lost its own path to the endpoint.
 	std::function<void(const CallEnd&, bool _cutOff)> onEnd;
 };
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -65,6 +65,8 @@
 DEFINE_double(retry_window_seconds, 10, "duration of the window of retry_slack, in seconds (0.01 to 3600)");
 DEFINE_int32(response_limit_kb, 4096,
 			 "maximum size of an endpoint's response that is not a stream of events, in KB (64 to 65536)");
+DEFINE_int32(response_memory_mb, 24,
+			 "memory for all endpoints' responses in progress, in MB (1 to 65536); beyond it the longest is cut off");
 DEFINE_int32(crash_memory_seconds, 600,
 			 "how long a crash of an endpoint counts against the requests that ran on it, 0 to send them on regardless "
 			 "(0 to 3600); a reload with 0 forgets all crashes");
@@ -132,6 +134,7 @@
 													 "retry_window_seconds",
 													 "crash_memory_seconds",
 													 "response_limit_kb",
+													 "response_memory_mb",
 													 "shared_batches"};
 	return s_names;
 }
@@ -329,6 +332,9 @@
 	_settings.maxResponseBytes =
 		static_cast<std::size_t>(_checker.integer("response_limit_kb", FLAGS_response_limit_kb, 64, 65'536)) *
 		kBytesPerKilobyte;
+	_settings.responseMemory =
+		static_cast<std::size_t>(_checker.integer("response_memory_mb", FLAGS_response_memory_mb, 1, 65'536)) *
+		kBytesPerKilobyte * kBytesPerKilobyte;
 	_settings.crashMemory = _checker.integer("crash_memory_seconds", FLAGS_crash_memory_seconds, 0, 3'600) * kSecond;
 	_settings.retrySlack = _checker.number("retry_slack", FLAGS_retry_slack, 0, 100'000);
 	const double retryWindow = _checker.number("retry_window_seconds", FLAGS_retry_window_seconds, 0.01, 3'600);
--- a/src/settings.h
+++ b/src/settings.h
@@ -52,6 +52,7 @@
 	/// Maximum time until no more requests are sent to an endpoint that leaves.
 	Micros maxEndpointLeaveDelay = 2 * kSecond;
 	std::size_t maxResponseBytes = 4 * 1024 * 1024; ///< Maximum size of an endpoint's response that is not a stream.
+	std::size_t responseMemory = 24 * 1024 * 1024;  ///< Bytes of all responses in progress, see ResponseBudget.
 	/// How long a crash of an endpoint counts against the requests that ran on it; 0 for never.
 	Micros crashMemory = 600 * kSecond;
 	double retrySlack = 20; ///< Retries per window that all nodes together may make in addition to retry_share.
--- a/tests/test_endpoint_calls.cpp
+++ b/tests/test_endpoint_calls.cpp
@@ -130,3 +130,18 @@
 	constexpr std::chrono::seconds kPatience{5}; // An idle connection would be kept for 30 s.
 	cr_assert(closed.get_future().wait_for(kPatience) == std::future_status::ready, "the connection is still open");
 }
+
+/// Guards against a limit that cuts off the responses of sound endpoints beside an endless one.
+Test(response_budget, longest_response_is_cut_off)
+{
+	ResponseBudget budget(100);
+	cr_assert_not(budget.set(1, 30));
+	cr_assert_not(budget.set(2, 60));
+	cr_assert(budget.set(3, 20) == std::optional<std::uint64_t>(2));
+	budget.release(2);
+	cr_assert_eq(budget.total(), 50);
+	cr_assert_not(budget.set(3, 70));
+	cr_assert_not(budget.set(3, 10));
+	budget.release(4); // Unknown.
+	cr_assert_eq(budget.total(), 40);
+}
