--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -23,6 +23,7 @@
 constexpr unsigned kFirstServerErrorStatus = 500;
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kUnavailable = 503;
+constexpr std::size_t kMaxRefusalBytes = 64 * 1024; ///< Of the body of a refusal, which is not used.
 
 /// @returns Whether a status tells the client that the request has not run.
 bool impliesNotRun(unsigned _status)
@@ -55,6 +56,7 @@
 	this->hasEvents = false;
 	this->currentHead.reset();
 	this->splitter = EventSplitter();
+	this->refusalBytes = 0;
 	this->body = std::string(); // Also frees its memory.
 	this->attemptLastId.reset();
 	this->streamInvalid = false;
@@ -82,6 +84,11 @@
 
 bool ForwardAnswer::receiveData(const std::string& _bytes)
 {
+	if (this->currentHead && this->currentHead->notRun)
+	{
+		this->refusalBytes += _bytes.size();
+		return this->refusalBytes <= kMaxRefusalBytes;
+	}
 	if (!this->streaming || !this->isUsable())
 	{
 		this->body += _bytes;
@@ -159,13 +166,13 @@
 	{
 		return AttemptNotSent{};
 	}
-	if (_end.result == CallResult::Interrupted || !this->currentHead)
+	if (this->currentHead && this->currentHead->notRun)
 	{
-		return AttemptInterrupted{};
+		return AttemptRefused{}; // Also if the rest of the refusal is missing.
 	}
-	if (this->currentHead->notRun)
+	if (_end.result == CallResult::Interrupted || !this->currentHead)
 	{
-		return AttemptRefused{};
+		return AttemptInterrupted{};
 	}
 	if (this->isUsable() && this->streaming)
 	{
--- a/src/forward_answer.h
+++ b/src/forward_answer.h
@@ -110,6 +110,7 @@
 	std::optional<ForwardHead> currentHead; ///< Response head of the current or latest attempt.
 	EventSplitter splitter;
 	std::string body;
+	std::size_t refusalBytes = 0;               ///< Received of the body of a refusal.
 	std::optional<std::uint64_t> attemptLastId; ///< Id of the last event that the attempt brought.
 	bool streamInvalid = false;                 ///< The attempt's stream cannot be continued.
 	bool resumes = false;                       ///< The attempt asks for the events after one that the client has.
