--- a/include/roadferry/parts/stream_origins.h
+++ b/include/roadferry/parts/stream_origins.h
@@ -102,6 +102,8 @@
 	std::size_t holders = 2;                   ///< Other nodes that keep a record.
 	std::size_t askedNodes = 4;                ///< Nodes asked in a lookup; the most likely holders come first.
 	Micros lookupTimeout = 100 * kMillisecond; ///< A node with little processor time may pause that long.
+	/// Time for a lookup to wait for the next listing, if no node knows of a second version and not all answer.
+	Micros listingTimeout = 1'500 * kMillisecond;
 	Micros restartDelay =
 		1'500 * kMillisecond;        ///< After a connection is lost, until records are given to a holder again.
 	std::size_t maxRecords = 20'000; ///< Records kept; the oldest go first.
@@ -120,6 +122,10 @@
 /// record is kept by the node that began the stream and by some others, and expires with the stream. While only one
 /// version of a pool can have begun a stream, no record is sent.
 ///
+/// That a node has heard of one version only does not mean that there is no other one: it may have joined since the
+/// listing that the node holds. So a stream without a known origin goes on at the only version once other nodes have
+/// answered that they know no other one, or once a listing that is newer than the stream shows no other one.
+///
 /// What must outlive all nodes is saved on the platform: the versions of each pool when they change, and while there
 /// are several, the version of each stream.
 class StreamOrigins
@@ -134,6 +140,11 @@
 	/// @param[in] _isComplete Whether these are all endpoints.
 	OriginActions setEndpoints(const std::vector<Endpoint>& _endpoints, bool _isComplete, Micros _now);
 
+	/// Sets up to which time the listed endpoints are known: a version that joined later is not.
+	/// @param[in] _asOf Time point.
+	/// @param[in] _isAvailable Whether the listing can be read, so that it will be known up to a later time soon.
+	OriginActions setListedUpTo(Micros _asOf, bool _isAvailable, Micros _now);
+
 	/// Sets the pools whose streams may be taken up again; the versions of others are not saved.
 	void setResumablePools(const std::set<std::string>& _pools);
 
@@ -184,7 +195,9 @@
 		std::string request;
 		std::string pool;
 		Micros within = 0;
+		Micros startedAt = 0;           ///< Time point; the stream has begun before it.
 		Micros deadline = 0;            ///< Time point.
+		std::size_t answers = 0;        ///< Of other nodes.
 		std::set<std::string> awaited;  ///< Nodes that have not answered.
 		std::set<std::string> versions; ///< Known to nodes that have answered.
 		bool areAllKnown = false;       ///< One of them knows all versions.
@@ -195,7 +208,11 @@
 	void addSaved(const SavedStreams& _streams, Micros _now);
 	void sendOwnRecords(const std::string& _to, Micros _now, OriginActions& _actions) const;
 	[[nodiscard]] bool isWaiting(const Lookup& _lookup) const;
-	void concludeAll(const std::vector<std::uint64_t>& _lookups, Micros _now, OriginActions& _actions);
+	[[nodiscard]] std::optional<std::string> onlyKnownVersion(const Lookup& _lookup, Micros _now) const;
+	[[nodiscard]] bool isOnlyVersionCertain(const Lookup& _lookup) const;
+	[[nodiscard]] bool mayBecomeCertain(const Lookup& _lookup, Micros _now) const;
+	void concludeIfDone(std::uint64_t _lookup, Micros _now, OriginActions& _actions);
+	void concludeDone(Micros _now, OriginActions& _actions);
 	void saveVersions(Micros _now, OriginActions& _actions);
 	void saveRecords(Micros _now, OriginActions& _actions);
 	void conclude(std::uint64_t _lookup, Micros _now, OriginActions& _actions);
@@ -213,6 +230,8 @@
 	std::map<std::uint64_t, Lookup> lookups;           ///< In progress, by id.
 	std::map<std::string, Micros> resendAt;            ///< When own records are given to a node again.
 	std::uint64_t lastLookup;
+	Micros listedUpTo = 0; ///< Versions that joined before this time point are known; 0 for none.
+	bool canReadListing = false;
 	bool awaitsSaved = true; ///< What earlier processes have saved is not known yet.
 	std::set<std::string> resumablePools;
 	std::set<std::string> poolsInSave; ///< Pools whose versions are being saved.
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -146,19 +146,21 @@
 
 void ForwardTraffic::setFreshness(const FeedFreshness& _freshness)
 {
-	this->pool.post(0,
-					[this, _freshness]
-					{
-						const bool isGap = this->freshness.listingAsOf > 0 &&
-										   _freshness.listingAsOf - this->freshness.listingAsOf > this->lease;
-						if (isGap)
-						{
-							this->origins.onListingGap(monotonicNow());
-						}
-						this->freshness = _freshness;
-						this->proofs.setFollowedListing(_freshness.source.empty() ? 0 : _freshness.listingAsOf);
-						this->bindProvenStreams();
-					});
+	this->pool.post(
+		0,
+		[this, _freshness]
+		{
+			const bool isGap =
+				this->freshness.listingAsOf > 0 && _freshness.listingAsOf - this->freshness.listingAsOf > this->lease;
+			if (isGap)
+			{
+				this->origins.onListingGap(monotonicNow());
+			}
+			this->freshness = _freshness;
+			this->perform(this->origins.setListedUpTo(_freshness.listingAsOf, !_freshness.unavailable, monotonicNow()));
+			this->proofs.setFollowedListing(_freshness.source.empty() ? 0 : _freshness.listingAsOf);
+			this->bindProvenStreams();
+		});
 }
 
 void ForwardTraffic::setMembers(const std::vector<std::string>& _members,
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -103,6 +103,15 @@
 	return actions;
 }
 
+OriginActions StreamOrigins::setListedUpTo(Micros _asOf, bool _isAvailable, Micros _now)
+{
+	this->listedUpTo = std::max(this->listedUpTo, _asOf);
+	this->canReadListing = _isAvailable;
+	OriginActions actions;
+	this->concludeDone(_now, actions);
+	return actions;
+}
+
 void StreamOrigins::setResumablePools(const std::set<std::string>& _pools)
 {
 	this->resumablePools = _pools;
@@ -165,22 +174,67 @@
 		started.actions.emplace_back(OriginResolved{started.id, known->second.record.origin, "this node"});
 		return started;
 	}
-	Lookup lookup{_request, _pool, within, _now + this->config.lookupTimeout, {}, {}, false};
-	if (!this->onlyVersion(lookup.pool, lookup.within, _now))
+	Lookup lookup{_request, _pool, within, _now, _now + this->config.lookupTimeout, 0, {}, {}, false};
+	for (const std::string& node : rendezvousNodes(_request, this->others, this->config.askedNodes))
 	{
-		for (const std::string& node : rendezvousNodes(_request, this->others, this->config.askedNodes))
-		{
-			lookup.awaited.insert(node);
-			started.actions.emplace_back(SendOriginMessage{node, OriginQuery{started.id, _request, _pool, within}});
-		}
+		lookup.awaited.insert(node);
+		started.actions.emplace_back(SendOriginMessage{node, OriginQuery{started.id, _request, _pool, within}});
 	}
-	const bool canConclude = !this->isWaiting(lookup) || this->onlyVersion(lookup.pool, lookup.within, _now);
 	this->lookups.emplace(started.id, std::move(lookup));
-	if (canConclude)
+	this->concludeIfDone(started.id, _now, started.actions);
+	return started;
+}
+
+/// @returns The only version that a stream can have begun at, as far as this node and those that have answered know.
+std::optional<std::string> StreamOrigins::onlyKnownVersion(const Lookup& _lookup, Micros _now) const
+{
+	std::set<std::string> versions = this->pools.within(_lookup.pool, _lookup.within, _now);
+	versions.insert(_lookup.versions.begin(), _lookup.versions.end());
+	const bool areAllKnown = _lookup.areAllKnown || this->pools.isComplete(_lookup.pool, _lookup.within, _now);
+	return areAllKnown && versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
+}
+
+/// Whether no other version can have joined unseen before a stream began: the listing is newer than the stream, or all
+/// nodes that were asked have answered, among them those that would hold the stream's record.
+bool StreamOrigins::isOnlyVersionCertain(const Lookup& _lookup) const
+{
+	return this->listedUpTo >= _lookup.startedAt || (_lookup.answers > 0 && _lookup.awaited.empty());
+}
+
+/// Whether a lookup that knows of one version waits for the next listing.
+bool StreamOrigins::mayBecomeCertain(const Lookup& _lookup, Micros _now) const
+{
+	return this->canReadListing && _now - _lookup.startedAt < this->config.listingTimeout;
+}
+
+/// Ends a lookup once nothing more can come of it.
+void StreamOrigins::concludeIfDone(std::uint64_t _lookup, Micros _now, OriginActions& _actions)
+{
+	const Lookup& lookup = this->lookups.at(_lookup);
+	const bool hasOnlyVersion = this->onlyKnownVersion(lookup, _now).has_value();
+	if (hasOnlyVersion && this->isOnlyVersionCertain(lookup))
+	{
+		this->conclude(_lookup, _now, _actions);
+		return;
+	}
+	const bool isOver = !this->isWaiting(lookup) || lookup.deadline <= _now;
+	if (isOver && !(hasOnlyVersion && this->mayBecomeCertain(lookup, _now)))
 	{
-		this->conclude(started.id, _now, started.actions);
+		this->conclude(_lookup, _now, _actions);
+	}
+}
+
+void StreamOrigins::concludeDone(Micros _now, OriginActions& _actions)
+{
+	std::vector<std::uint64_t> inProgress;
+	for (const auto& entry : this->lookups)
+	{
+		inProgress.push_back(entry.first);
+	}
+	for (const std::uint64_t lookup : inProgress)
+	{
+		this->concludeIfDone(lookup, _now, _actions);
 	}
-	return started;
 }
 
 /// Whether other nodes, or the platform, may still tell what a lookup needs.
@@ -208,27 +262,17 @@
 {
 	const auto found = this->lookups.find(_lookup);
 	const Lookup& lookup = found->second;
-	std::set<std::string> versions = this->pools.within(lookup.pool, lookup.within, _now);
-	versions.insert(lookup.versions.begin(), lookup.versions.end());
-	const bool areAllKnown = lookup.areAllKnown || this->pools.isComplete(lookup.pool, lookup.within, _now);
+	const std::optional<std::string> version = this->onlyKnownVersion(lookup, _now);
 	OriginResolved resolved{_lookup, std::nullopt, "unknown"};
-	if (areAllKnown && versions.size() == 1)
+	if (version && this->isOnlyVersionCertain(lookup))
 	{
-		resolved.origin = StreamOrigin{lookup.pool, *versions.begin()};
+		resolved.origin = StreamOrigin{lookup.pool, *version};
 		resolved.source = "only version";
 	}
 	this->lookups.erase(found);
 	_actions.emplace_back(std::move(resolved));
 }
 
-void StreamOrigins::concludeAll(const std::vector<std::uint64_t>& _lookups, Micros _now, OriginActions& _actions)
-{
-	for (const std::uint64_t lookup : _lookups)
-	{
-		this->conclude(lookup, _now, _actions);
-	}
-}
-
 OriginActions StreamOrigins::setSaved(const SavedOrigins& _saved, Micros _now)
 {
 	this->awaitsSaved = false;
@@ -241,7 +285,6 @@
 	this->pools.endLoading();
 	OriginActions actions;
 	this->saveVersions(_now, actions);
-	std::vector<std::uint64_t> ended;
 	for (auto entry = this->lookups.begin(); entry != this->lookups.end();)
 	{
 		const auto known = this->entries.find(entry->second.request);
@@ -251,13 +294,9 @@
 			entry = this->lookups.erase(entry);
 			continue;
 		}
-		if (!this->isWaiting(entry->second))
-		{
-			ended.push_back(entry->first);
-		}
 		++entry;
 	}
-	this->concludeAll(ended, _now, actions);
+	this->concludeDone(_now, actions);
 	return actions;
 }
 
@@ -352,12 +391,10 @@
 		_actions.emplace_back(OriginResolved{_answer.lookup, _answer.origin, _from});
 		return;
 	}
+	found->second.answers += 1;
 	found->second.versions.insert(_answer.versions.begin(), _answer.versions.end());
 	found->second.areAllKnown = found->second.areAllKnown || _answer.isComplete;
-	if (!this->isWaiting(found->second))
-	{
-		this->conclude(_answer.lookup, _now, _actions);
-	}
+	this->concludeIfDone(_answer.lookup, _now, _actions);
 }
 
 OriginActions StreamOrigins::receive(const std::string& _from, const OriginMessage& _message, Micros _now)
@@ -386,16 +423,12 @@
 OriginActions StreamOrigins::peerClosed(const std::string& _peer, Micros _now)
 {
 	this->resendAt[_peer] = _now + this->config.restartDelay;
-	std::vector<std::uint64_t> unanswered;
 	for (auto& entry : this->lookups)
 	{
-		if (entry.second.awaited.erase(_peer) > 0 && !this->isWaiting(entry.second))
-		{
-			unanswered.push_back(entry.first);
-		}
+		entry.second.awaited.erase(_peer);
 	}
 	OriginActions actions;
-	this->concludeAll(unanswered, _now, actions);
+	this->concludeDone(_now, actions);
 	return actions;
 }
 
@@ -412,15 +445,7 @@
 {
 	OriginActions actions;
 	this->expire(_now);
-	std::vector<std::uint64_t> overdue;
-	for (const auto& entry : this->lookups)
-	{
-		if (entry.second.deadline <= _now)
-		{
-			overdue.push_back(entry.first);
-		}
-	}
-	this->concludeAll(overdue, _now, actions);
+	this->concludeDone(_now, actions);
 	if (_now >= this->nextVersionCheckAt)
 	{
 		this->nextVersionCheckAt = _now + this->config.versionSavePeriod;
--- a/tests/test_streams.cpp
+++ b/tests/test_streams.cpp
@@ -21,6 +21,8 @@
 
 constexpr const char* kPool = "pool";
 constexpr Micros kStreamLife = 20 * kSecond;
+constexpr Micros kListingInterval = 600 * kMillisecond;
+constexpr Micros kMaxLookupTime = 2 * kSecond;
 
 std::vector<Endpoint> listingOf(const std::set<std::string>& _versions)
 {
@@ -111,9 +113,24 @@
 	void setVersions(const std::set<std::string>& _versions)
 	{
 		this->versions = _versions;
+		this->list();
+	}
+
+	void setListingUnavailable(const std::string& _node)
+	{
+		this->perform(_node, this->nodes.at(_node).setListedUpTo(0, false, this->now));
+	}
+
+	/// The nodes that are in step read the listing.
+	void list()
+	{
 		for (auto& node : this->nodes)
 		{
-			this->perform(node.first, node.second.setEndpoints(listingOf(_versions), true, this->now));
+			if (this->outOfStep.count(node.first) == 0)
+			{
+				this->perform(node.first, node.second.setEndpoints(listingOf(this->versions), true, this->now));
+				this->perform(node.first, node.second.setListedUpTo(this->now, true, this->now));
+			}
 		}
 	}
 
@@ -130,13 +147,28 @@
 	{
 		const OriginLookup lookup = this->nodes.at(_node).find(_request, kPool, _within, this->now);
 		this->perform(_node, lookup.actions);
-		this->advance(StreamOriginsConfig{}.lookupTimeout);
-		return this->resolved.at({_node, lookup.id});
+		const Micros began = this->now;
+		const std::pair<std::string, std::uint64_t> key{_node, lookup.id};
+		this->lookupTime = 0;
+		while (this->resolved.count(key) == 0)
+		{
+			cr_assert_leq(this->lookupTime, kMaxLookupTime, "the lookup has not ended");
+			this->advance(StreamOriginsConfig{}.lookupTimeout);
+			this->lookupTime = this->now - began;
+		}
+		this->advance(began + StreamOriginsConfig{}.lookupTimeout -
+					  std::min(this->now, began + StreamOriginsConfig{}.lookupTimeout));
+		return this->resolved.at(key);
 	}
 
 	void advance(Micros _time)
 	{
 		this->now += _time;
+		if (this->now >= this->nextListingAt)
+		{
+			this->nextListingAt = this->now + kListingInterval;
+			this->list();
+		}
 		for (auto& node : this->nodes)
 		{
 			this->perform(node.first, node.second.tick(this->now));
@@ -147,6 +179,9 @@
 	std::map<std::string, StreamOrigins> nodes;
 	std::set<std::string> versions;
 	Micros now = 100 * kSecond;
+	std::set<std::string> outOfStep; ///< Nodes that don't read the listing.
+	std::set<std::string> cutOff;    ///< Nodes that reach each other only.
+	Micros lookupTime = 0;           ///< Of the last lookup.
 	std::size_t recordMessages = 0;
 	std::size_t saves = 0; ///< Of the versions of streams.
 	bool versionSavesFail = false;
@@ -221,13 +256,15 @@
 	{
 		this->recordMessages += std::holds_alternative<OriginRecords>(_sent.message) ? 1 : 0;
 		const auto target = this->nodes.find(_sent.to);
-		if (target != this->nodes.end())
+		const bool isReached = this->cutOff.count(_from) == this->cutOff.count(_sent.to);
+		if (target != this->nodes.end() && isReached)
 		{
 			this->perform(_sent.to, target->second.receive(_from, _sent.message, this->now));
 		}
 	}
 
 	bool platformAway = false;
+	Micros nextListingAt = 0;
 	std::set<std::string> loading;                         ///< Nodes that wait for the platform.
 	std::vector<std::pair<std::string, SavedEntry>> saved; ///< By key, in the order of writing.
 
@@ -279,6 +316,58 @@
 	cr_assert(cluster.resume(cluster.names[1], "never-seen").origin == (StreamOrigin{kPool, "v2"}));
 }
 
+/// Guards against a stream that goes on at the only version that a node out of step has heard of (ORDER).
+Test(streams, node_that_is_cut_off_does_not_take_up_streams_at_the_only_version_it_knows)
+{
+	for (const std::size_t cutNodes : {1, 2})
+	{
+		OriginCluster cluster(6, {"v1"});
+		cluster.outOfStep = {cluster.names.begin(), cluster.names.begin() + static_cast<std::ptrdiff_t>(cutNodes)};
+		cluster.cutOff = cluster.outOfStep;
+		cluster.advance(kSecond / 2);
+		cluster.setVersions({"v1", "v2"});
+		cluster.begin(cluster.names[5], "r", "v2");
+		cr_assert_not(cluster.resume(cluster.names[0], "r").origin.has_value(), "%zu nodes cut off", cutNodes);
+		cr_assert(cluster.resume(cluster.names[4], "r").origin == (StreamOrigin{kPool, "v2"}));
+	}
+}
+
+/// Guards against the same at a node that has stood still, and reaches the others.
+Test(streams, node_that_has_stood_still_asks_the_others_for_the_version)
+{
+	OriginCluster cluster(6, {"v1"});
+	cluster.outOfStep = {cluster.names[0]};
+	cluster.advance(kSecond / 2);
+	cluster.setVersions({"v1", "v2"});
+	cluster.begin(cluster.names[5], "r", "v2");
+	cr_assert(cluster.resume(cluster.names[0], "r").origin == (StreamOrigin{kPool, "v2"}));
+}
+
+/// Guards against streams that are refused for want of an answer although nothing is wrong but one node is gone.
+Test(streams, silent_node_delays_a_lookup_only_until_the_next_listing)
+{
+	OriginCluster cluster(6, {"v1"});
+	cluster.cutOff = {cluster.names[1], cluster.names[2]};
+	cluster.advance(kSecond / 2);
+	cr_assert(cluster.resume(cluster.names[0], "r").origin == (StreamOrigin{kPool, "v1"}));
+	cr_assert_leq(cluster.lookupTime, kListingInterval + StreamOriginsConfig{}.lookupTimeout);
+	cluster.cutOff.clear();
+	cr_assert(cluster.resume(cluster.names[0], "r-2").origin == (StreamOrigin{kPool, "v1"}));
+	cr_assert_eq(cluster.lookupTime, 0, "all nodes answer");
+}
+
+/// Guards against a node that waits for a listing which it cannot read.
+Test(streams, lookup_without_answers_and_without_a_listing_ends_soon)
+{
+	OriginCluster cluster(6, {"v1"});
+	cluster.outOfStep = {cluster.names[0]};
+	cluster.cutOff = cluster.outOfStep;
+	cluster.advance(kSecond / 2);
+	cluster.setListingUnavailable(cluster.names[0]);
+	cr_assert_not(cluster.resume(cluster.names[0], "r").origin.has_value());
+	cr_assert_leq(cluster.lookupTime, StreamOriginsConfig{}.lookupTimeout);
+}
+
 /// Guards against records that are lost one by one as their holders are replaced.
 Test(streams, records_outlive_the_replacement_of_all_other_nodes)
 {
@@ -465,6 +554,8 @@
 	{ return std::get<OriginResolved>(node.find(_request, kPool, kStreamLife, kSecond).actions.at(0)).origin; };
 	cr_assert_not(resolve("r").has_value());
 	node.setEndpoints(listingOf({"v2"}), true, kSecond);
+	cr_assert_not(resolve("r").has_value(), "a version may have joined since the listing was read");
+	node.setListedUpTo(kSecond, true, kSecond);
 	cr_assert(resolve("r").has_value());
 }
 
