--- a/include/roadferry/roadferry.h
+++ b/include/roadferry/roadferry.h
@@ -33,6 +33,7 @@
 #include <roadferry/parts/rendezvous.h>
 #include <roadferry/parts/response_budget.h>
 #include <roadferry/parts/response_timeout.h>
+#include <roadferry/parts/route_durations.h>
 #include <roadferry/parts/routes.h>
 #include <roadferry/parts/shares.h>
 #include <roadferry/parts/stream_origins.h>
--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -26,7 +26,8 @@
 /// Load balancers probe once per second and stop sending after two negative answers. Requests that arrive until then
 /// are served.
 constexpr Micros kBalancerNoticeTime = 2'600 * kMillisecond;
-constexpr Micros kFlushTime = 100 * kMillisecond; ///< For the last messages to be sent.
+constexpr Micros kFlushTime = 100 * kMillisecond;       ///< For the last messages to be sent.
+constexpr Micros kAnswerFlushTime = 400 * kMillisecond; ///< For clients to read the last answers.
 /// Part of the time for a planned stop that is reserved for its end.
 constexpr Micros kStopMargin = 800 * kMillisecond;
 /// Time before the end of a planned stop at which unsent requests are refused, so that the refusals reach the clients.
@@ -395,10 +396,13 @@
 	if (this->flushStartedAt == 0)
 	{
 		this->flushStartedAt = monotonicNow();
+		this->traffic->endAll();
 		this->server->stopAccepting();
 		return;
 	}
-	if (monotonicNow() - this->flushStartedAt < kFlushTime)
+	const Micros flushed = monotonicNow() - this->flushStartedAt;
+	const bool hasClients = this->server->connections() > 0;
+	if (flushed < kFlushTime || (hasClients && flushed < kAnswerFlushTime))
 	{
 		return;
 	}
--- a/src/forward_streams.cpp
+++ b/src/forward_streams.cpp
@@ -113,6 +113,10 @@
 void ForwardTraffic::onOriginResolved(const OriginResolved& _resolved)
 {
 	const auto found = this->originLookups.find(_resolved.lookup);
+	if (found == this->originLookups.end())
+	{
+		return; // It was refused at the end of a planned stop.
+	}
 	const ActiveRequestPtr active = found->second;
 	this->originLookups.erase(found);
 	const ForwardRequest& request = active->request;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -279,15 +279,51 @@
 						}
 						for (const ActiveRequestPtr& active : unsent)
 						{
-							if (std::exchange(active->submitted, false))
-							{
-								this->perform(this->dispatcher.cancel(active->id, monotonicNow()));
-							}
-							this->giveUp(active, Reason::Draining, kShortRetryAfter);
+							this->endForStop(active, kShortRetryAfter);
 						}
 					});
 }
 
+void ForwardTraffic::endForStop(const ActiveRequestPtr& _active, Micros _retryAfter)
+{
+	if (std::exchange(_active->submitted, false))
+	{
+		this->perform(this->dispatcher.cancel(_active->id, monotonicNow()));
+	}
+	this->giveUp(_active, Reason::Draining, _retryAfter);
+}
+
+void ForwardTraffic::endAll()
+{
+	this->pool.post(0,
+					[this]
+					{
+						const auto remaining = this->activeRequests;
+						for (const auto& entry : remaining)
+						{
+							this->endForStop(entry.second, kShortRetryAfter);
+						}
+						const auto waiting = std::exchange(this->originLookups, {});
+						for (const auto& entry : waiting)
+						{
+							const ForwardRequest& request = entry.second->request;
+							this->refuse(request.id, request.target, entry.second->answer.reply(), kUnavailable,
+										 std::string(nameOf(Reason::Draining)), "this node is about to end");
+						}
+					});
+}
+
+bool ForwardTraffic::mayOutlastStop(const Route& _route, Micros _limit, Micros _now) const
+{
+	if (this->stopEndsAt == 0)
+	{
+		return false;
+	}
+	const bool countsLimit = _now >= this->refuseFrom || !_route.repeatable;
+	const Micros longest = this->durations.longest(_route.name, _now).value_or(_limit);
+	return _now + (countsLimit ? _limit : std::min(_limit, longest)) > this->stopEndsAt;
+}
+
 std::size_t ForwardTraffic::inFlight() const
 {
 	return this->activeCount + this->callsForOthers;
@@ -392,7 +428,7 @@
 	}
 	const Micros now = monotonicNow();
 	const Micros limit = std::min(decoded->clientTimeout.value_or(kDefaultClientTimeout), route->timeLimit);
-	if (this->refuseFrom > 0 && now >= this->refuseFrom && now + limit > this->stopEndsAt)
+	if (this->mayOutlastStop(*route, limit, now))
 	{
 		this->refuse(decoded->id, target, _reply, kUnavailable, std::string(nameOf(Reason::Draining)),
 					 "this node is about to end");
@@ -593,6 +629,10 @@
 		this->pieces.cancel(orders);
 	}
 	this->pieces.free(_active->graph.takeRemaining());
+	if (_outcome.verdict == Verdict::Answered || _outcome.reason == Reason::DeadlinePassed)
+	{
+		this->durations.record(_active->route.name, took, _active->arrivedAt + took);
+	}
 	this->metrics.recordRequest(_active->route.streaming ? "streaming" : "plain", _outcome,
 								static_cast<double>(took) / kMicrosPerSecond);
 	const ForwardAnswer::StreamTimes& times = _active->answer.times();
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -100,13 +100,17 @@
 	/// Sets how long a crash of an endpoint counts against the requests that ran on it, see CrashLedger::setMemory().
 	void setCrashMemory(Micros _memory);
 	void peerClosed(const std::string& _peer);
-	/// Prepares for a planned stop.
-	/// @param[in] _refuseFrom Time point from which requests are refused that may not finish before the stop.
+	/// Prepares for a planned stop. From now on, requests are refused that may not finish before the stop: by their
+	/// time limit if they may not be repeated, and by the time that requests of their route took lately otherwise.
+	/// @param[in] _refuseFrom Time point from which all are refused by their time limit.
 	/// @param[in] _end Time point at which the process ends.
 	void stopAt(Micros _refuseFrom, Micros _end);
 
 	/// Refuses requests that have not been sent to an endpoint yet; called near the end of a planned stop.
 	void refuseUnsent();
+
+	/// Answers all requests that are still in progress; called at the end of a planned stop.
+	void endAll();
 	[[nodiscard]] std::size_t inFlight() const;
 	/// Called on thread 0.
 	[[nodiscard]] std::string metricsText() const;
@@ -127,6 +131,8 @@
 	struct ActiveRequest;
 	using ActiveRequestPtr = std::shared_ptr<ActiveRequest>;
 
+	[[nodiscard]] bool mayOutlastStop(const Route& _route, Micros _limit, Micros _now) const;
+	void endForStop(const ActiveRequestPtr& _active, Micros _retryAfter);
 	void beginRequest(const ActiveRequestPtr& _active);
 	ActiveRequestPtr findActive(std::uint64_t _id);
 	void orderPieces(const ActiveRequestPtr& _active);
@@ -237,11 +243,12 @@
 	std::set<std::pair<Micros, std::uint64_t>> deadlines;
 	std::map<std::string, double> firstEventTimes; ///< Microseconds from sending to a stream's first event, by pool.
 	std::size_t liveNodes = 1;                     ///< Number of live nodes, including this one.
-	Micros refuseFrom = 0;                         ///< Time point, 0 unless a planned stop has begun.
-	Micros stopEndsAt = 0;                         ///< Time point at which the process ends.
-	std::uint64_t listingPosition = 0;             ///< Position of the endpoint listing in use.
-	FeedFreshness freshness;                       ///< How current the routes and endpoints are.
-	Micros lastTickAt = 0;                         ///< Time point, 0 before the first tick.
+	RouteDurations durations;
+	Micros refuseFrom = 0;             ///< Time point, 0 unless a planned stop has begun.
+	Micros stopEndsAt = 0;             ///< Time point at which the process ends.
+	std::uint64_t listingPosition = 0; ///< Position of the endpoint listing in use.
+	FeedFreshness freshness;           ///< How current the routes and endpoints are.
+	Micros lastTickAt = 0;             ///< Time point, 0 before the first tick.
 	std::uint64_t lastRequest = 0;
 	std::uint64_t lastOrder;
 	std::atomic<std::size_t> activeCount{0};
--- a/tests/test_routes.cpp
+++ b/tests/test_routes.cpp
@@ -378,3 +378,19 @@
 	proofs.setFollowedListing(30 * kSecond);
 	cr_assert_eq(proofs.openedBefore("a@5"), 0, "writes of entries may have failed during the gap");
 }
+
+/// Guards against a planned stop that goes by requests of long ago, or forgets those of a moment ago.
+Test(route_durations, longest_of_the_last_minutes_is_known)
+{
+	RouteDurations durations;
+	cr_assert_not(durations.longest("r", 0).has_value());
+	durations.record("r", 3 * kSecond, 10 * kSecond);
+	durations.record("r", kSecond, 20 * kSecond);
+	durations.record("other", 9 * kSecond, 20 * kSecond);
+	cr_assert_eq(durations.longest("r", 30 * kSecond).value(), 3 * kSecond);
+	durations.record("r", kSecond, 80 * kSecond);
+	cr_assert_eq(durations.longest("r", 90 * kSecond).value(), 3 * kSecond);
+	durations.record("r", 2 * kSecond, 150 * kSecond);
+	cr_assert_eq(durations.longest("r", 150 * kSecond).value(), 2 * kSecond);
+	cr_assert_not(durations.longest("r", 400 * kSecond).has_value());
+}
