--- a/src/http_body.h
+++ b/src/http_body.h
@@ -24,10 +24,10 @@
 /// length that the sender announces.
 struct ReceivedBody
 {
-	using value_type = std::string;
+	using value_type = std::string; // Likewise.
 
 	/// Appends the bytes of a body, see Beast's BodyReader.
-	class reader
+	class reader // NOLINT(readability-identifier-naming): Beast looks for this name.
 	{
 	public:
 		template<bool isRequest, class Fields>
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -12,6 +12,7 @@
 #include "http_client.h"
 
 #include "http_body.h"
+#include "idle_sockets.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -22,16 +23,13 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdlib>
-#include <cstring>
 #include <limits>
-#include <unordered_map>
 #include <vector>
 
 namespace roadferry
@@ -50,8 +48,6 @@
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr std::size_t kReadSize = 16 * 1024;
 
-using Clock = std::chrono::steady_clock;
-
 /// A timer that fires at least this late shows that the process was not running.
 constexpr std::chrono::milliseconds kLateTimerThreshold{100};
 constexpr int kMaxLateTimeouts = 3;   ///< Maximum restarts of the timeout of one call.
@@ -59,51 +55,9 @@
 constexpr int kKeepaliveProbes = 2;   ///< Unanswered probes until the connection is closed.
 constexpr int kUserTimeoutMs = 2'500; ///< Time that sent data may stay unacknowledged.
 constexpr std::uint64_t kNoBodyLimit = std::numeric_limits<std::uint64_t>::max();
-constexpr std::size_t kMaxSkippedBytes = 1024 * 1024; ///< Maximum bytes of a response that is skipped.
-constexpr int kMaxSkippedResponses = 4;               ///< Maximum responses to other requests that one call discards.
-/// Lifetime of an idle connection if the server announces none.
-constexpr std::chrono::seconds kDefaultIdleLifetime{30};
+constexpr std::size_t kMaxSkippedBytes = 1024 * 1024;  ///< Maximum bytes of a response that is skipped.
+constexpr int kMaxSkippedResponses = 4;                ///< Maximum responses to other requests that one call discards.
 constexpr std::int64_t kIdleCheckPeriodUs = 1'000'000; ///< Bounds how long a closed idle connection stays open here.
-/// Idle connections expire this long before the server's limit, so that a request rarely meets a close by the server.
-constexpr std::chrono::milliseconds kIdleExpiryMargin{300};
-
-/// Idle connection for reuse by a later call.
-struct IdleSocket
-{
-	std::unique_ptr<Tcp::socket> socket;
-	Clock::time_point expiresAt;
-	std::int64_t openedAt = 0; ///< Microseconds of the monotonic clock.
-};
-
-using IdleSockets = std::unordered_map<std::string, std::vector<IdleSocket>>;
-
-/// @returns How long an idle connection may be reused, by the server's Keep-Alive header (RFC 2068, 19.7.1.1).
-Clock::duration idleLifetime(const std::string& _keepAlive)
-{
-	const std::size_t at = _keepAlive.find("timeout=");
-	if (at == std::string::npos)
-	{
-		return kDefaultIdleLifetime;
-	}
-	const long seconds = std::strtol(_keepAlive.c_str() + at + std::strlen("timeout="), nullptr, 10);
-	return std::max<Clock::duration>(Clock::duration::zero(), std::chrono::seconds(seconds) - kIdleExpiryMargin);
-}
-
-/// @returns Whether an idle connection is open and has no unread data.
-bool isReusable(Tcp::socket& _socket)
-{
-	char byte = 0;
-	Error error;
-	_socket.non_blocking(true, error);
-	_socket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
-	return error == asio::error::would_block;
-}
-
-/// @returns Microseconds of the monotonic clock.
-std::int64_t microsNow()
-{
-	return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now().time_since_epoch()).count();
-}
 
 /// @returns Whether a connection is open at both ends, whatever has not been read from it yet.
 bool isEstablished(Tcp::socket& _socket)
@@ -114,77 +68,6 @@
 		   info.tcpi_state == TCP_ESTABLISHED;
 }
 
-/// Takes the idle connection that was used last, of those that were opened at or before a time point. Closes the
-/// unusable ones that it meets.
-/// @returns The connection; without a socket if there is none.
-IdleSocket takeIdle(IdleSockets& _idle, const std::string& _address, std::int64_t _openedBefore)
-{
-	const auto found = _idle.find(_address);
-	if (found == _idle.end())
-	{
-		return {};
-	}
-	std::vector<IdleSocket>& sockets = found->second;
-	for (std::size_t index = sockets.size(); index > 0; --index)
-	{
-		if (sockets[index - 1].openedAt > _openedBefore)
-		{
-			continue;
-		}
-		IdleSocket kept = std::move(sockets[index - 1]);
-		sockets.erase(sockets.begin() + static_cast<std::ptrdiff_t>(index - 1));
-		if (Clock::now() < kept.expiresAt && isReusable(*kept.socket))
-		{
-			return kept;
-		}
-	}
-	return {};
-}
-
-/// @returns Number of idle connections to all addresses.
-std::size_t countIdle(const IdleSockets& _idle)
-{
-	std::size_t count = 0;
-	for (const auto& entry : _idle)
-	{
-		count += entry.second.size();
-	}
-	return count;
-}
-
-/// Closes the idle connections that expired or that the remote host has closed, and forgets addresses without any. No
-/// call takes those to a host that is gone, so each would keep its descriptor for ever.
-void closeUnusable(IdleSockets& _idle)
-{
-	std::vector<pollfd> polled;
-	polled.reserve(countIdle(_idle));
-	for (const auto& entry : _idle)
-	{
-		for (const IdleSocket& idle : entry.second)
-		{
-			polled.push_back(pollfd{idle.socket->native_handle(), POLLIN, 0});
-		}
-	}
-	::poll(polled.data(), polled.size(), 0);
-	const Clock::time_point now = Clock::now();
-	auto next = polled.cbegin(); // In the order of the sockets.
-	for (auto entry = _idle.begin(); entry != _idle.end();)
-	{
-		std::vector<IdleSocket> usable;
-		for (IdleSocket& idle : entry->second)
-		{
-			const bool isUsable = next->revents == 0 && now < idle.expiresAt;
-			++next;
-			if (isUsable)
-			{
-				usable.push_back(std::move(idle));
-			}
-		}
-		entry->second = std::move(usable);
-		entry = entry->second.empty() ? _idle.erase(entry) : std::next(entry);
-	}
-}
-
 bool parseAddress(const std::string& _address, Tcp::endpoint& _endpoint)
 {
 	const std::size_t colon = _address.rfind(':');
