--- a/src/forward_stop.cpp
+++ b/src/forward_stop.cpp
@@ -52,8 +52,13 @@
 					});
 }
 
+/// Answers a request, unless the end of another one has ended it too.
 void ForwardTraffic::endForStop(const ActiveRequestPtr& _active, Micros _retryAfter)
 {
+	if (this->findActive(_active->id) == nullptr)
+	{
+		return;
+	}
 	if (std::exchange(_active->submitted, false))
 	{
 		this->perform(this->dispatcher.cancel(_active->id, monotonicNow()));
@@ -81,6 +86,7 @@
 					});
 }
 
+/// @param[in] _limit Time that the request may take by its route and its client.
 bool ForwardTraffic::mayOutlastStop(const Route& _route, Micros _limit, Micros _now) const
 {
 	if (this->stopEndsAt == 0)
