--- a/src/crash_monitor.cpp
+++ b/src/crash_monitor.cpp
@@ -138,8 +138,9 @@
 
 void CrashMonitor::probeAtEnd(const EndedConnection& _ended)
 {
-	this->endpointCalls.probe(_ended.call.endpoint, _ended.call.address,
-							  [this, _ended](const ProbeFinding& _finding) { this->onProbedAtEnd(_ended, _finding); });
+	this->endpointCalls.probeBy(_ended.call.madeBy, _ended.call.endpoint, _ended.call.address,
+								[this, _ended](const ProbeFinding& _finding)
+								{ this->onProbedAtEnd(_ended, _finding); });
 }
 
 /// Handles a probe after the end of a connection. What the other nodes report meanwhile, and what this node has
@@ -151,9 +152,12 @@
 		this->onCallBroken(_ended.call, monotonicNow(), [done = _ended.done] { done(false); });
 		return;
 	}
-	if (_finding.refusedHere || _ended.isProbedAgain)
+	if (_finding.notReached || _ended.isProbedAgain)
 	{
-		_ended.done(false); // Another node may have reached the next process at the address.
+		// The path may have been cut, or another node may have reached the next process at the address.
+		logEvent("endpoint", "not_reached_after_end",
+				 {{"endpoint", _ended.call.endpoint}, {"call_made_by", _ended.call.madeBy}});
+		_ended.done(false);
 		return;
 	}
 	// A process that ends may close its connections before its port.
@@ -168,8 +172,7 @@
 	{
 		const EndedConnection ended = std::move(this->endedConnections.front());
 		this->endedConnections.pop_front();
-		this->handlers.identify(ended.call.endpoint, ended.call.address,
-								[this, ended](ProcessIdentity _identity, Micros)
+		this->handlers.identify(ended.call, [this, ended](ProcessIdentity _identity, Micros)
 								{ this->onIdentified(ended, _identity); });
 	}
 }
@@ -178,7 +181,9 @@
 void CrashMonitor::onIdentified(EndedConnection _ended, ProcessIdentity _identity)
 {
 	logEvent("endpoint", "identified_after_end",
-			 {{"endpoint", _ended.call.endpoint}, {"process", std::string(nameOf(_identity))}});
+			 {{"endpoint", _ended.call.endpoint},
+			  {"process", std::string(nameOf(_identity))},
+			  {"call_made_by", _ended.call.madeBy}});
 	switch (_identity)
 	{
 	case ProcessIdentity::Same:
--- a/src/crash_monitor.h
+++ b/src/crash_monitor.h
@@ -27,8 +27,12 @@
 	std::string pool;
 	std::set<RequestDigest> requests; ///< Requests that ran in the call.
 	std::set<PartKey> parts = {};     ///< Their shared parts, unless the endpoint had begun its response.
+	std::string madeBy = {};          ///< CallEnd::madeBy.
 };
 
+/// Asks the process at an endpoint's address who it is, from the node that made a call to it.
+using IdentityQuestion = std::function<void(const BrokenCall& _call, IdentityHandler)>;
+
 /// Receives whether an endpoint's process still runs, and is no other one at its address.
 using RunningHandler = std::function<void(bool _runs)>;
 
@@ -42,8 +46,7 @@
 	/// Called for each crash that is certain, and again when more requests turn out to have run there.
 	/// @param[in] _from Node that reports it, empty if this node found it.
 	std::function<void(const EndpointCrash& _crash, const std::string& _from)> onCrash;
-	/// Asks the process at an endpoint's address who it is.
-	std::function<void(const std::string& _endpoint, const std::string& _address, IdentityHandler)> identify;
+	IdentityQuestion identify;
 };
 
 /// Keeps the crashes of endpoints known to all nodes. All functions run on thread 0 of the thread pool.
@@ -63,7 +66,8 @@
 	/// Like onCallBroken(), for a call whose response nothing but the end of its connection completed. The endpoint is
 	/// suspected only if nothing listens at its address.
 	/// @param[in] _done Receives false unless the process that has the endpoint's id was found to run after the end of
-	/// the connection: the response may lack its rest.
+	/// the connection, by the node whose connection it was: the response may lack its rest. That another node reaches
+	/// the process does not tell whether the path of the connection was cut.
 	void onConnectionEnded(const BrokenCall& _call, RunningHandler _done);
 	void onAnswered(RequestDigest _request);
 	void receive(const std::string& _from, const CrashMessage& _message, Micros _now);
--- a/src/endpoint_calls.cpp
+++ b/src/endpoint_calls.cpp
@@ -60,7 +60,8 @@
 			this->callDirectly(); // Another node would open a connection.
 			return;
 		}
-		const CallPath path = this->calls.reach.pathTo(this->call.endpoint, this->startedAt);
+		const CallPath path = this->call.onlyBy ? this->calls.pathBy(*this->call.onlyBy)
+												: this->calls.reach.pathTo(this->call.endpoint, this->startedAt);
 		std::visit(Overloaded{[this](const CallDirectly&) { this->callDirectly(); },
 							  [this](const CallThrough& _through) { this->callThrough(_through.node); },
 							  [this](const CallNowhere&) { this->endLater(); }},
@@ -113,7 +114,8 @@
 	void onDirectEnd(const CallEnd& _end)
 	{
 		this->direct.reset();
-		if (_end.result == CallResult::NotSent && !this->call.spec.needsIdleOpenedBefore)
+		const bool mayUseOther = !this->call.spec.needsIdleOpenedBefore && !this->call.onlyBy;
+		if (_end.result == CallResult::NotSent && mayUseOther)
 		{
 			this->tryNextRelay(_end);
 			return;
@@ -150,8 +152,7 @@
 		logEvent("request", "call_relayed",
 				 {{"request", this->call.subject}, {"endpoint", this->call.endpoint}, {"through", _node}});
 		RelayedCallHandlers relayHandlers;
-		relayHandlers.onConnected = [this, self = this->shared_from_this()]
-		{ this->calls.onReachedThrough(this->call.endpoint, this->relay); };
+		relayHandlers.onConnected = [this, self = this->shared_from_this()] { this->onRelayConnected(); };
 		relayHandlers.onHead = this->handlers.onHead;
 		relayHandlers.onData = this->handlers.onData;
 		relayHandlers.onBuffered = this->handlers.onBuffered;
@@ -160,6 +161,14 @@
 		this->relayId = this->calls.relayed.start(_node, this->call, std::move(relayHandlers), monotonicNow());
 	}
 
+	void onRelayConnected()
+	{
+		if (!this->call.onlyBy) // Otherwise this node did not try before, and may have a path.
+		{
+			this->calls.onReachedThrough(this->call.endpoint, this->relay);
+		}
+	}
+
 	void onRelayEnd(const CallEnd& _end, bool _cutOff)
 	{
 		this->relayId = 0;
@@ -167,11 +176,16 @@
 		if (_end.result == CallResult::NotSent)
 		{
 			this->calls.reach.recordNotReachedThrough(this->call.endpoint, this->relay, _cutOff, monotonicNow());
+		}
+		if (_end.result == CallResult::NotSent && !this->call.onlyBy)
+		{
 			this->failedRelays += _cutOff ? 0 : 1;
 			this->tryNextRelay(_end);
 			return;
 		}
-		this->finish(_end);
+		CallEnd end = _end;
+		end.madeBy = this->relay;
+		this->finish(end);
 	}
 
 	void endRelay()
@@ -262,11 +276,28 @@
 	this->call(EndpointCall{std::move(_spec), listed->second, {}}, CallHandlers{});
 }
 
+/// Returns the path of a call that only one node may make.
+CallPath EndpointCalls::pathBy(const std::string& _node)
+{
+	return _node.empty() ? CallPath(CallDirectly{}) : CallPath(CallThrough{_node});
+}
+
 void EndpointCalls::probe(const std::string& _endpoint, const std::string& _address, const ProbeHandler& _done)
 {
 	this->prober.probe(_endpoint, _address, _done);
 }
 
+void EndpointCalls::probeBy(const std::string& _node, const std::string& _endpoint, const std::string& _address,
+							const ProbeHandler& _done)
+{
+	if (_node.empty())
+	{
+		this->prober.probe(_endpoint, _address, _done);
+		return;
+	}
+	this->prober.probeThrough(_node, _endpoint, _address, _done);
+}
+
 void EndpointCalls::setEndpoints(const std::vector<Endpoint>& _endpoints)
 {
 	const std::map<std::string, std::string> before = std::exchange(this->idByAddress, {});
--- a/src/endpoint_calls.h
+++ b/src/endpoint_calls.h
@@ -34,6 +34,11 @@
 	/// Probes whether an endpoint's process listens, see EndpointProber.
 	void probe(const std::string& _endpoint, const std::string& _address, const ProbeHandler& _done);
 
+	/// Does so for a call that ended, from the node that made it.
+	/// @param[in] _node CallEnd::madeBy.
+	void probeBy(const std::string& _node, const std::string& _endpoint, const std::string& _address,
+				 const ProbeHandler& _done);
+
 	/// @returns Whether this node has an idle connection to an address that was opened at or before a time point.
 	[[nodiscard]] bool hasIdle(const std::string& _address, Micros _openedBefore) const;
 
@@ -58,6 +63,7 @@
 private:
 	class RoutedCall;
 
+	[[nodiscard]] static CallPath pathBy(const std::string& _node);
 	[[nodiscard]] std::optional<std::string> addressForOthers(const std::string& _endpoint) const;
 	void probeLostPaths(Micros _now);
 	void onConnected(const std::string& _endpoint);
--- a/src/endpoint_prober.cpp
+++ b/src/endpoint_prober.cpp
@@ -30,7 +30,7 @@
 {
 	if (this->context.isPathLost(_endpoint))
 	{
-		this->askWitnesses(_endpoint, false, _done);
+		this->askWitnesses(Round{.endpoint = _endpoint, .isPathLost = true, .done = _done});
 		return;
 	}
 	this->client.probe(0, _address, kProbeTimeout,
@@ -38,6 +38,24 @@
 					   { this->onProbedHere(_endpoint, _result, _done); });
 }
 
+void EndpointProber::probeThrough(const std::string& _node, const std::string& _endpoint, const std::string& _address,
+								  const ProbeHandler& _done)
+{
+	const auto onAnswer = [this, _endpoint, _address, _done](const ProbeFinding& _finding)
+	{
+		if (_finding.result != ProbeResult::Refused)
+		{
+			_done(_finding);
+			return;
+		}
+		this->probe(_endpoint, _address,
+					[_done](const ProbeFinding& _other) {
+						_done(ProbeFinding{_other.result, true});
+					});
+	};
+	this->ask({_node}, Round{.endpoint = _endpoint, .done = onAnswer});
+}
+
 void EndpointProber::onProbedHere(const std::string& _endpoint, ProbeResult _result, const ProbeHandler& _done)
 {
 	switch (_result)
@@ -51,26 +69,31 @@
 		break;
 	case ProbeResult::Refused:
 		this->refusalCount += 1;
-		this->askWitnesses(_endpoint, true, _done);
+		this->askWitnesses(Round{.endpoint = _endpoint, .refusedHere = true, .done = _done});
 		break;
 	}
 }
 
-void EndpointProber::askWitnesses(const std::string& _endpoint, bool _refusedHere, const ProbeHandler& _done)
+void EndpointProber::askWitnesses(Round _round)
 {
 	const std::vector<std::string> witnesses = this->context.witnesses();
-	const Micros deadline = monotonicNow() + kProbeTimeout;
-	const Round round{_endpoint, _refusedHere, false, {witnesses.begin(), witnesses.end()}, deadline, _done};
 	if (witnesses.empty())
 	{
-		_done(ProbeFinding{this->resultWithoutWitness(round), _refusedHere});
+		_round.done(ProbeFinding{this->resultWithoutWitness(_round), _round.refusedHere || _round.isPathLost});
 		return;
 	}
-	const std::uint64_t number = ++this->lastProbe;
-	this->rounds.emplace(number, round);
-	for (const std::string& node : witnesses)
+	this->ask(witnesses, std::move(_round));
+}
+
+void EndpointProber::ask(const std::vector<std::string>& _nodes, Round _round)
+{
+	const EndpointProbeRequest question{++this->lastProbe, _round.endpoint};
+	_round.waitingFor = {_nodes.begin(), _nodes.end()};
+	_round.deadline = monotonicNow() + kProbeTimeout;
+	this->rounds.emplace(question.probe, std::move(_round));
+	for (const std::string& node : _nodes)
 	{
-		this->context.send(node, EndpointProbeRequest{number, _endpoint});
+		this->context.send(node, question);
 	}
 }
 
@@ -96,7 +119,10 @@
 	Round& round = found->second;
 	if (_answer.result == ProbeResult::Accepted)
 	{
-		this->context.onReachedThrough(round.endpoint, _from);
+		if (round.refusedHere || round.isPathLost)
+		{
+			this->context.onReachedThrough(round.endpoint, _from);
+		}
 		this->finish(_answer.probe, ProbeResult::Accepted);
 		return;
 	}
@@ -112,7 +138,7 @@
 	const auto found = this->rounds.find(_probe);
 	const Round round = std::move(found->second);
 	this->rounds.erase(found);
-	round.done(ProbeFinding{_result, round.refusedHere});
+	round.done(ProbeFinding{_result, round.refusedHere || round.isPathLost});
 }
 
 std::uint64_t EndpointProber::refusals() const
--- a/src/endpoint_prober.h
+++ b/src/endpoint_prober.h
@@ -34,8 +34,9 @@
 struct ProbeFinding
 {
 	ProbeResult result = ProbeResult::NoAnswer; ///< Refused only if no node that was asked reaches the endpoint.
-	bool refusedHere = false; ///< This node's connection was refused. If others reach it, the path may be cut here, or
-							  ///< another process has begun to listen meanwhile.
+	/// The node whose path was in question did not reach the endpoint: its connection was refused, or its path was lost
+	/// before. If others reach it, the path may be cut there, or another process has begun to listen meanwhile.
+	bool notReached = false;
 	bool operator==(const ProbeFinding&) const = default;
 };
 
@@ -51,8 +52,13 @@
 	/// @param[in] _firstNumber Start of the numbers of the probes.
 	EndpointProber(HttpClient& _client, std::uint64_t _firstNumber, EndpointProberContext _context);
 
+	/// Probes from this node, and from others if it does not reach the endpoint.
 	void probe(const std::string& _endpoint, const std::string& _address, const ProbeHandler& _done);
 
+	/// Probes from another node, and like probe() if that one does not reach the endpoint.
+	void probeThrough(const std::string& _node, const std::string& _endpoint, const std::string& _address,
+					  const ProbeHandler& _done);
+
 	void receive(const std::string& _from, const EndpointProbeAnswer& _answer);
 
 	/// Ends the probes whose answers are late.
@@ -67,14 +73,16 @@
 	{
 		std::string endpoint;
 		bool refusedHere = false; ///< This node's own probe was refused; otherwise it made none.
+		bool isPathLost = false;  ///< It made none since its path is lost.
 		bool refusedThere = false;
-		std::set<std::string> waitingFor; ///< Nodes that have not answered.
-		Micros deadline = 0;              ///< Time point.
-		ProbeHandler done;
+		std::set<std::string> waitingFor = {}; ///< Nodes that have not answered.
+		Micros deadline = 0;                   ///< Time point.
+		ProbeHandler done = {};
 	};
 
 	void onProbedHere(const std::string& _endpoint, ProbeResult _result, const ProbeHandler& _done);
-	void askWitnesses(const std::string& _endpoint, bool _refusedHere, const ProbeHandler& _done);
+	void askWitnesses(Round _round);
+	void ask(const std::vector<std::string>& _nodes, Round _round);
 	[[nodiscard]] ProbeResult resultWithoutWitness(const Round& _round) const;
 	void finish(std::uint64_t _probe, ProbeResult _result);
 
--- a/src/forward_attempts.cpp
+++ b/src/forward_attempts.cpp
@@ -226,6 +226,7 @@
 		return;
 	}
 	BrokenCall broken{_active->endpoint, _active->endpointAddress, _active->pool, {_active->digest}};
+	broken.madeBy = _end.madeBy;
 	if (!hasRunOn(*_active, monotonicNow()))
 	{
 		broken.parts.insert(_active->parts.begin(), _active->parts.end());
@@ -247,17 +248,18 @@
 									{ endIfCurrent(_runs ? _end : withoutEnd(_end)); });
 }
 
-/// Asks the process at an endpoint's address who it is, for a response that waits. If the path from this node is lost,
-/// another node asks.
-void ForwardTraffic::identifyAtEnd(const std::string& _endpoint, const std::string& _address, IdentityHandler _done)
+/// Asks the process at an endpoint's address who it is, for a response that waits. The node asks that made the call.
+void ForwardTraffic::identifyAtEnd(const BrokenCall& _ended, IdentityHandler _done)
 {
-	const auto done = [this, _endpoint, handler = std::move(_done)](ProcessIdentity _identity, Micros _openedAt)
+	const auto done =
+		[this, endpoint = _ended.endpoint, handler = std::move(_done)](ProcessIdentity _identity, Micros _openedAt)
 	{
-		this->addIdentity(_endpoint, _identity, _openedAt);
+		this->addIdentity(endpoint, _identity, _openedAt);
 		handler(_identity, _openedAt);
 	};
-	IdentityCall call = makeIdentityCall(this->wire, _endpoint, _address, kIdentityTimeout, done);
-	this->endpointCalls.call(EndpointCall{std::move(call.spec), _endpoint, "identity"}, std::move(call.handlers));
+	IdentityCall call = makeIdentityCall(this->wire, _ended.endpoint, _ended.address, kIdentityTimeout, done);
+	this->endpointCalls.call(EndpointCall{std::move(call.spec), _ended.endpoint, "identity", _ended.madeBy},
+							 std::move(call.handlers));
 }
 
 /// Ends an attempt.
@@ -288,6 +290,7 @@
 				  {"not_run", head && head->notRun},
 				  {"events", _active.answer.times().events},
 				  {"ends_with_connection", _end.endsWithConnection},
+				  {"call_made_by", _end.madeBy},
 				  {"unproven", std::holds_alternative<AttemptEndUnproven>(_result)},
 				  {"error", _end.error}});
 	}
@@ -298,6 +301,7 @@
 				  {"endpoint", _active.endpoint},
 				  {"status", head->status},
 				  {"events", _active.answer.times().events},
+				  {"call_made_by", _end.madeBy},
 				  {"bytes", _end.body.size()}});
 	}
 }
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -92,13 +92,12 @@
 	: pool(_pool), endpointCalls(_pool, _client, _settings.firstNumber, _sends.call), wire(_wire), metrics(_metrics),
 	  dispatcher(_settings.dispatcher), maxResponseBytes(_settings.maxResponseBytes),
 	  responseBudget(_settings.responseMemory), self(_settings.self), lease(_settings.lease),
-	  crashes(
-		  this->endpointCalls, _settings.crashes,
-		  CrashMonitorHandlers{_sends.crash,
-							   [this](const EndpointCrash& _crash, const std::string& _from)
-							   { this->onEndpointCrash(_crash, _from); },
-							   [this](const std::string& _endpoint, const std::string& _address, IdentityHandler _done)
-							   { this->identifyAtEnd(_endpoint, _address, std::move(_done)); }}),
+	  crashes(this->endpointCalls, _settings.crashes,
+			  CrashMonitorHandlers{_sends.crash,
+								   [this](const EndpointCrash& _crash, const std::string& _from)
+								   { this->onEndpointCrash(_crash, _from); },
+								   [this](const BrokenCall& _ended, IdentityHandler _done)
+								   { this->identifyAtEnd(_ended, std::move(_done)); }}),
 	  parts(_settings.self, _settings.parts), sendPart(_sends.part), sendRejectionLimit(_sends.rejectionLimit),
 	  origins(_settings.self, originsConfig(_settings)), sendOrigin(_sends.origin), saveVersions(_sends.saveVersions),
 	  saveRecords(_sends.saveRecords), identity(_client, _wire),
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -177,7 +177,7 @@
 	void startAttempt(const StartAttempt& _attempt);
 	void attemptEnded(const ActiveRequestPtr& _active, std::uint64_t _attempt, const CallEnd& _end);
 	void endAttempt(const ActiveRequestPtr& _active, std::uint64_t _attempt, const CallEnd& _end);
-	void identifyAtEnd(const std::string& _endpoint, const std::string& _address, IdentityHandler _done);
+	void identifyAtEnd(const BrokenCall& _ended, IdentityHandler _done);
 	static void logAttemptEnd(const ActiveRequest& _active, const CallEnd& _end, const AttemptEnd& _result);
 	void noteBuffered(const ActiveRequestPtr& _active, std::size_t _bytes);
 	void cutOffAttempt(const ActiveRequestPtr& _active, std::uint64_t _attempt);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -41,6 +41,7 @@
 	bool endsWithConnection = false;
 	bool lacksIdleConnection = false;    ///< Nothing was sent, see CallSpec::needsIdleOpenedBefore.
 	std::int64_t connectionOpenedAt = 0; ///< Time point at which its connection was opened, 0 if none was.
+	std::string madeBy = {};             ///< Address of the node that made the call, empty if this one did.
 };
 
 /// Result of opening a connection without sending anything.
--- a/src/relayed_call.h
+++ b/src/relayed_call.h
@@ -24,6 +24,8 @@
 	CallSpec spec;
 	std::string endpoint; ///< Id of the endpoint.
 	std::string subject;  ///< What it is for, such as the id of a request; for the log.
+	/// The only node that may make the call, empty for this one. Without a value, any may.
+	std::optional<std::string> onlyBy = {};
 };
 
 /// Callbacks of a call that another node makes.
--- a/tests/test_endpoint_calls.cpp
+++ b/tests/test_endpoint_calls.cpp
@@ -33,15 +33,16 @@
 	/// Probes an endpoint. Returns when the other node is asked.
 	std::future<ProbeFinding> probe(const std::string& _address)
 	{
-		this->pool.post(0,
-						[this, _address]
-						{
-							this->prober.probe(kEndpoint, _address,
-											   [this](const ProbeFinding& _finding)
-											   { this->result.set_value(_finding); });
-						});
-		this->asked.get_future().wait();
-		return this->result.get_future();
+		this->pool.post(0, [this, _address] { this->prober.probe(kEndpoint, _address, this->handler()); });
+		return this->awaitQuestion();
+	}
+
+	/// Probes an endpoint from the other node. Returns when that one is asked.
+	std::future<ProbeFinding> probeThroughWitness(const std::string& _address)
+	{
+		this->pool.post(0, [this, _address]
+						{ this->prober.probeThrough(kWitness, kEndpoint, _address, this->handler()); });
+		return this->awaitQuestion();
 	}
 
 	/// The other node answers.
@@ -56,6 +57,17 @@
 	std::atomic<bool> isPathLost{false}; ///< The other node reaches what this one does not.
 
 private:
+	ProbeHandler handler()
+	{
+		return [this](const ProbeFinding& _finding) { this->result.set_value(_finding); };
+	}
+
+	std::future<ProbeFinding> awaitQuestion()
+	{
+		this->asked.get_future().wait();
+		return this->result.get_future();
+	}
+
 	EndpointProberContext makeContext()
 	{
 		EndpointProberContext context;
@@ -65,7 +77,7 @@
 			this->asked.set_value();
 		};
 		context.witnesses = [] { return std::vector<std::string>{kWitness}; };
-		context.isPathLost = [](const std::string&) { return false; };
+		context.isPathLost = [this](const std::string&) { return this->isPathLost.load(); };
 		context.hasLostPaths = [] { return false; };
 		context.onConnected = [](const std::string&) {};
 		context.onReachedThrough = [this](const std::string&, const std::string&) { this->isPathLost = true; };
@@ -96,6 +108,41 @@
 	cr_assert(node.isPathLost);
 }
 
+/// Guards against a response without a length that passes for a whole one although its connection was cut: a node that
+/// has lost its path meanwhile must not take the view of another one for its own.
+Test(probes, lost_path_is_told_although_another_node_reaches_the_endpoint)
+{
+	const LoopbackPort port;
+	ProbingNode node;
+	node.isPathLost = true;
+	std::future<ProbeFinding> finding = node.probe(port.address());
+	node.receive(ProbeResult::Accepted);
+	cr_assert(finding.get() == (ProbeFinding{ProbeResult::Accepted, true}));
+}
+
+/// Guards against the same where another node made the call: its refusal counts, although this node reaches the
+/// endpoint.
+Test(probes, refusal_at_the_node_that_made_a_call_is_told_although_this_node_reaches_the_endpoint)
+{
+	const LoopbackPort port;
+	ProbingNode node;
+	std::future<ProbeFinding> finding = node.probeThroughWitness(port.address());
+	node.receive(ProbeResult::Refused);
+	cr_assert(finding.get() == (ProbeFinding{ProbeResult::Accepted, true}));
+}
+
+/// Guards against a node that takes its own path for lost because it asked the node that made a call, without a try of
+/// its own.
+Test(probes, answer_of_the_node_that_made_a_call_tells_nothing_of_the_own_path)
+{
+	const LoopbackPort port;
+	ProbingNode node;
+	std::future<ProbeFinding> finding = node.probeThroughWitness(port.address());
+	node.receive(ProbeResult::Accepted);
+	cr_assert(finding.get() == (ProbeFinding{ProbeResult::Accepted, false}));
+	cr_assert_not(node.isPathLost);
+}
+
 /// Guards against descriptors that are kept for endpoints which are gone without closing their connections: no call is
 /// made to them any more.
 Test(endpoint_calls, idle_connections_to_an_endpoint_that_is_not_listed_any_more_are_closed)
