--- a/src/forward_proofs.cpp
+++ b/src/forward_proofs.cpp
@@ -39,6 +39,17 @@
 	return "no_answer";
 }
 
+/// @param[in] _sinceFirstEvent Time from the first event of the stream until its version was certain.
+/// @param[in] _isEnded Whether its answer has ended: a client that takes it up before now finds no record.
+void logOriginProven(const std::string& _stream, const std::string& _version, Micros _sinceFirstEvent, bool _isEnded)
+{
+	logEvent("request", "stream_origin_proven",
+			 {{"request", _stream},
+			  {"software", _version},
+			  {"after_ms", _sinceFirstEvent / kMillisecond},
+			  {"ended", _isEnded}});
+}
+
 } // namespace
 
 void ForwardTraffic::addProofs(const std::vector<ProcessProof>& _proofs)
@@ -107,6 +118,7 @@
 		if (version)
 		{
 			this->unboundStreams.erase(id);
+			logOriginProven(active->streamId, *version, monotonicNow() - active->answer.times().firstAt, false);
 			this->bindStream(*active, *version);
 		}
 	}
@@ -133,6 +145,7 @@
 	{
 		if (this->proofs.isProven(origin.endpoint, origin.firstEventAt))
 		{
+			logOriginProven(origin.record.request, origin.record.origin.version, now - origin.firstEventAt, true);
 			this->perform(this->origins.record(origin.record, now));
 		}
 		else if (origin.record.expiresAt > now)
