--- a/src/forward_proofs.cpp
+++ b/src/forward_proofs.cpp
@@ -308,6 +308,34 @@
 		{
 			this->endpointCalls.openIdle(addresses[id], maxIdle);
 		}
+		if (!this->isReachedProven(id, addresses[id]))
+		{
+			this->unaskedEndpoints.insert(this->proofs.sharedNameOf(id));
+		}
+	}
+}
+
+/// @returns Whether there is an idle connection that certainly leads to the listed process of an endpoint.
+bool ForwardTraffic::isReachedProven(const std::string& _endpoint, const std::string& _address) const
+{
+	const Micros openedBefore = this->proofs.openedBefore(_endpoint);
+	return openedBefore > 0 && this->endpointCalls.hasIdle(_address, openedBefore);
+}
+
+/// Asks the processes to which connections are kept open who they are, one at a time: until the next write of its entry
+/// proves a connection, a process may have started and ended again, and streams that began there cannot be taken up.
+void ForwardTraffic::askNextOpened(Micros _now)
+{
+	while (this->identityChecks == 0 && !this->unaskedEndpoints.empty())
+	{
+		const std::string name = *this->unaskedEndpoints.begin();
+		this->unaskedEndpoints.erase(this->unaskedEndpoints.begin());
+		const Endpoint* listed = this->proofs.findListed(name);
+		if (listed != nullptr && this->endpointCalls.hasIdle(listed->address, _now) &&
+			!this->isReachedProven(listed->id, listed->address))
+		{
+			this->startIdentityCheck(*listed);
+		}
 	}
 }
 
@@ -322,9 +350,7 @@
 		{
 			continue;
 		}
-		const Micros openedBefore = this->proofs.openedBefore(endpoint.id);
-		const bool isProven = openedBefore > 0 && this->endpointCalls.hasIdle(endpoint.address, openedBefore);
-		if (!isProven)
+		if (!this->isReachedProven(endpoint.id, endpoint.address))
 		{
 			unproven.push_back(endpoint);
 		}
@@ -347,6 +373,11 @@
 	std::erase_if(this->identityCheckedAt,
 				  [&](const auto& _entry) { return _now - _entry.second >= kIdentityCheckInterval; });
 	this->identityCheckedAt[_endpoint.id] = _now;
+	this->startIdentityCheck(_endpoint);
+}
+
+void ForwardTraffic::startIdentityCheck(const Endpoint& _endpoint)
+{
 	this->identityChecks += 1;
 	this->identity.start(_endpoint.id, _endpoint.address,
 						 [this, endpoint = _endpoint.id](ProcessIdentity _identity, Micros _openedAt)
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -631,6 +631,7 @@
 	}
 	this->refreshAwaited(now);
 	this->openConnections(now);
+	this->askNextOpened(now);
 	this->perform(this->dispatcher.tick(now));
 }
 
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -167,7 +167,10 @@
 	void openConnections(Micros _now);
 	void openConnectionsIn(const std::string& _pool, Micros _now);
 	void checkIdentities(const PoolVersion& _wanted, Micros _now);
+	[[nodiscard]] bool isReachedProven(const std::string& _endpoint, const std::string& _address) const;
+	void askNextOpened(Micros _now);
 	void checkIdentity(const Endpoint& _endpoint, Micros _now);
+	void startIdentityCheck(const Endpoint& _endpoint);
 	void findOrigin(const ActiveRequestPtr& _active);
 	void onOriginResolved(const OriginResolved& _resolved);
 	void perform(const OriginActions& _actions);
@@ -228,9 +231,11 @@
 	IdentityCheck identity;
 	std::map<std::string, Micros> identityCheckedAt; ///< Time point of the latest check, by endpoint.
 	std::size_t identityChecks = 0;                  ///< In progress.
-	Micros nextOpenAt = 0;                           ///< Time point at which missing connections are opened again.
-	std::map<std::string, Micros> provenSetAt;       ///< When the dispatcher was told the proven endpoints, by pool.
-	std::set<std::uint64_t> unboundStreams; ///< Requests whose stream has begun at a process that is not proven yet.
+	/// Shared names of endpoints to which connections are kept open, and whose processes are to be asked who they are.
+	std::set<std::string> unaskedEndpoints;
+	Micros nextOpenAt = 0;                     ///< Time point at which missing connections are opened again.
+	std::map<std::string, Micros> provenSetAt; ///< When the dispatcher was told the proven endpoints, by pool.
+	std::set<std::uint64_t> unboundStreams;    ///< Requests whose stream has begun at a process that is not proven yet.
 	std::vector<UnprovenOrigin> unprovenOrigins; ///< Of those of them that have ended.
 	/// Requests that continue a stream and wait for its origin, by lookup.
 	std::map<std::uint64_t, ActiveRequestPtr> originLookups;
