--- a/tests/deployment.cpp
+++ b/tests/deployment.cpp
@@ -13,13 +13,16 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <fcntl.h>
 #include <fstream>
 #include <future>
+#include <iostream>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
@@ -35,6 +38,7 @@
 constexpr std::chrono::seconds kAwaitTimeout{20};
 constexpr std::chrono::milliseconds kAwaitPollInterval{10};
 constexpr int kExecFailedExitCode = 127;
+constexpr std::size_t kLastBytes = 2'000; ///< Kept of the error output of a process.
 constexpr const char* kLogFolderVariable = "ROADFERRY_TEST_LOGS";
 constexpr const char* kPeerSecret = "peer-credential-of-tests";
 
@@ -68,7 +72,10 @@
 Process::Process(const std::string& _program, std::vector<std::string> _arguments)
 {
 	int pipes[2] = {-1, -1};
-	cr_assert_eq(pipe(pipes), 0);
+	int errorPipes[2] = {-1, -1};
+	// Other children must not hold them open: a copier ends when the last writer has closed.
+	cr_assert_eq(pipe2(pipes, O_CLOEXEC), 0);
+	cr_assert_eq(pipe2(errorPipes, O_CLOEXEC), 0);
 	const std::string path = absl::StrCat(ROADFERRY_BIN, "/", _program);
 	std::vector<char*> arguments = {const_cast<char*>(path.c_str())};
 	for (std::string& argument : _arguments)
@@ -82,13 +89,14 @@
 		// A failing test exits without running destructors; its child processes must not outlive it.
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		dup2(pipes[1], STDOUT_FILENO);
-		close(pipes[0]);
-		close(pipes[1]);
+		dup2(errorPipes[1], STDERR_FILENO);
 		execv(path.c_str(), arguments.data());
 		_exit(kExecFailedExitCode);
 	}
 	close(pipes[1]);
+	close(errorPipes[1]);
 	cr_assert_gt(this->pid, 0, "cannot start %s", path.c_str());
+	this->copyErrors(errorPipes[0]);
 	this->readAddresses(pipes[0]);
 	this->saveLog(_program, pipes[0]);
 }
@@ -117,6 +125,43 @@
 		});
 }
 
+void Process::copyErrors(int _errors)
+{
+	this->errorCopier = std::thread(
+		[_errors, last = this->lastLines]
+		{
+			std::array<char, 4096> part{};
+			ssize_t count = 0;
+			while ((count = read(_errors, part.data(), part.size())) > 0)
+			{
+				const std::string text(part.data(), static_cast<std::size_t>(count));
+				std::cerr << text << std::flush; // A failing test ends without running destructors.
+				const std::lock_guard<std::mutex> guard(last->lock);
+				last->text += text;
+				last->text.erase(0, last->text.size() - std::min(last->text.size(), kLastBytes));
+			}
+			close(_errors);
+		});
+}
+
+std::string Process::describeState() const
+{
+	siginfo_t state{};
+	const bool isKnown =
+		this->pid > 0 && ::waitid(P_PID, static_cast<id_t>(this->pid), &state, WEXITED | WNOHANG | WNOWAIT) == 0;
+	if (!isKnown)
+	{
+		return "its process was ended by the test";
+	}
+	if (state.si_pid == 0)
+	{
+		return "its process runs";
+	}
+	const char* how = state.si_code == CLD_EXITED ? "exited with status " : "was ended by signal ";
+	const std::lock_guard<std::mutex> guard(this->lastLines->lock);
+	return absl::StrCat("its process ", how, state.si_status, " and wrote last: ", this->lastLines->text);
+}
+
 void Process::readAddresses(int _output)
 {
 	std::string line;
@@ -145,6 +190,10 @@
 	{
 		this->logCopier.join();
 	}
+	if (this->errorCopier.joinable())
+	{
+		this->errorCopier.join();
+	}
 }
 
 void Process::signal(int _signal) const
--- a/tests/deployment.h
+++ b/tests/deployment.h
@@ -14,6 +14,8 @@
 
 #include <functional>
 #include <map>
+#include <memory>
+#include <mutex>
 #include <string>
 #include <sys/types.h>
 #include <thread>
@@ -44,6 +46,9 @@
 	/// @returns Exit code; negative if a signal ended the process.
 	int wait();
 
+	/// @returns Whether the process has ended by itself, how, and the last lines that it wrote to its error output.
+	[[nodiscard]] std::string describeState() const;
+
 	std::string address;     ///< For clients; from the first line of output.
 	std::string peerAddress; ///< Of a daemon: address for other nodes.
 	std::string readiness;   ///< Of a forwarding daemon: address of the readiness probe.
@@ -54,8 +59,20 @@
 	/// Copies the remaining output to a file in the folder that ROADFERRY_TEST_LOGS names; discards it without one.
 	void saveLog(const std::string& _program, int _output);
 
+	/// Copies the error output to the one of the test, and keeps its end.
+	void copyErrors(int _errors);
+
+	/// The end of what a process wrote to its error output.
+	struct LastLines
+	{
+		std::mutex lock;
+		std::string text;
+	};
+
 	pid_t pid = -1;
 	std::thread logCopier;
+	std::thread errorCopier;
+	std::shared_ptr<LastLines> lastLines = std::make_shared<LastLines>();
 };
 
 /// Response to one HTTP call.
