--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -50,9 +50,24 @@
 	this->lastId = _eventId;
 }
 
-void ForwardAnswer::beginAttempt(bool _resumes)
+void ForwardAnswer::addKnownEnd(const AgreeingRuns& _known)
 {
+	const bool tellsMore = _known.lastEvent != this->agreeing.lastEvent || _known.runs > this->agreeing.runs;
+	const bool isEarlier = this->lastId && _known.lastEvent < *this->lastId;
+	this->agreeing = tellsMore && !isEarlier ? _known : this->agreeing;
+}
+
+void ForwardAnswer::requireAgreeingRuns(std::int64_t _runs)
+{
+	this->neededRuns = _runs;
+}
+
+void ForwardAnswer::beginAttempt(bool _resumes, bool _overlaps)
+{
+	this->confirmed = false;
+	this->contradicted = false;
 	this->resumes = _resumes;
+	this->overlaps = _overlaps;
 	this->hasEvents = false;
 	this->currentHead.reset();
 	this->splitter = EventSplitter();
@@ -143,6 +158,8 @@
 	times.lastAt = now;
 	times.events += 1;
 	this->clientReply->write(_event);
+	this->contradicted = this->contradicted || (number && this->agreeingRuns().runs > 0);
+	this->beforeLastId = number ? this->lastId : this->beforeLastId;
 	this->lastId = number ? number : this->lastId;
 	this->sentUnnumbered = this->sentUnnumbered || (!number && hasData(_event));
 }
@@ -208,11 +225,9 @@
 AttemptEnd ForwardAnswer::endWithoutMark()
 {
 	const bool canAskOn = this->repeatable && this->lastId.has_value() && this->canContinue();
-	// A run that begins anew and ends before the client's last event tells nothing of what comes after it.
-	const bool endsEarlier = this->attemptLastId && this->lastId && *this->attemptLastId < *this->lastId;
-	if (canAskOn && (this->hasEvents || endsEarlier))
+	if (canAskOn)
 	{
-		return AttemptEndUnproven{};
+		return this->endUnlessProven();
 	}
 	// A stream has events, unless the client has all of them already.
 	const bool isWithoutEvents = !this->hasEvents && !(this->repeatable && this->resumes);
@@ -224,6 +239,30 @@
 	return AttemptAnswered{};
 }
 
+/// Ends an attempt of a stream whose end is proven by runs that agree on its last event.
+AttemptEnd ForwardAnswer::endUnlessProven()
+{
+	const bool bringsNothing = !this->attemptLastId && !this->hasEvents;
+	if (bringsNothing)
+	{
+		// The client has all events, or the run failed. One that was asked for an event that exists has failed.
+		return this->overlaps ? AttemptEnd(AttemptInterrupted{}) : AttemptEnd(AttemptEndUnproven{});
+	}
+	const bool reachesLast = this->attemptLastId && *this->attemptLastId == *this->lastId;
+	if (!reachesLast)
+	{
+		return AttemptEndUnproven{}; // It began anew, and tells nothing of what comes after the client's last event.
+	}
+	this->confirmed = this->agreeingRuns().runs > 0;
+	this->agreeing = AgreeingRuns{*this->lastId, this->agreeingRuns().runs + 1};
+	if (this->agreeing.runs < this->neededRuns)
+	{
+		return AttemptEndUnproven{};
+	}
+	this->startStream();
+	return AttemptAnswered{};
+}
+
 void ForwardAnswer::deliver()
 {
 	if (this->streamStarted)
@@ -278,6 +317,32 @@
 	return this->lastId;
 }
 
+std::optional<std::uint64_t> ForwardAnswer::eventBeforeLast() const
+{
+	if (this->beforeLastId)
+	{
+		return this->beforeLastId;
+	}
+	const bool hasEarlierIds = this->lastId && *this->lastId > 0;
+	return hasEarlierIds ? std::optional(*this->lastId - 1) : std::nullopt;
+}
+
+AgreeingRuns ForwardAnswer::agreeingRuns() const
+{
+	const bool isOfLast = this->lastId && this->agreeing.lastEvent == *this->lastId;
+	return isOfLast ? this->agreeing : AgreeingRuns{};
+}
+
+bool ForwardAnswer::confirmsEnd() const
+{
+	return this->confirmed;
+}
+
+bool ForwardAnswer::contradictsEnd() const
+{
+	return this->contradicted;
+}
+
 const std::optional<ForwardHead>& ForwardAnswer::head() const
 {
 	return this->currentHead;
--- a/src/forward_answer.h
+++ b/src/forward_answer.h
@@ -13,6 +13,7 @@
 #include "adapter.h"
 #include "event_stream.h"
 #include "http_server.h"
+#include "stream_ends.h"
 
 namespace roadferry
 {
@@ -34,9 +35,17 @@
 	/// Tells that the client has the events up to this one from an earlier submission. They are not sent to it again.
 	void resumeAfter(std::uint64_t _eventId);
 
+	/// Tells how far earlier runs of the stream agree on its end, as this node or another one has seen them.
+	void addKnownEnd(const AgreeingRuns& _known);
+
+	/// Sets how many runs must agree to prove the end of a stream.
+	/// @param[in] _runs At least 2.
+	void requireAgreeingRuns(std::int64_t _runs);
+
 	/// Resets the state of the previous attempt.
 	/// @param[in] _resumes Whether the endpoint is asked only for the events after one that the client has.
-	void beginAttempt(bool _resumes = false);
+	/// @param[in] _overlaps Whether it is asked for the client's last event again, see eventBeforeLast().
+	void beginAttempt(bool _resumes = false, bool _overlaps = false);
 	/// Handles the head of an attempt's response.
 	/// @returns Skip when the response belongs to another request.
 	HeadVerdict receiveHead(unsigned _status, const HttpHeaders& _headers);
@@ -50,8 +59,8 @@
 
 	/// Ends an attempt.
 	/// @returns Result of the attempt. A response that can be passed on is kept for deliver(). The end of a connection
-	/// does not tell that no events are missing: a stream that may be resumed is answered once an endpoint, asked for
-	/// the events after the last one, has none.
+	/// does not tell that no events are missing: a stream that may be resumed is answered once enough runs have sent
+	/// its last event and ended there. A run that sent nothing may have failed, and proves nothing.
 	AttemptEnd endAttempt(const CallEnd& _end);
 
 	/// Sends the kept response to the client, or ends its stream.
@@ -77,6 +86,19 @@
 	/// @returns Id of the last event that the client has.
 	[[nodiscard]] std::optional<std::uint64_t> lastEventId() const;
 
+	/// @returns Id after which a run sends the client's last event again: that of the event before, or one less if this
+	/// answer has not passed that event on. Not set if the run must begin with its first event.
+	[[nodiscard]] std::optional<std::uint64_t> eventBeforeLast() const;
+
+	/// @returns Runs that have ended with their connection right after the client's last event.
+	[[nodiscard]] AgreeingRuns agreeingRuns() const;
+
+	/// @returns Whether the latest attempt ended where an earlier run of the stream had ended.
+	[[nodiscard]] bool confirmsEnd() const;
+
+	/// @returns Whether the latest attempt went on after the event at which an earlier run had ended.
+	[[nodiscard]] bool contradictsEnd() const;
+
 	/// @returns Head of the latest attempt's response, if it has arrived.
 	[[nodiscard]] const std::optional<ForwardHead>& head() const;
 
@@ -99,6 +121,7 @@
 	void startStream();
 	[[nodiscard]] bool isUsable() const;
 	[[nodiscard]] AttemptEnd endWithoutMark();
+	[[nodiscard]] AttemptEnd endUnlessProven();
 
 	const WireFormat& wire;
 	std::shared_ptr<HttpReply> clientReply;
@@ -114,14 +137,20 @@
 	std::optional<std::uint64_t> attemptLastId; ///< Id of the last event that the attempt brought.
 	bool streamInvalid = false;                 ///< The attempt's stream cannot be continued.
 	bool resumes = false;                       ///< The attempt asks for the events after one that the client has.
+	bool overlaps = false;                      ///< It asks for the client's last event again.
 	bool hasEvents = false;                     ///< The attempt has brought an event that the client did not have.
 
 	std::optional<ForwardHead> keptHead; ///< Head of a complete response that can be delivered.
 	std::string keptBody;
 	std::function<void()> startHandler;
 	bool streamStarted = false;
-	std::optional<std::uint64_t> lastId; ///< Of the last event that the client has.
-	bool sentUnnumbered = false;         ///< An event with data and without an id was sent.
+	std::optional<std::uint64_t> lastId;       ///< Of the last event that the client has.
+	std::optional<std::uint64_t> beforeLastId; ///< Of the one before, if this answer has passed it on.
+	AgreeingRuns agreeing;                     ///< Runs that ended right after the same event.
+	std::int64_t neededRuns = 3;               ///< Of them, to prove the end of the stream.
+	bool confirmed = false;                    ///< See confirmsEnd().
+	bool contradicted = false;                 ///< See contradictsEnd().
+	bool sentUnnumbered = false;               ///< An event with data and without an id was sent.
 	StreamTimes streamTimes;
 };
 
--- a/src/forward_attempts.cpp
+++ b/src/forward_attempts.cpp
@@ -70,10 +70,14 @@
 	active->attemptHeadAt = 0;
 	const bool clientHasEvents =
 		active->route.resumable && active->request.resumed && !active->request.resumed->lastEventId.empty();
-	active->answer.beginAttempt(active->answer.lastEventId() || clientHasEvents);
+	const bool overlaps = this->mustOverlap(*active, now);
+	active->answer.beginAttempt(active->answer.lastEventId() || clientHasEvents, overlaps);
+	active->answer.requireAgreeingRuns(this->poolStreams.agreeingRuns(active->pool));
+	this->findStreamEnd(*active);
 	this->parts.recordSent(active->parts);
 	ForwardAttempt attempt{_attempt.endpoint, active->workspace, active->deadline - now, active->graph.results(),
-						   active->answer.lastEventId()};
+						   overlaps ? active->answer.eventBeforeLast() : active->answer.lastEventId()};
+	attempt.beginsAnew = overlaps && !attempt.lastEventId;
 	CallSpec spec;
 	spec.address = _attempt.address;
 	spec.request = this->wire.makeEndpointRequest(active->request, attempt);
@@ -133,6 +137,7 @@
 			  {"endpoint", _attempt.endpoint},
 			  {"software", _attempt.softwareVersion},
 			  {"after_event", static_cast<std::int64_t>(active->answer.lastEventId().value_or(0))},
+			  {"overlaps", overlaps},
 			  {"listing", this->listingPosition},
 			  this->listingAgeField(now),
 			  connectionAgeField(*active, now),
@@ -273,6 +278,7 @@
 		return;
 	}
 	const AttemptEnd end = _active->answer.endAttempt(_end);
+	this->notePoolStreams(*_active, _end);
 	logAttemptEnd(*_active, _end, end);
 	this->concludeAttempt(_active, _attempt, end);
 }
@@ -292,6 +298,7 @@
 				  {"ends_with_connection", _end.endsWithConnection},
 				  {"call_made_by", _end.madeBy},
 				  {"unproven", std::holds_alternative<AttemptEndUnproven>(_result)},
+				  {"agreeing_runs", _active.answer.agreeingRuns().runs},
 				  {"error", _end.error}});
 	}
 	else if (_end.endsWithConnection)
--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -88,13 +88,15 @@
 	};
 	const auto sendRejectionLimit = [this](const std::string& _to, const RejectionLimitNotice& _notice)
 	{ this->trafficSender->send(_to, _notice); };
+	const auto sendOne = [this](const std::string& _to, const auto& _message)
+	{ this->trafficSender->send(_to, _message); };
 	const auto sendCall = [this](const std::string& _to, const CallMessage& _message)
 	{ this->trafficSender->send(_to, _message); };
 	const auto save = [this](const auto& _typed)
 	{ this->runOnControlThread([this, _typed] { this->originStore->save(_typed); }); };
-	this->traffic = std::make_unique<ForwardTraffic>(
-		this->pool, this->client, *this->wire, this->metrics, forward,
-		ForwardSends{sendTyped, sendTyped, sendTyped, sendTyped, sendCall, sendRejectionLimit, save, save});
+	this->traffic = std::make_unique<ForwardTraffic>(this->pool, this->client, *this->wire, this->metrics, forward,
+													 ForwardSends{sendTyped, sendTyped, sendTyped, sendTyped, sendCall,
+																  sendRejectionLimit, save, save, sendOne, sendOne});
 }
 
 void ForwardNode::makeOriginStore(const Adapter& _adapter)
@@ -288,6 +290,8 @@
 			[&](const PartAnswer& _typed) { this->traffic->receive(peer, PartMessage(_typed)); },
 			[&](const PartVerdicts& _typed) { this->traffic->receive(peer, PartMessage(_typed)); },
 			[&](const RejectionLimitNotice& _typed) { this->traffic->receive(peer, _typed); },
+			[&](const StreamEndQuery& _typed) { this->traffic->receive(peer, _typed); },
+			[&](const StreamEndNotice& _typed) { this->traffic->receive(peer, _typed); },
 			[&](const CallMessage& _typed) { this->traffic->receive(peer, _typed); },
 			[&](const auto&)
 			{ logWarning("peer", absl::StrCat(peer, ": message type is not handled by a forwarding node")); },
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -100,7 +100,8 @@
 								   { this->identifyAtEnd(_ended, std::move(_done)); }}),
 	  parts(_settings.self, _settings.parts), sendPart(_sends.part), sendRejectionLimit(_sends.rejectionLimit),
 	  origins(_settings.self, originsConfig(_settings)), sendOrigin(_sends.origin), saveVersions(_sends.saveVersions),
-	  saveRecords(_sends.saveRecords), identity(_client, _wire),
+	  saveRecords(_sends.saveRecords), sendStreamEndQuery(_sends.streamEndQuery), sendStreamEnd(_sends.streamEnd),
+	  identity(_client, _wire),
 	  pieces(this->endpointCalls, _wire, crashes, PieceScheduler(_settings.self, _settings.pieces),
 			 PieceHandlers{[this](const PieceStarted& _started) { this->onPieceStarted(_started); },
 						   [this](const PieceCompleted& _completed) { this->onPieceCompleted(_completed); },
@@ -550,6 +551,10 @@
 	{
 		this->keepUnprovenOrigin(*_active);
 	}
+	if (_outcome.verdict != Verdict::Answered)
+	{
+		this->keepStreamEnd(*_active);
+	}
 	this->responseBudget.release(_active->id);
 	this->activeRequests.erase(_active->id);
 	this->activeCount = this->activeRequests.size();
@@ -623,6 +628,7 @@
 	this->crashes.tick(now);
 	this->perform(this->parts.tick(now));
 	this->perform(this->origins.tick(now));
+	this->streamEnds.expire(now);
 	this->pieces.tick();
 	while (!this->deadlines.empty() && this->deadlines.begin()->first <= now)
 	{
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -15,7 +15,9 @@
 #include "logging.h"
 #include "metrics.h"
 #include "piece_runner.h"
+#include "pool_streams.h"
 #include "stage_times.h"
+#include "stream_ends.h"
 
 #include <atomic>
 
@@ -50,6 +52,8 @@
 	/// Save on the platform; onSaved() tells the result.
 	std::function<void(const SavedVersions&)> saveVersions;
 	std::function<void(const SaveStreamRecords&)> saveRecords;
+	std::function<void(const std::string& _to, const StreamEndQuery&)> streamEndQuery;
+	std::function<void(const std::string& _to, const StreamEndNotice&)> streamEnd;
 };
 
 /// Limits the idle connections to an endpoint. An endpoint resets connections beyond a limit that all nodes share, and
@@ -97,6 +101,8 @@
 	void receive(const std::string& _from, const PartMessage& _message);
 	void receive(const std::string& _from, const CallMessage& _message);
 	void receive(const std::string& _from, const RejectionLimitNotice& _notice);
+	void receive(const std::string& _from, const StreamEndQuery& _query);
+	void receive(const std::string& _from, const StreamEndNotice& _notice);
 	/// Sets how long a crash of an endpoint counts against the requests that ran on it, see CrashLedger::setMemory().
 	void setCrashMemory(Micros _memory);
 	void peerClosed(const std::string& _peer);
@@ -171,6 +177,10 @@
 	void askNextOpened(Micros _now);
 	void checkIdentity(const Endpoint& _endpoint, Micros _now);
 	void startIdentityCheck(const Endpoint& _endpoint);
+	[[nodiscard]] bool mustOverlap(const ActiveRequest& _active, Micros _now) const;
+	void notePoolStreams(const ActiveRequest& _active, const CallEnd& _end);
+	void findStreamEnd(ActiveRequest& _active);
+	void keepStreamEnd(const ActiveRequest& _active);
 	void findOrigin(const ActiveRequestPtr& _active);
 	void onOriginResolved(const OriginResolved& _resolved);
 	void perform(const OriginActions& _actions);
@@ -227,6 +237,10 @@
 	std::function<void(const std::string&, const OriginMessage&)> sendOrigin;
 	std::function<void(const SavedVersions&)> saveVersions;
 	std::function<void(const SaveStreamRecords&)> saveRecords;
+	PoolStreams poolStreams;
+	StreamEnds streamEnds; ///< Of streams that this node or another one broke off.
+	std::function<void(const std::string&, const StreamEndQuery&)> sendStreamEndQuery;
+	std::function<void(const std::string&, const StreamEndNotice&)> sendStreamEnd;
 	ProcessProofs proofs;
 	IdentityCheck identity;
 	std::map<std::string, Micros> identityCheckedAt; ///< Time point of the latest check, by endpoint.
--- a/src/forward_types.h
+++ b/src/forward_types.h
@@ -58,8 +58,10 @@
 	std::string endpoint; ///< Id of the endpoint instance that may run it; a restarted endpoint has a new id.
 	std::string workspace;
 	Micros timeLeft = 0;
-	std::vector<std::string> inputs;          ///< Handles of the stage results that the request needs.
-	std::optional<std::uint64_t> lastEventId; ///< Id of the last event that the client has.
+	std::vector<std::string> inputs; ///< Handles of the stage results that the request needs.
+	/// Id of the event after which the run goes on: the last one that the client has, or an earlier one.
+	std::optional<std::uint64_t> lastEventId;
+	bool beginsAnew = false; ///< The run begins with its first event, whatever the client has.
 };
 
 /// Status and headers of an endpoint's response.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -160,6 +160,8 @@
 			[](const PartAnswer&) {},
 			[](const PartVerdicts&) {},
 			[](const RejectionLimitNotice&) {},
+			[](const StreamEndQuery&) {},
+			[](const StreamEndNotice&) {},
 			[](const CallMessage&) {},
 		},
 		*message);
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -15,6 +15,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 #include <QCborArray>
 #include <QCborMap>
 #include <QCborValue>
@@ -33,6 +35,8 @@
 constexpr std::int64_t kReasonCount = 18;
 constexpr qsizetype kEndpointFieldCount = 9;
 constexpr qsizetype kCrashFieldCount = 5;
+constexpr std::int64_t kMaxAgreeingRuns = 1'000;
+constexpr Micros kMaxStreamEndLife = Micros{30} * 24 * 3'600 * kSecond; ///< Longer than any client's time limit.
 
 QCborMap toCbor(const RelayRequest& _message)
 {
@@ -283,6 +287,31 @@
 					{"forward_to", toCborArray(_message.forwardTo)}};
 }
 
+QCborMap toCbor(const StreamEndQuery& _message)
+{
+	return QCborMap{{"type", "stream_end_query"}, {"stream", toQString(_message.stream)}};
+}
+
+QCborMap toCbor(const StreamEndNotice& _message)
+{
+	return QCborMap{{"type", "stream_end"},
+					{"stream", toQString(_message.stream)},
+					{"last_event", static_cast<qint64>(_message.end.lastEvent)},
+					{"runs", static_cast<qint64>(_message.end.runs)},
+					{"life", static_cast<qint64>(_message.life)}};
+}
+
+StreamEndNotice readStreamEnd(CborReader& _reader)
+{
+	StreamEndNotice message;
+	message.stream = _reader.text("stream");
+	// An id takes all 64 bits, unlike the numbers that nodes choose.
+	message.end.lastEvent = static_cast<std::uint64_t>(_reader.integer("last_event"));
+	message.end.runs = std::clamp<std::int64_t>(_reader.integer("runs"), 0, kMaxAgreeingRuns);
+	message.life = std::clamp<Micros>(_reader.integer("life"), 0, kMaxStreamEndLife);
+	return message;
+}
+
 /// Reads the parts of each crash; nodes of earlier versions send none.
 void readParts(CborReader& _reader, std::vector<EndpointCrash>& _crashes)
 {
@@ -487,6 +516,14 @@
 	{
 		return RejectionLimitNotice{_reader.text("pool"), _reader.integer("per_second"), _reader.texts("forward_to")};
 	}
+	if (_type == "stream_end_query")
+	{
+		return StreamEndQuery{_reader.text("stream")};
+	}
+	if (_type == "stream_end")
+	{
+		return readStreamEnd(_reader);
+	}
 	if (_type == "crash_report_request")
 	{
 		return CrashReportRequest{};
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -10,6 +10,7 @@
 #define ROADFERRY_PEER_MESSAGES_H_HEADER_GUARD
 
 #include "call_messages.h"
+#include "stream_ends.h"
 
 #include <roadferry/roadferry.h>
 
@@ -121,7 +122,8 @@
 	std::variant<RelayRequest, RelayToken, RelayResult, TableRequest, TableResponse, LeavingNotice, ShutdownReport,
 				 Gossip, DemandReport, ShareGrant, RoutesRequest, RoutesResponse, FeedRequest, FeedResponse,
 				 PieceSubmit, PieceUpdate, PieceCancel, PieceFree, CrashReport, CrashReportRequest, OriginRecords,
-				 OriginQuery, OriginAnswer, PartQuery, PartAnswer, PartVerdicts, RejectionLimitNotice, CallMessage>;
+				 OriginQuery, OriginAnswer, PartQuery, PartAnswer, PartVerdicts, RejectionLimitNotice, StreamEndQuery,
+				 StreamEndNotice, CallMessage>;
 
 /// @returns Whether a message has a number that the receiver has chosen, so that it means nothing to another process.
 bool isAnswer(const PeerMessage& _message);
--- a/tests/test_messages.cpp
+++ b/tests/test_messages.cpp
@@ -84,6 +84,8 @@
 		OriginAnswer{3, std::nullopt, {}},
 		CallMessage(RelayedCallStart{9, "abc", "e-1", 900'000, true, "POST", "/a?b=\xff", {{"X-A", "\xfe"}}, 3}),
 		RejectionLimitNotice{"pool", 3, {"10.0.0.4:8500"}},
+		StreamEndQuery{"abc"},
+		StreamEndNotice{"abc", AgreeingRuns{0xffff'ffff'ffff'ffffU, 2}, 900'000},
 		CallMessage(RelayedCallBody{9, std::string("\0{\xff", 3)}),
 		CallMessage(RelayedCallCancel{9}),
 		CallMessage(RelayedCallConnected{9}),
