--- a/include/roadferry/parts/stream_origins.h
+++ b/include/roadferry/parts/stream_origins.h
@@ -145,8 +145,9 @@
 	/// @param[in] _isAvailable Whether the listing can be read, so that it will be known up to a later time soon.
 	OriginActions setListedUpTo(Micros _asOf, bool _isAvailable, Micros _now);
 
-	/// Sets the pools whose streams may be taken up again; the versions of others are not saved.
-	void setResumablePools(const std::set<std::string>& _pools);
+	/// Sets the pools whose streams may be taken up again by the routes of now. The versions of others are not saved,
+	/// unless they were before. When a pool becomes one of them, its earlier records are sent to their holders.
+	OriginActions setResumablePools(const std::set<std::string>& _pools, Micros _now);
 
 	/// The listing was not read for so long that versions may have come and gone unseen.
 	void onListingGap(Micros _now);
@@ -160,7 +161,9 @@
 	/// Ends a save of records.
 	void onRecordsSaved(const SaveStreamRecords& _save, bool _succeeded, Micros _now);
 
-	/// Records the origin of a stream, before its first event is sent to the client.
+	/// Records the origin of a stream, before its first event is sent to the client. The records of streams that began
+	/// under a route without the right to be taken up are kept too, since the route may get it; they are not saved on
+	/// the platform.
 	OriginActions record(const StreamRecord& _record, Micros _now);
 
 	/// @returns Whether a pool has or had lately more than one version, as far as this node knows.
@@ -172,7 +175,9 @@
 	/// Starts to look up the origin of a stream.
 	/// @param[in] _pool Pool that the stream runs in if its origin is not known.
 	/// @param[in] _within How long ago it may have begun, as far as the request tells.
-	OriginLookup find(const std::string& _request, const std::string& _pool, Micros _within, Micros _now);
+	/// @param[in] _needsRecord Whether only a record of the stream resolves it, even if the pool has one version.
+	OriginLookup find(const std::string& _request, const std::string& _pool, Micros _within, Micros _now,
+					  bool _needsRecord = false);
 
 	OriginActions receive(const std::string& _from, const OriginMessage& _message, Micros _now);
 
@@ -201,11 +206,17 @@
 		std::set<std::string> awaited;  ///< Nodes that have not answered.
 		std::set<std::string> versions; ///< Known to nodes that have answered.
 		bool areAllKnown = false;       ///< One of them knows all versions.
+		bool needsRecord = false;       ///< That the pool has one version is not enough.
 	};
 
+	using Expiries = std::set<std::pair<Micros, std::string>>; ///< Of entries, soonest first.
+
 	[[nodiscard]] std::vector<std::string> holdersOf(const std::string& _request) const;
+	[[nodiscard]] Expiries& expiriesOf(const StreamRecord& _record);
+	void eraseFirst(Expiries& _expiries);
 	void store(const StreamRecord& _record, bool _isOwn);
 	void addSaved(const SavedStreams& _streams, Micros _now);
+	[[nodiscard]] bool mayBeTakenUp(const StreamRecord& _record) const;
 	void sendOwnRecords(const std::string& _to, Micros _now, OriginActions& _actions) const;
 	[[nodiscard]] bool isWaiting(const Lookup& _lookup) const;
 	[[nodiscard]] std::optional<std::string> onlyKnownVersion(const Lookup& _lookup, Micros _now) const;
@@ -225,15 +236,17 @@
 	std::vector<std::string> others; ///< Live nodes without this one.
 	PoolVersions pools;
 	StreamSaver saver;
-	std::unordered_map<std::string, Entry> entries;    ///< By request id.
-	std::set<std::pair<Micros, std::string>> expiries; ///< Of the entries, soonest first.
-	std::map<std::uint64_t, Lookup> lookups;           ///< In progress, by id.
-	std::map<std::string, Micros> resendAt;            ///< When own records are given to a node again.
+	std::unordered_map<std::string, Entry> entries; ///< By request id.
+	Expiries expiries;                              ///< Of the entries that began resumable.
+	Expiries otherExpiries;                         ///< Of the others, which give way to these.
+	std::map<std::uint64_t, Lookup> lookups;        ///< In progress, by id.
+	std::map<std::string, Micros> resendAt;         ///< When own records are given to a node again.
 	std::uint64_t lastLookup;
 	Micros listedUpTo = 0; ///< Versions that joined before this time point are known; 0 for none.
 	bool canReadListing = false;
 	bool awaitsSaved = true; ///< What earlier processes have saved is not known yet.
 	std::set<std::string> resumablePools;
+	std::set<std::string> savedPools;  ///< Pools whose versions are saved: those that are or were resumable.
 	std::set<std::string> poolsInSave; ///< Pools whose versions are being saved.
 	Micros nextVersionCheckAt = 0;     ///< Time point.
 	Micros nextVersionSaveAt = 0;      ///< Time point; later than now after a save has failed.
--- a/include/roadferry/parts/stream_saver.h
+++ b/include/roadferry/parts/stream_saver.h
@@ -28,6 +28,7 @@
 {
 	std::string pool;
 	std::string version;
+	bool isResumable = true; ///< It began under a route whose streams may be taken up again.
 	bool operator==(const StreamOrigin&) const = default;
 };
 
--- a/src/forward_active.h
+++ b/src/forward_active.h
@@ -46,10 +46,11 @@
 	std::map<std::string, std::string> resultDomains; ///< Failure domain of each stage result, by handle.
 	std::set<std::uint64_t> orders;                   ///< Piece orders that are not complete.
 	std::string streamId;                             ///< Id of the submission that brought its first event.
-	std::string pool;                                 ///< Pool that runs the request itself.
-	std::uint64_t prefixHash = 0;                     ///< Hash of the shared parts of its prompt, 0 for none.
-	std::string homeDomain;                           ///< Failure domain of the endpoint that will most likely run it.
-	bool inputsFreed = false;                         ///< The stage results that it needs were freed.
+	bool isResumable = false; ///< Its stream may be taken up: by its route, or by that under which the stream began.
+	std::string pool;         ///< Pool that runs the request itself.
+	std::uint64_t prefixHash = 0; ///< Hash of the shared parts of its prompt, 0 for none.
+	std::string homeDomain;       ///< Failure domain of the endpoint that will most likely run it.
+	bool inputsFreed = false;     ///< The stage results that it needs were freed.
 	std::int64_t stageReruns = 0;
 	bool admissionRequested = false;  ///< Its first pieces, which carry the admission request, were ordered.
 	bool submitted = false;           ///< It was handed to the dispatcher.
--- a/src/forward_attempts.cpp
+++ b/src/forward_attempts.cpp
@@ -69,7 +69,7 @@
 	active->endpointName = this->proofs.sharedNameOf(_attempt.endpoint);
 	active->attemptHeadAt = 0;
 	const bool clientHasEvents =
-		active->route.resumable && active->request.resumed && !active->request.resumed->lastEventId.empty();
+		active->isResumable && active->request.resumed && !active->request.resumed->lastEventId.empty();
 	const bool overlaps = this->mustOverlap(*active, now);
 	active->answer.beginAttempt(active->answer.lastEventId() || clientHasEvents, overlaps);
 	active->answer.requireAgreeingRuns(this->poolStreams.agreeingRuns(active->pool));
--- a/src/forward_proofs.cpp
+++ b/src/forward_proofs.cpp
@@ -128,7 +128,7 @@
 /// Called when a request ends whose stream is not bound: its client may take it up.
 void ForwardTraffic::keepUnprovenOrigin(const ActiveRequest& _active)
 {
-	if (_active.route.resumable && this->unprovenOrigins.size() < kMaxUnprovenOrigins)
+	if (this->unprovenOrigins.size() < kMaxUnprovenOrigins)
 	{
 		this->unprovenOrigins.push_back(UnprovenOrigin{recordOf(_active, _active.endpointVersion), _active.endpoint,
 													   _active.answer.times().firstAt});
--- a/src/forward_stream_ends.cpp
+++ b/src/forward_stream_ends.cpp
@@ -28,7 +28,7 @@
 /// @returns Whether the next run of a request is asked for the client's last event again.
 bool ForwardTraffic::mustOverlap(const ActiveRequest& _active, Micros _now) const
 {
-	const bool goesOn = _active.route.resumable && _active.answer.lastEventId().has_value();
+	const bool goesOn = _active.isResumable && _active.answer.lastEventId().has_value();
 	return goesOn && this->poolStreams.mustOverlap(_active.pool, _now);
 }
 
@@ -59,7 +59,7 @@
 /// its run can end.
 void ForwardTraffic::findStreamEnd(ActiveRequest& _active)
 {
-	const bool isTakenUp = _active.route.resumable && _active.request.resumed && _active.answer.lastEventId();
+	const bool isTakenUp = _active.isResumable && _active.request.resumed && _active.answer.lastEventId();
 	if (!isTakenUp || _active.attempts > 1)
 	{
 		return;
@@ -78,7 +78,7 @@
 void ForwardTraffic::keepStreamEnd(const ActiveRequest& _active)
 {
 	const AgreeingRuns end = _active.answer.agreeingRuns();
-	if (!_active.route.resumable || end.runs == 0)
+	if (!_active.isResumable || end.runs == 0)
 	{
 		return;
 	}
@@ -113,7 +113,7 @@
 						this->streamEnds.add(_notice, monotonicNow());
 						for (const auto& entry : this->activeRequests)
 						{
-							const bool takesUp = entry.second->request.resumed && entry.second->route.resumable;
+							const bool takesUp = entry.second->request.resumed && entry.second->isResumable;
 							if (takesUp && entry.second->streamId == _notice.stream)
 							{
 								entry.second->answer.addKnownEnd(_notice.end);
--- a/src/forward_streams.cpp
+++ b/src/forward_streams.cpp
@@ -87,10 +87,7 @@
 		_active.streamVersion = _version;
 		this->dispatcher.requireVersion(_active.id, _version);
 	}
-	if (_active.route.resumable)
-	{
-		this->perform(this->origins.record(recordOf(_active, *_active.streamVersion), monotonicNow()));
-	}
+	this->perform(this->origins.record(recordOf(_active, *_active.streamVersion), monotonicNow()));
 }
 
 /// @returns What other nodes need to know of a stream.
@@ -98,14 +95,17 @@
 {
 	const Micros clientTime = _active.request.clientTimeout.value_or(0);
 	const Micros expiresAt = _active.arrivedAt + std::max(clientTime, _active.route.timeLimit);
-	return StreamRecord{_active.streamId, StreamOrigin{_active.pool, _version}, expiresAt};
+	return StreamRecord{_active.streamId, StreamOrigin{_active.pool, _version, _active.isResumable}, expiresAt};
 }
 
-/// Looks up the version that began the stream of a request; the request continues in onOriginResolved().
+/// Looks up the version that began the stream of a request; the request continues in onOriginResolved(). The route of
+/// now may differ from that under which the stream began: if it gives no right to take it up, the record must tell that
+/// the earlier one did.
 void ForwardTraffic::findOrigin(const ActiveRequestPtr& _active)
 {
 	const Micros within = std::max(_active->request.clientTimeout.value_or(0), _active->route.timeLimit);
-	const OriginLookup lookup = this->origins.find(_active->streamId, _active->pool, within, _active->arrivedAt);
+	const OriginLookup lookup =
+		this->origins.find(_active->streamId, _active->pool, within, _active->arrivedAt, !_active->isResumable);
 	this->originLookups.emplace(lookup.id, _active);
 	this->perform(lookup.actions);
 }
@@ -127,6 +127,11 @@
 			  {"software", _resolved.origin ? _resolved.origin->version : std::string()},
 			  {"source", _resolved.source},
 			  {"waited_ms", (monotonicNow() - active->arrivedAt) / kMillisecond}});
+	if (!active->isResumable && !(_resolved.origin && _resolved.origin->isResumable))
+	{
+		this->onNotResumable(active);
+		return;
+	}
 	if (!_resolved.origin)
 	{
 		this->refuse(request.id, request.target, active->answer.reply(), kUnavailable,
@@ -134,6 +139,7 @@
 					 "this node does not know which software version began the stream");
 		return;
 	}
+	active->isResumable = true;
 	active->stagesDeadline = active->deadline; // Its client has no time to try another node.
 	active->pool = _resolved.origin->pool;
 	active->streamVersion = _resolved.origin->version;
@@ -147,4 +153,19 @@
 	this->beginRequest(active);
 }
 
+/// Decides on a request that takes up a stream which may not be taken up, as far as this node knows. One whose client
+/// has no event begins anew. The others are refused: this node may be behind, so that another one can serve it.
+void ForwardTraffic::onNotResumable(const ActiveRequestPtr& _active)
+{
+	const ForwardRequest& request = _active->request;
+	if (request.resumed->lastEventId.empty())
+	{
+		_active->streamId = request.id;
+		this->beginRequest(_active);
+		return;
+	}
+	this->refuse(request.id, request.target, _active->answer.reply(), kUnavailable, "not_resumable",
+				 "the stream may not be taken up by the routes of this node");
+}
+
 } // namespace roadferry
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -124,7 +124,7 @@
 					{
 						this->plan = _plan;
 						this->pieces.setPlan(*_plan);
-						this->origins.setResumablePools(resumablePools(*_plan));
+						this->perform(this->origins.setResumablePools(resumablePools(*_plan), monotonicNow()));
 					});
 }
 
@@ -375,7 +375,9 @@
 	active->deadline = now + limit;
 	const Micros waitLimit = route->eventTimeout > 0 ? std::min(limit, route->eventTimeout) : limit;
 	active->stagesDeadline = now + static_cast<Micros>(kStagesTimeShare * static_cast<double>(waitLimit));
-	const bool resumes = route->resumable && active->request.resumed.has_value();
+	active->isResumable = route->resumable;
+	// Whatever its route says here and now: the stream may have begun under another state of it.
+	const bool resumes = route->streaming && active->request.resumed.has_value();
 	const bool namesFirst = resumes && !active->request.resumed->firstRequestId.empty();
 	active->streamId = namesFirst ? active->request.resumed->firstRequestId : active->request.id;
 	active->pool = choosePool(active->route, XXH3_64bits(active->streamId.data(), active->streamId.size()));
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -183,6 +183,7 @@
 	void keepStreamEnd(const ActiveRequest& _active);
 	void findOrigin(const ActiveRequestPtr& _active);
 	void onOriginResolved(const OriginResolved& _resolved);
+	void onNotResumable(const ActiveRequestPtr& _active);
 	void perform(const OriginActions& _actions);
 	void submit(const ActiveRequestPtr& _active);
 	[[nodiscard]] std::string resultsDomain(const ActiveRequest& _active) const;
--- a/src/origin_messages.cpp
+++ b/src/origin_messages.cpp
@@ -22,22 +22,55 @@
 /// Longest time for which a stream can be taken up, longer than any client's time limit.
 constexpr Micros kMaxStreamLife = Micros{30} * 24 * 3'600 * kSecond;
 
+/// Field with the records of streams that began under a route without the right to be taken up. Nodes of an earlier
+/// version, which keep no such records, don't read it, and take none of them for one that may be.
+constexpr const char* kNotResumableRecords = "not_resumable_records";
+
 std::string textAt(const QCborArray& _fields, qsizetype _index)
 {
 	return _fields.at(_index).toString().toStdString();
 }
 
+QCborArray recordsToCbor(const OriginRecords& _message, bool _areResumable)
+{
+	QCborArray records;
+	for (const StreamRecord& record : _message.records)
+	{
+		if (record.origin.isResumable == _areResumable)
+		{
+			records.append(QCborArray{toQString(record.request), toQString(record.origin.pool),
+									  toQString(record.origin.version), static_cast<qint64>(record.expiresAt)});
+		}
+	}
+	return records;
+}
+
+void readRecords(CborReader& _reader, const char* _name, bool _areResumable, OriginRecords& _message)
+{
+	for (const QCborArray& fields : _reader.arrays(_name, kRecordFieldCount))
+	{
+		if (!fields.at(0).isString() || !fields.at(1).isString() || !fields.at(2).isString() ||
+			!fields.at(3).isInteger())
+		{
+			_reader.setError(_name, "three text strings and an integer each");
+		}
+		const Micros life = std::clamp<Micros>(fields.at(3).toInteger(), -kMaxStreamLife, kMaxStreamLife);
+		const StreamOrigin origin{textAt(fields, 1), textAt(fields, 2), _areResumable};
+		_message.records.push_back(StreamRecord{textAt(fields, 0), origin, life});
+	}
+}
+
 } // namespace
 
 QCborMap toCbor(const OriginRecords& _message)
 {
-	QCborArray records;
-	for (const StreamRecord& record : _message.records)
+	QCborMap map{{"type", "origin_records"}, {"records", recordsToCbor(_message, true)}, {"save", _message.save}};
+	const QCborArray others = recordsToCbor(_message, false);
+	if (!others.isEmpty())
 	{
-		records.append(QCborArray{toQString(record.request), toQString(record.origin.pool),
-								  toQString(record.origin.version), static_cast<qint64>(record.expiresAt)});
+		map.insert(QString(kNotResumableRecords), others);
 	}
-	return QCborMap{{"type", "origin_records"}, {"records", records}, {"save", _message.save}};
+	return map;
 }
 
 QCborMap toCbor(const OriginQuery& _message)
@@ -56,26 +89,25 @@
 	{
 		origin.append(QCborArray{toQString(_message.origin->pool), toQString(_message.origin->version)});
 	}
-	return QCborMap{{"type", "origin_answer"},
-					{"lookup", static_cast<qint64>(_message.lookup)},
-					{"origin", origin},
-					{"versions", toCborArray(_message.versions)},
-					{"all_versions", _message.isComplete}};
+	QCborMap map{{"type", "origin_answer"},
+				 {"lookup", static_cast<qint64>(_message.lookup)},
+				 {"origin", origin},
+				 {"versions", toCborArray(_message.versions)},
+				 {"all_versions", _message.isComplete}};
+	if (_message.origin && !_message.origin->isResumable)
+	{
+		map.insert(QString("not_resumable"), true);
+	}
+	return map;
 }
 
 OriginRecords readOriginRecords(CborReader& _reader)
 {
 	OriginRecords message;
-	for (const QCborArray& fields : _reader.arrays("records", kRecordFieldCount))
+	readRecords(_reader, "records", true, message);
+	if (!_reader.value(kNotResumableRecords).isUndefined())
 	{
-		if (!fields.at(0).isString() || !fields.at(1).isString() || !fields.at(2).isString() ||
-			!fields.at(3).isInteger())
-		{
-			_reader.setError("records", "three text strings and an integer each");
-		}
-		const Micros life = std::clamp<Micros>(fields.at(3).toInteger(), -kMaxStreamLife, kMaxStreamLife);
-		message.records.push_back(
-			StreamRecord{textAt(fields, 0), StreamOrigin{textAt(fields, 1), textAt(fields, 2)}, life});
+		readRecords(_reader, kNotResumableRecords, false, message);
 	}
 	message.save = _reader.value("save").toBool(); // Nodes of an earlier version do not send it.
 	return message;
@@ -93,7 +125,9 @@
 	message.lookup = _reader.unsignedInteger("lookup");
 	for (const QCborArray& fields : _reader.arrays("origin", kOriginFieldCount))
 	{
-		message.origin = StreamOrigin{textAt(fields, 0), textAt(fields, 1)};
+		// Nodes of an earlier version don't send it, and keep the origins of resumable streams only.
+		const bool isResumable = !_reader.value("not_resumable").toBool();
+		message.origin = StreamOrigin{textAt(fields, 0), textAt(fields, 1), isResumable};
 	}
 	message.versions = _reader.texts("versions");
 	message.isComplete = _reader.value("all_versions").toBool(); // Nodes of an earlier version do not send it.
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -35,8 +35,8 @@
 	for (const auto& entry : this->entries)
 	{
 		const StreamRecord& record = entry.second.record;
-		const bool needed =
-			entry.second.isOwn && this->pools.within(record.origin.pool, record.expiresAt - _now, _now).size() > 1;
+		const bool needed = entry.second.isOwn && this->mayBeTakenUp(record) &&
+							this->pools.within(record.origin.pool, record.expiresAt - _now, _now).size() > 1;
 		if (!needed)
 		{
 			continue;
@@ -59,6 +59,12 @@
 	return actions;
 }
 
+/// Whether a stream may be taken up again, by the route under which it began or by those of now.
+bool StreamOrigins::mayBeTakenUp(const StreamRecord& _record) const
+{
+	return _record.origin.isResumable || this->resumablePools.count(_record.origin.pool) > 0;
+}
+
 /// Sends to a node the own records that it holds.
 void StreamOrigins::sendOwnRecords(const std::string& _to, Micros _now, OriginActions& _actions) const
 {
@@ -67,7 +73,7 @@
 	{
 		const std::vector<std::string> holders = this->holdersOf(entry.first);
 		const bool holds = std::find(holders.begin(), holders.end(), _to) != holders.end();
-		if (entry.second.isOwn && holds)
+		if (entry.second.isOwn && holds && this->mayBeTakenUp(entry.second.record))
 		{
 			StreamRecord sent = entry.second.record;
 			sent.expiresAt -= _now;
@@ -95,7 +101,8 @@
 	}
 	for (const auto& entry : this->entries)
 	{
-		if (entry.second.isOwn && this->pools.isAmbiguous(entry.second.record.origin.pool, _now))
+		const StreamOrigin& origin = entry.second.record.origin;
+		if (entry.second.isOwn && origin.isResumable && this->pools.isAmbiguous(origin.pool, _now))
 		{
 			this->saver.add(entry.second.record);
 		}
@@ -112,9 +119,22 @@
 	return actions;
 }
 
-void StreamOrigins::setResumablePools(const std::set<std::string>& _pools)
+OriginActions StreamOrigins::setResumablePools(const std::set<std::string>& _pools, Micros _now)
 {
-	this->resumablePools = _pools;
+	const std::set<std::string> before = std::exchange(this->resumablePools, _pools);
+	this->savedPools.insert(_pools.begin(), _pools.end());
+	const bool isNeeded = std::any_of(_pools.begin(), _pools.end(),
+									  [&](const std::string& _pool)
+									  { return before.count(_pool) == 0 && this->pools.isAmbiguous(_pool, _now); });
+	OriginActions actions;
+	if (isNeeded)
+	{
+		for (const std::string& node : this->others)
+		{
+			this->sendOwnRecords(node, _now, actions);
+		}
+	}
+	return actions;
 }
 
 void StreamOrigins::onListingGap(Micros _now)
@@ -128,30 +148,41 @@
 	Entry& entry = found->second;
 	if (!isNew)
 	{
-		this->expiries.erase({entry.record.expiresAt, _record.request});
+		this->expiriesOf(entry.record).erase({entry.record.expiresAt, _record.request});
 	}
 	// The version that began a stream never changes; a later record may extend its life.
 	const Micros expiresAt = std::max(entry.record.expiresAt, _record.expiresAt);
 	entry.record = isNew ? _record : entry.record;
 	entry.record.expiresAt = expiresAt;
 	entry.isOwn = entry.isOwn || _isOwn;
-	this->expiries.emplace(expiresAt, _record.request);
+	this->expiriesOf(entry.record).emplace(expiresAt, _record.request);
 	while (this->entries.size() > this->config.maxRecords)
 	{
-		this->entries.erase(this->expiries.begin()->second);
-		this->expiries.erase(this->expiries.begin());
+		this->eraseFirst(this->otherExpiries.empty() ? this->expiries : this->otherExpiries);
 	}
 }
 
+StreamOrigins::Expiries& StreamOrigins::expiriesOf(const StreamRecord& _record)
+{
+	return _record.origin.isResumable ? this->expiries : this->otherExpiries;
+}
+
+void StreamOrigins::eraseFirst(Expiries& _expiries)
+{
+	this->entries.erase(_expiries.begin()->second);
+	_expiries.erase(_expiries.begin());
+}
+
 OriginActions StreamOrigins::record(const StreamRecord& _record, Micros _now)
 {
 	this->store(_record, true);
 	OriginActions actions;
-	if (this->pools.isAmbiguous(_record.origin.pool, _now))
+	if (_record.origin.isResumable && this->pools.isAmbiguous(_record.origin.pool, _now))
 	{
 		this->saver.add(_record);
 	}
-	if (this->pools.within(_record.origin.pool, _record.expiresAt - _now, _now).size() <= 1)
+	const bool isAmbiguous = this->pools.within(_record.origin.pool, _record.expiresAt - _now, _now).size() > 1;
+	if (!isAmbiguous || !this->mayBeTakenUp(_record))
 	{
 		return actions;
 	}
@@ -164,7 +195,8 @@
 	return actions;
 }
 
-OriginLookup StreamOrigins::find(const std::string& _request, const std::string& _pool, Micros _within, Micros _now)
+OriginLookup StreamOrigins::find(const std::string& _request, const std::string& _pool, Micros _within, Micros _now,
+								 bool _needsRecord)
 {
 	OriginLookup started{++this->lastLookup, {}};
 	const Micros within = std::max(_within, this->config.minStreamAge);
@@ -174,7 +206,7 @@
 		started.actions.emplace_back(OriginResolved{started.id, known->second.record.origin, "this node"});
 		return started;
 	}
-	Lookup lookup{_request, _pool, within, _now, _now + this->config.lookupTimeout, 0, {}, {}, false};
+	Lookup lookup{_request, _pool, within, _now, _now + this->config.lookupTimeout, 0, {}, {}, false, _needsRecord};
 	for (const std::string& node : rendezvousNodes(_request, this->others, this->config.askedNodes))
 	{
 		lookup.awaited.insert(node);
@@ -188,6 +220,10 @@
 /// @returns The only version that a stream can have begun at, as far as this node and those that have answered know.
 std::optional<std::string> StreamOrigins::onlyKnownVersion(const Lookup& _lookup, Micros _now) const
 {
+	if (_lookup.needsRecord)
+	{
+		return std::nullopt;
+	}
 	std::set<std::string> versions = this->pools.within(_lookup.pool, _lookup.within, _now);
 	versions.insert(_lookup.versions.begin(), _lookup.versions.end());
 	const bool areAllKnown = _lookup.areAllKnown || this->pools.isComplete(_lookup.pool, _lookup.within, _now);
@@ -278,7 +314,11 @@
 	this->awaitsSaved = false;
 	for (const SavedEntry& entry : _saved)
 	{
-		std::visit(Overloaded{[&](const SavedVersions& _versions) { this->pools.addSaved(_versions, _now); },
+		std::visit(Overloaded{[&](const SavedVersions& _versions)
+							  {
+								  this->pools.addSaved(_versions, _now);
+								  this->savedPools.insert(_versions.pool);
+							  },
 							  [&](const SavedStreams& _streams) { this->addSaved(_streams, _now); }},
 				   entry);
 	}
@@ -337,7 +377,7 @@
 	const std::vector<std::string> savers = this->saver.savers();
 	for (SavedVersions& versions : unsavedVersions)
 	{
-		const bool isMine = this->resumablePools.count(versions.pool) > 0 &&
+		const bool isMine = this->savedPools.count(versions.pool) > 0 &&
 							rendezvousNodes(versions.pool, savers, 1).front() == this->self;
 		if (isMine && this->poolsInSave.insert(versions.pool).second)
 		{
@@ -434,10 +474,12 @@
 
 void StreamOrigins::expire(Micros _now)
 {
-	while (!this->expiries.empty() && this->expiries.begin()->first <= _now)
+	for (Expiries* all : {&this->expiries, &this->otherExpiries})
 	{
-		this->entries.erase(this->expiries.begin()->second);
-		this->expiries.erase(this->expiries.begin());
+		while (!all->empty() && all->begin()->first <= _now)
+		{
+			this->eraseFirst(*all);
+		}
 	}
 }
 
--- a/tests/test_messages.cpp
+++ b/tests/test_messages.cpp
@@ -79,6 +79,10 @@
 		PartAnswer{{PartRecord{2, 5, 400'000}, PartRecord{3, 1, std::nullopt}}},
 		PartVerdicts{{BlockedPart{2, 400'000, 900'000, 3}}, {ClearedPart{3, 1'000}}, {"10.0.0.4:8500"}},
 		OriginRecords{{StreamRecord{"abc", StreamOrigin{"pool", "v1.1"}, 900'000}}, true},
+		OriginRecords{{StreamRecord{"abc", StreamOrigin{"pool", "v1.1"}, 900'000},
+					   StreamRecord{"def", StreamOrigin{"pool", "v1", false}, 800'000}},
+					  false},
+		OriginAnswer{3, StreamOrigin{"pool", "v1.1", false}, {"v1", "v1.1"}, true},
 		OriginQuery{3, "abc", "pool", 20'000'000},
 		OriginAnswer{3, StreamOrigin{"pool", "v1.1"}, {"v1", "v1.1"}, true},
 		OriginAnswer{3, std::nullopt, {}},
@@ -141,6 +145,14 @@
 	const auto orders = decodeWithout(PieceSubmit{"pool", {order}, std::nullopt}, "contents");
 	cr_assert(orders.ok());
 	cr_assert_eq(std::get<PieceSubmit>(*orders).orders.at(0).content, 0);
+	const StreamRecord resumable{"abc", StreamOrigin{"pool", "v1"}, 900'000};
+	const StreamRecord other{"def", StreamOrigin{"pool", "v1", false}, 900'000};
+	const auto records = decodeWithout(OriginRecords{{resumable, other}, true}, "not_resumable_records");
+	cr_assert(records.ok());
+	cr_assert(std::get<OriginRecords>(*records) == (OriginRecords{{resumable}, true}));
+	const auto origin = decodeWithout(OriginAnswer{3, other.origin, {}, true}, "not_resumable");
+	cr_assert(origin.ok());
+	cr_assert(std::get<OriginAnswer>(*origin).origin == resumable.origin);
 }
 
 Test(messages, every_type_survives_a_round_trip)
--- a/tests/test_streams.cpp
+++ b/tests/test_streams.cpp
@@ -56,7 +56,7 @@
 	{
 		this->nodes.erase(_name);
 		this->nodes.emplace(_name, StreamOrigins(_name, StreamOriginsConfig{}));
-		this->nodes.at(_name).setResumablePools({kPool});
+		this->perform(_name, this->nodes.at(_name).setResumablePools(this->resumablePools, this->now));
 		this->perform(_name, this->nodes.at(_name).setEndpoints(listingOf(this->versions), true, this->now));
 		this->publishMembers();
 		this->load(_name);
@@ -134,9 +134,20 @@
 		}
 	}
 
+	/// Sets whether streams of the pool may be taken up, by the routes of all nodes.
+	void setResumable(bool _mayResume)
+	{
+		this->resumablePools = _mayResume ? std::set<std::string>{kPool} : std::set<std::string>{};
+		for (auto& node : this->nodes)
+		{
+			this->perform(node.first, node.second.setResumablePools(this->resumablePools, this->now));
+		}
+	}
+
 	void begin(const std::string& _node, const std::string& _request, const std::string& _version)
 	{
-		const StreamRecord record{_request, StreamOrigin{kPool, _version}, this->now + kStreamLife};
+		const bool isResumable = !this->resumablePools.empty();
+		const StreamRecord record{_request, StreamOrigin{kPool, _version, isResumable}, this->now + kStreamLife};
 		this->perform(_node, this->nodes.at(_node).record(record, this->now));
 	}
 
@@ -145,7 +156,8 @@
 	/// @returns How its lookup ended.
 	OriginResolved resume(const std::string& _node, const std::string& _request, Micros _within = kStreamLife)
 	{
-		const OriginLookup lookup = this->nodes.at(_node).find(_request, kPool, _within, this->now);
+		const bool needsRecord = this->resumablePools.empty();
+		const OriginLookup lookup = this->nodes.at(_node).find(_request, kPool, _within, this->now, needsRecord);
 		this->perform(_node, lookup.actions);
 		const Micros began = this->now;
 		const std::pair<std::string, std::uint64_t> key{_node, lookup.id};
@@ -178,6 +190,7 @@
 	std::vector<std::string> names;
 	std::map<std::string, StreamOrigins> nodes;
 	std::set<std::string> versions;
+	std::set<std::string> resumablePools = {kPool};
 	Micros now = 100 * kSecond;
 	std::set<std::string> outOfStep; ///< Nodes that don't read the listing.
 	std::set<std::string> cutOff;    ///< Nodes that reach each other only.
@@ -300,6 +313,85 @@
 	cr_assert(cluster.resume(cluster.names[3], "r").origin == (StreamOrigin{kPool, "v1"}));
 }
 
+/// Guards against losing the origins of streams that began before their route got the right to be taken up.
+Test(streams, streams_that_began_before_they_could_be_taken_up_are_known_when_they_can)
+{
+	OriginCluster cluster(6, {"v1", "v2"});
+	cluster.setResumable(false);
+	cluster.advance(kSecond);
+	const std::size_t savesBefore = cluster.saves;
+	for (int index = 0; index < 40; ++index)
+	{
+		cluster.begin(cluster.names[0], "r-" + std::to_string(index), index % 2 == 0 ? "v1" : "v2");
+	}
+	cluster.advance(kSecond);
+	cr_assert_eq(cluster.recordMessages, 0, "nothing is sent while nobody may take them up");
+	cr_assert_eq(cluster.saves, savesBefore, "nothing is saved of streams that began without the right");
+	cluster.setResumable(true);
+	cluster.kill(cluster.names[0]);
+	for (int index = 0; index < 40; ++index)
+	{
+		const OriginResolved found = cluster.resume(cluster.names[1 + index % 5], "r-" + std::to_string(index));
+		cr_assert(found.origin == (StreamOrigin{kPool, index % 2 == 0 ? "v1" : "v2", false}), "stream %d", index);
+	}
+}
+
+/// Guards against a guess where only a record can tell that a stream may be taken up.
+Test(streams, stream_without_a_record_is_not_taken_up_where_the_routes_do_not_allow_it)
+{
+	OriginCluster cluster(3, {"v1"});
+	cluster.begin(cluster.names[0], "r", "v1");
+	cluster.setResumable(false);
+	cr_assert(cluster.resume(cluster.names[1], "r").origin == (StreamOrigin{kPool, "v1"}));
+	cr_assert_not(cluster.resume(cluster.names[1], "never-seen").origin.has_value());
+	cr_assert_leq(cluster.lookupTime, StreamOriginsConfig{}.lookupTimeout);
+}
+
+/// Guards against a stream joined from two versions: it began while its route could not be taken up, all nodes were
+/// killed, and what was saved of its pool was from before.
+Test(streams, saved_versions_of_a_pool_are_kept_up_to_date_while_its_streams_may_not_be_taken_up)
+{
+	OriginCluster cluster(3, {"v1"});
+	cluster.setResumable(false);
+	for (const bool isRestarted : {false, true})
+	{
+		if (isRestarted)
+		{
+			cluster.advance(StreamOriginsConfig{}.versionMemory + kSecond);
+			cluster.killAll();
+			cluster.restartAll();
+		}
+		cluster.advance(kSecond);
+		cluster.setVersions({"v1", "v2"});
+		cluster.begin(cluster.names[0], "r", "v2");
+		cluster.advance(kSecond);
+		cluster.setVersions({"v1"});
+		cluster.killAll();
+		cluster.restartAll();
+		cluster.setResumable(true);
+		cr_assert_not(cluster.resume(cluster.names[1], "r").origin.has_value());
+		cluster.setResumable(false);
+	}
+}
+
+/// Guards against streams that may be taken up and lose their records to others.
+Test(streams, records_of_streams_without_the_right_to_be_taken_up_take_no_place_of_others)
+{
+	StreamOriginsConfig config;
+	config.maxRecords = 10;
+	StreamOrigins node("self", config);
+	for (int index = 0; index < 10; ++index)
+	{
+		node.record(StreamRecord{"r-" + std::to_string(index), StreamOrigin{kPool, "v1"}, kSecond}, 0);
+		node.record(StreamRecord{"s-" + std::to_string(index), StreamOrigin{kPool, "v1", false}, 2 * kSecond}, 0);
+	}
+	for (int index = 0; index < 10; ++index)
+	{
+		const OriginLookup lookup = node.find("r-" + std::to_string(index), kPool, kStreamLife, 0);
+		cr_assert(lookup.actions.size() == 1 && std::holds_alternative<OriginResolved>(lookup.actions[0]));
+	}
+}
+
 /// Guards against guessing: what nobody knows goes on only where one version can have begun it.
 Test(streams, unknown_stream_goes_on_only_if_one_version_was_listed_within_its_life)
 {
