--- a/src/forward_proofs.cpp
+++ b/src/forward_proofs.cpp
@@ -155,8 +155,8 @@
 	}
 }
 
-/// Decides on a stream that broke before it was certain which version had begun it. If its pool has only one, it goes
-/// on there.
+/// Decides on a stream that broke before it was certain which version had begun it. If its pool has only one, by a
+/// listing from after the stream began, it goes on there: an older one does not show the process that began it.
 /// @returns Whether the request was ended.
 bool ForwardTraffic::endIfVersionUnknown(const ActiveRequestPtr& _active)
 {
@@ -166,7 +166,8 @@
 	}
 	const Micros now = monotonicNow();
 	const std::optional<std::string> version = this->origins.onlyVersion(_active->pool, 0, now);
-	if (version)
+	const bool isListedSince = this->freshness.listingAsOf >= _active->answer.times().firstAt;
+	if (version && isListedSince)
 	{
 		this->unboundStreams.erase(_active->id);
 		this->bindStream(*_active, *version);
