--- a/src/forward_streams.cpp
+++ b/src/forward_streams.cpp
@@ -19,6 +19,7 @@
 {
 
 constexpr unsigned kUnavailable = 503;
+constexpr Micros kMinStreamAge = 20 * kSecond; ///< As StreamOriginsConfig::minStreamAge.
 
 } // namespace
 
@@ -98,14 +99,28 @@
 	return StreamRecord{_active.streamId, StreamOrigin{_active.pool, _version, _active.isResumable}, expiresAt};
 }
 
+/// Whether requests like this one ran in other pools within a time, so that the pool of now says nothing of the stream.
+bool ForwardTraffic::hasMoved(const ActiveRequest& _active, Micros _within) const
+{
+	const Micros since = _active.arrivedAt - _within;
+	const auto ranElsewhere = [&](const EarlierPlan& _earlier)
+	{
+		const Route* route =
+			_earlier.until < since ? nullptr : _earlier.plan->match(_active.request.host, _active.request.target);
+		return route != nullptr && route->pools != _active.route.pools;
+	};
+	return std::any_of(this->earlierPlans.begin(), this->earlierPlans.end(), ranElsewhere);
+}
+
 /// Looks up the version that began the stream of a request; the request continues in onOriginResolved(). The route of
 /// now may differ from that under which the stream began: if it gives no right to take it up, the record must tell that
-/// the earlier one did.
+/// the earlier one did; if it leads to other pools, only the record tells which one began it.
 void ForwardTraffic::findOrigin(const ActiveRequestPtr& _active)
 {
 	const Micros within = std::max(_active->request.clientTimeout.value_or(0), _active->route.timeLimit);
+	const bool needsRecord = !_active->isResumable || this->hasMoved(*_active, std::max(within, kMinStreamAge));
 	const OriginLookup lookup =
-		this->origins.find(_active->streamId, _active->pool, within, _active->arrivedAt, !_active->isResumable);
+		this->origins.find(_active->streamId, _active->pool, within, _active->arrivedAt, needsRecord);
 	this->originLookups.emplace(lookup.id, _active);
 	this->perform(lookup.actions);
 }
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -25,6 +25,7 @@
 constexpr Micros kTickPeriod = 20 * kMillisecond;
 /// Retry-After of a node that cannot serve the request; another node can.
 constexpr Micros kOtherNodeRetryAfter = 300 * kMillisecond;
+constexpr std::size_t kMaxEarlierPlans = 16; ///< The routes change every ten seconds at the size that decides.
 constexpr Micros kDefaultClientTimeout = 60 * kSecond;       ///< Used when the client gives no timeout.
 constexpr Micros kLateTickLogThreshold = 300 * kMillisecond; ///< Lateness of a tick that is logged.
 constexpr double kMicrosPerSecond = 1e6;
@@ -122,6 +123,14 @@
 	this->pool.post(0,
 					[this, _plan]
 					{
+						if (this->plan != nullptr)
+						{
+							this->earlierPlans.push_back(EarlierPlan{this->plan, monotonicNow()});
+						}
+						if (this->earlierPlans.size() > kMaxEarlierPlans)
+						{
+							this->earlierPlans.pop_front();
+						}
 						this->plan = _plan;
 						this->pieces.setPlan(*_plan);
 						this->perform(this->origins.setResumablePools(resumablePools(*_plan), monotonicNow()));
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -20,6 +20,7 @@
 #include "stream_ends.h"
 
 #include <atomic>
+#include <deque>
 
 namespace roadferry
 {
@@ -134,6 +135,13 @@
 		Micros firstEventAt = 0; ///< Time point of its first event.
 	};
 
+	/// Routes that were in force before those of now.
+	struct EarlierPlan
+	{
+		std::shared_ptr<const RoutePlan> plan;
+		Micros until = 0; ///< Time point from which they were not.
+	};
+
 	struct ActiveRequest;
 	using ActiveRequestPtr = std::shared_ptr<ActiveRequest>;
 
@@ -181,6 +189,7 @@
 	void notePoolStreams(const ActiveRequest& _active, const CallEnd& _end);
 	void findStreamEnd(ActiveRequest& _active);
 	void keepStreamEnd(const ActiveRequest& _active);
+	[[nodiscard]] bool hasMoved(const ActiveRequest& _active, Micros _within) const;
 	void findOrigin(const ActiveRequestPtr& _active);
 	void onOriginResolved(const OriginResolved& _resolved);
 	void onNotResumable(const ActiveRequestPtr& _active);
@@ -256,6 +265,7 @@
 	std::map<std::uint64_t, ActiveRequestPtr> originLookups;
 	PieceRunner pieces;
 	std::shared_ptr<const RoutePlan> plan;
+	std::deque<EarlierPlan> earlierPlans; ///< That streams may have begun under, oldest first.
 	std::unordered_map<std::uint64_t, ActiveRequestPtr> activeRequests;
 	/// Request and piece, by order id.
 	std::unordered_map<std::uint64_t, std::pair<std::uint64_t, PieceIndex>> pieceOrders;
