--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -66,6 +66,7 @@
 {
 	this->confirmed = false;
 	this->contradicted = false;
+	this->sparseIds = false;
 	this->resumes = _resumes;
 	this->overlaps = _overlaps;
 	this->hasEvents = false;
@@ -111,6 +112,7 @@
 	}
 	for (const std::string& event : this->splitter.append(_bytes))
 	{
+		this->sparseIds = this->sparseIds || this->isAfterGap(event);
 		this->streamInvalid = this->streamInvalid || !this->follows(event);
 		if (!this->streamInvalid)
 		{
@@ -126,7 +128,8 @@
 	return this->body.size() + this->splitter.size();
 }
 
-/// @returns Whether no event is missing before this one. The first one of an attempt may be one that the client has.
+/// @returns Whether no event is missing before this one, as far as ids tell: within a run they rise, by any number. The
+/// first event of a run may be one that the client has. Only by its id can it follow the client's last one directly.
 bool ForwardAnswer::follows(const std::string& _event) const
 {
 	const auto number = this->wire.eventId(_event);
@@ -134,11 +137,21 @@
 	{
 		return true;
 	}
-	if (this->attemptLastId)
+	if (!this->attemptLastId)
 	{
-		return *number > *this->attemptLastId && *number - 1 == *this->attemptLastId;
+		return !this->lastId || *number <= *this->lastId || *number - 1 == *this->lastId;
 	}
-	return !this->lastId || *number <= *this->lastId || *number - 1 == *this->lastId;
+	// A run that leaves out the client's last event is not one of the same events.
+	const bool leavesOutLast = this->lastId && *this->attemptLastId<*this->lastId&& * number> * this->lastId;
+	return *number > *this->attemptLastId && !leavesOutLast;
+}
+
+/// @returns Whether the id of an event shows that ids rise by more than one.
+bool ForwardAnswer::isAfterGap(const std::string& _event) const
+{
+	const auto number = this->wire.eventId(_event);
+	const std::optional<std::uint64_t> before = this->attemptLastId ? this->attemptLastId : this->lastId;
+	return number && before && *number > *before && *number - 1 > *before;
 }
 
 void ForwardAnswer::forwardEvent(const std::string& _event)
@@ -333,6 +346,11 @@
 	return isOfLast ? this->agreeing : AgreeingRuns{};
 }
 
+bool ForwardAnswer::hasSparseIds() const
+{
+	return this->sparseIds;
+}
+
 bool ForwardAnswer::confirmsEnd() const
 {
 	return this->confirmed;
--- a/src/forward_answer.h
+++ b/src/forward_answer.h
@@ -50,7 +50,7 @@
 	/// @returns Skip when the response belongs to another request.
 	HeadVerdict receiveHead(unsigned _status, const HttpHeaders& _headers);
 	/// Handles bytes of the response body; complete events of a usable stream are sent to the client. Their ids must
-	/// rise by one: from the first event of the attempt on, and from the last event that the client has.
+	/// rise within the attempt. Its first event must be one that the client has, or have the id after the last of them.
 	/// @returns Whether more of the body can be used. If not, the call must be cancelled.
 	[[nodiscard]] bool receiveData(const std::string& _bytes);
 
@@ -93,6 +93,9 @@
 	/// @returns Runs that have ended with their connection right after the client's last event.
 	[[nodiscard]] AgreeingRuns agreeingRuns() const;
 
+	/// @returns Whether an event of the latest attempt shows that ids rise by more than one.
+	[[nodiscard]] bool hasSparseIds() const;
+
 	/// @returns Whether the latest attempt ended where an earlier run of the stream had ended.
 	[[nodiscard]] bool confirmsEnd() const;
 
@@ -116,6 +119,7 @@
 	[[nodiscard]] const StreamTimes& times() const;
 
 private:
+	[[nodiscard]] bool isAfterGap(const std::string& _event) const;
 	[[nodiscard]] bool follows(const std::string& _event) const;
 	void forwardEvent(const std::string& _event);
 	void startStream();
@@ -148,6 +152,7 @@
 	std::optional<std::uint64_t> beforeLastId; ///< Of the one before, if this answer has passed it on.
 	AgreeingRuns agreeing;                     ///< Runs that ended right after the same event.
 	std::int64_t neededRuns = 3;               ///< Of them, to prove the end of the stream.
+	bool sparseIds = false;                    ///< See hasSparseIds().
 	bool confirmed = false;                    ///< See confirmsEnd().
 	bool contradicted = false;                 ///< See contradictsEnd().
 	bool sentUnnumbered = false;               ///< An event with data and without an id was sent.
--- a/src/forward_attempts.cpp
+++ b/src/forward_attempts.cpp
@@ -103,7 +103,12 @@
 	{
 		handlers.onData = [this, active, number = _attempt.attempt](const std::string& _bytes)
 		{
-			if (!active->answer.receiveData(_bytes))
+			const bool isUsable = active->answer.receiveData(_bytes);
+			if (active->answer.hasSparseIds())
+			{
+				this->poolStreams.noteSparseIds(active->pool, monotonicNow());
+			}
+			if (!isUsable)
 			{
 				this->cutOffAttempt(active, number);
 				return;
--- a/src/pool_streams.cpp
+++ b/src/pool_streams.cpp
@@ -25,7 +25,12 @@
 
 void PoolStreams::noteUnmarkedEnd(const std::string& _pool, Micros _now)
 {
-	this->seenAt[_pool] = _now;
+	this->needsOverlapAt[_pool] = _now;
+}
+
+void PoolStreams::noteSparseIds(const std::string& _pool, Micros _now)
+{
+	this->needsOverlapAt[_pool] = _now;
 }
 
 void PoolStreams::noteConfirmedEnd(const std::string& _pool)
@@ -40,8 +45,8 @@
 
 bool PoolStreams::mustOverlap(const std::string& _pool, Micros _now) const
 {
-	const auto found = this->seenAt.find(_pool);
-	return found != this->seenAt.end() && _now - found->second < kMemory;
+	const auto found = this->needsOverlapAt.find(_pool);
+	return found != this->needsOverlapAt.end() && _now - found->second < kMemory;
 }
 
 std::int64_t PoolStreams::agreeingRuns(const std::string& _pool) const
--- a/src/pool_streams.h
+++ b/src/pool_streams.h
@@ -18,13 +18,17 @@
 {
 
 /// Knows the pools in which a run that goes on must be asked for the client's last event again, and how many runs must
-/// agree there. With a mark of the end, asking for the event after it is enough, and costs nothing more.
+/// agree there. With a mark of the end and ids that rise by one, asking for the event after it is enough, and costs
+/// nothing more.
 class PoolStreams
 {
 public:
 	/// Tells that a stream of a pool ended with nothing but its connection.
 	void noteUnmarkedEnd(const std::string& _pool, Micros _now);
 
+	/// Tells that ids rise by more than one: nothing tells which event comes after one, but a run that sends both.
+	void noteSparseIds(const std::string& _pool, Micros _now);
+
 	/// Tells that a run ended with its connection at the event at which an earlier run had ended.
 	void noteConfirmedEnd(const std::string& _pool);
 
@@ -41,7 +45,7 @@
 	/// Endpoints of another software version may send other streams, so what was seen is forgotten at some point.
 	static constexpr Micros kMemory = Micros{10} * 60 * kSecond;
 
-	std::map<std::string, Micros> seenAt;              ///< Latest time point of an unmarked end, by pool.
+	std::map<std::string, Micros> needsOverlapAt;      ///< Time point at which that was last seen, by pool.
 	std::map<std::string, std::int64_t> confirmedEnds; ///< Since the latest early end, by pool.
 };
 
