--- a/include/roadferry/parts/endpoints.h
+++ b/include/roadferry/parts/endpoints.h
@@ -29,9 +29,11 @@
 	std::string failureDomain;
 	std::int64_t slots = 8; ///< Calls that run in parallel without slowing each other down much.
 	bool leaving = false;
-	std::string softwareVersion = {}; ///< Of the instance; empty if unknown. It never changes for one id.
+	std::string softwareVersion = {}; ///< Of the instance; empty if unknown. It should never change for one id.
 	/// Name of its entry if a later process at its address may take calls that name this one; empty if none does.
 	std::string sharedName = {};
+	/// Whether its process, when asked, tells itself from a later one. Without a start in its entry both have its id.
+	bool tellsStart = true;
 	bool operator==(const Endpoint&) const = default;
 };
 
@@ -122,6 +124,10 @@
 /// A directory is complete up to a position in the platform's log, and each entry has its own position. Two directories
 /// merge by position, regardless of which was read last: of two entries with the same name the later one wins, and an
 /// entry is removed if it is absent from a directory that is complete beyond the position of the entry.
+///
+/// An entry without a start belongs to one process, since no later one has its id. A pool in which the version of such
+/// an entry has changed does not keep to this: from then on its connections need evidence, as those of entries with a
+/// start.
 class EndpointDirectory
 {
 public:
@@ -190,6 +196,8 @@
 	void advanceAsOf(Micros _asOf, Micros _now);
 	bool applyReadEntry(const ListedEndpoint& _listed, Micros _now);
 	void prove(const ListedEndpoint& _listed, Micros _writtenAfter);
+	void noteReusedId(const ListedEndpoint& _held, const ListedEndpoint& _listed);
+	[[nodiscard]] bool needsEvidence(const ListedEndpoint& _listed) const;
 	bool adoptOlderInstances(Micros _now);
 	void drop(const std::string& _name);
 
@@ -202,6 +210,7 @@
 	std::set<std::string> missing; ///< Entries removed during the grace period, dropped at its end.
 	std::map<std::string, OlderInstance> olderInstances; ///< Keyed by name.
 	std::set<std::string> leavingIds;                    ///< Ids of endpoints that were seen leaving.
+	std::set<std::string> poolsReusingIds;               ///< Pools in which an id was used again without a start.
 	std::vector<ProcessProof> proofs;                    ///< Not taken yet.
 	Micros lastReadAsOf = 0;
 	Micros readWholeAsOf = 0;      ///< ListingRead::asOf of the last own read that was not truncated.
--- a/include/roadferry/parts/process_proofs.h
+++ b/include/roadferry/parts/process_proofs.h
@@ -52,6 +52,13 @@
 	/// @returns Whether the connection leads to the listed process, provided that it is open.
 	[[nodiscard]] bool isProven(const std::string& _endpoint, Micros _openedAt) const;
 
+	/// @returns Number of the instance that an entry describes: another one for each process that it is known to have
+	/// described, also under one id. 0 if it needs no evidence.
+	[[nodiscard]] std::uint64_t instanceOf(const std::string& _endpoint) const;
+
+	/// @returns Whether what a process tells of itself is evidence, see Endpoint::tellsStart.
+	[[nodiscard]] bool canIdentify(const std::string& _endpoint) const;
+
 	/// @returns Endpoint::sharedName of a listed endpoint, empty if it has none.
 	[[nodiscard]] std::string sharedNameOf(const std::string& _endpoint) const;
 
@@ -70,12 +77,16 @@
 	{
 		Endpoint endpoint;
 		Micros openedBefore = 0;
+		std::uint64_t instance = 0;
 	};
 
+	[[nodiscard]] Listed listedAs(const Endpoint& _endpoint, const std::map<std::string, Listed>& _before);
+
 	std::map<std::string, Listed> listed;                ///< By id.
 	std::map<std::string, std::string> idOfName;         ///< By Endpoint::sharedName.
 	std::map<std::string, std::size_t> poolCounts;       ///< Number of listed endpoints that need evidence, by pool.
 	std::map<std::string, std::set<std::string>> others; ///< Ids of those that need none, by pool.
+	std::uint64_t lastInstance = 0;
 	Micros followedAsOf = 0;
 	Micros followedSince = 0; ///< Time point since which the followed listing has had no gap.
 };
--- a/src/endpoint_directory.cpp
+++ b/src/endpoint_directory.cpp
@@ -68,6 +68,10 @@
 		// A node of an earlier version passes entries on without it.
 		updated.endpoint.softwareVersion = held->second.endpoint.softwareVersion;
 	}
+	if (isHeldInstance)
+	{
+		this->noteReusedId(held->second, updated);
+	}
 	if (this->differs(updated))
 	{
 		this->entries[_listed.name] = std::move(updated);
@@ -79,6 +83,22 @@
 	}
 }
 
+/// Records whether another process has the id of an entry without a start.
+void EndpointDirectory::noteReusedId(const ListedEndpoint& _held, const ListedEndpoint& _listed)
+{
+	const std::string& before = _held.endpoint.softwareVersion;
+	if (_listed.startedAt == 0 && !before.empty() && before != _listed.endpoint.softwareVersion)
+	{
+		this->poolsReusingIds.insert(_listed.endpoint.pool);
+	}
+}
+
+/// @returns Whether a later process may take calls that name the endpoint.
+bool EndpointDirectory::needsEvidence(const ListedEndpoint& _listed) const
+{
+	return _listed.startedAt > 0 || this->poolsReusingIds.count(_listed.endpoint.pool) > 0;
+}
+
 bool EndpointDirectory::differs(const ListedEndpoint& _listed) const
 {
 	const auto held = this->entries.find(_listed.name);
@@ -294,7 +314,7 @@
 void EndpointDirectory::prove(const ListedEndpoint& _listed, Micros _writtenAfter)
 {
 	const Micros ranAt = _writtenAfter - this->config.lateWrite;
-	if (_listed.startedAt > 0 && ranAt > 0)
+	if (this->needsEvidence(_listed) && ranAt > 0)
 	{
 		this->proofs.push_back(ProcessProof{_listed.endpoint.id, ranAt});
 	}
@@ -346,9 +366,10 @@
 	for (const auto& entry : this->entries)
 	{
 		result.push_back(entry.second.endpoint);
-		if (entry.second.startedAt > 0)
+		if (this->needsEvidence(entry.second))
 		{
 			result.back().sharedName = entry.first;
+			result.back().tellsStart = entry.second.startedAt > 0;
 		}
 	}
 	return result;
--- a/src/forward_attempts.cpp
+++ b/src/forward_attempts.cpp
@@ -67,6 +67,7 @@
 	active->endpointAddress = _attempt.address;
 	active->endpointVersion = _attempt.softwareVersion;
 	active->endpointName = this->proofs.sharedNameOf(_attempt.endpoint);
+	active->instance = this->proofs.instanceOf(_attempt.endpoint);
 	active->attemptHeadAt = 0;
 	const bool clientHasEvents =
 		active->isResumable && active->request.resumed && !active->request.resumed->lastEventId.empty();
--- a/src/forward_proofs.cpp
+++ b/src/forward_proofs.cpp
@@ -93,13 +93,14 @@
 /// entry of the endpoint to which the attempt was sent, and be listed by now.
 std::optional<std::string> ForwardTraffic::provenVersion(const ActiveRequest& _active) const
 {
-	if (_active.processProven || this->proofs.isProven(_active.endpoint, _active.connectionOpenedAt))
+	const bool isListed = this->proofs.instanceOf(_active.endpoint) == _active.instance;
+	if (_active.processProven || (isListed && this->proofs.isProven(_active.endpoint, _active.connectionOpenedAt)))
 	{
 		return _active.endpointVersion;
 	}
 	const Endpoint* listed = this->proofs.findListed(_active.endpointName);
-	const bool isLater = listed != nullptr && listed->id != _active.endpoint && listed->pool == _active.pool &&
-						 listed->address == _active.endpointAddress;
+	const bool isLater = listed != nullptr && this->proofs.instanceOf(listed->id) != _active.instance &&
+						 listed->pool == _active.pool && listed->address == _active.endpointAddress;
 	// Its end may not have been read yet, although the next process is listed.
 	const bool isOpen = isLater && _active.call != nullptr && _active.call->isConnectionOpen();
 	return isOpen && this->proofs.isProven(listed->id, _active.connectionOpenedAt)
@@ -131,7 +132,7 @@
 	if (this->unprovenOrigins.size() < kMaxUnprovenOrigins)
 	{
 		this->unprovenOrigins.push_back(UnprovenOrigin{recordOf(_active, _active.endpointVersion), _active.endpoint,
-													   _active.answer.times().firstAt});
+													   _active.instance, _active.answer.times().firstAt});
 	}
 }
 
@@ -143,7 +144,8 @@
 	const std::vector<UnprovenOrigin> kept = std::exchange(this->unprovenOrigins, {});
 	for (const UnprovenOrigin& origin : kept)
 	{
-		if (this->proofs.isProven(origin.endpoint, origin.firstEventAt))
+		const bool isListed = this->proofs.instanceOf(origin.endpoint) == origin.instance;
+		if (isListed && this->proofs.isProven(origin.endpoint, origin.firstEventAt))
 		{
 			logOriginProven(origin.record.request, origin.record.origin.version, now - origin.firstEventAt, true);
 			this->perform(this->origins.record(origin.record, now));
@@ -367,7 +369,7 @@
 {
 	const auto checkedAt = this->identityCheckedAt.find(_endpoint.id);
 	const bool isDue = checkedAt == this->identityCheckedAt.end() || _now - checkedAt->second >= kIdentityCheckInterval;
-	if (!isDue || this->identityChecks >= kMaxIdentityChecks)
+	if (!isDue || !_endpoint.tellsStart || this->identityChecks >= kMaxIdentityChecks)
 	{
 		return;
 	}
@@ -394,7 +396,7 @@
 /// @param[in] _openedAt Time point at which its connection was opened, 0 if another node made it.
 void ForwardTraffic::addIdentity(const std::string& _endpoint, ProcessIdentity _identity, Micros _openedAt)
 {
-	if (_identity == ProcessIdentity::Same && _openedAt > 0)
+	if (_identity == ProcessIdentity::Same && _openedAt > 0 && this->proofs.canIdentify(_endpoint))
 	{
 		this->proofs.add(ProcessProof{_endpoint, _openedAt});
 		this->bindProvenStreams();
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -131,8 +131,9 @@
 	struct UnprovenOrigin
 	{
 		StreamRecord record;
-		std::string endpoint;    ///< Id of the listed process.
-		Micros firstEventAt = 0; ///< Time point of its first event.
+		std::string endpoint;       ///< Id of the listed process.
+		std::uint64_t instance = 0; ///< ProcessProofs::instanceOf() it.
+		Micros firstEventAt = 0;    ///< Time point of its first event.
 	};
 
 	/// Routes that were in force before those of now.
--- a/src/process_proofs.cpp
+++ b/src/process_proofs.cpp
@@ -39,14 +39,23 @@
 			this->others[endpoint.pool].insert(endpoint.id);
 			continue;
 		}
-		const auto known = before.find(endpoint.id);
-		const Micros openedBefore = known == before.end() ? 0 : known->second.openedBefore;
-		this->listed[endpoint.id] = Listed{endpoint, openedBefore};
+		this->listed[endpoint.id] = this->listedAs(endpoint, before);
 		this->idOfName[endpoint.sharedName] = endpoint.id;
 		this->poolCounts[endpoint.pool] += 1;
 	}
 }
 
+/// @returns What is known of an endpoint: all that was known before, unless its id has another process now.
+ProcessProofs::Listed ProcessProofs::listedAs(const Endpoint& _endpoint, const std::map<std::string, Listed>& _before)
+{
+	const auto known = _before.find(_endpoint.id);
+	const bool isKnown = known != _before.end() && known->second.endpoint.pool == _endpoint.pool &&
+						 known->second.endpoint.address == _endpoint.address &&
+						 known->second.endpoint.softwareVersion == _endpoint.softwareVersion;
+	return isKnown ? Listed{_endpoint, known->second.openedBefore, known->second.instance}
+				   : Listed{_endpoint, 0, ++this->lastInstance};
+}
+
 void ProcessProofs::add(const ProcessProof& _proof)
 {
 	const auto found = this->listed.find(_proof.endpoint);
@@ -90,6 +99,18 @@
 	return _openedAt > 0 && _openedAt <= this->openedBefore(_endpoint);
 }
 
+std::uint64_t ProcessProofs::instanceOf(const std::string& _endpoint) const
+{
+	const auto found = this->listed.find(_endpoint);
+	return found == this->listed.end() ? 0 : found->second.instance;
+}
+
+bool ProcessProofs::canIdentify(const std::string& _endpoint) const
+{
+	const auto found = this->listed.find(_endpoint);
+	return found == this->listed.end() || found->second.endpoint.tellsStart;
+}
+
 std::string ProcessProofs::sharedNameOf(const std::string& _endpoint) const
 {
 	const auto found = this->listed.find(_endpoint);
--- a/tests/test_routes.cpp
+++ b/tests/test_routes.cpp
@@ -285,6 +285,34 @@
 	}
 }
 
+/// Guards against streams of two software versions where processes without a start are used again under their id: from
+/// the first change of a version on, entries of that pool are evidence, and calls to it need some.
+Test(directory, pool_in_which_the_version_of_an_id_changed_needs_evidence_from_then_on)
+{
+	DirectoryReader reader;
+	Endpoint changing = endpoint("a");
+	changing.softwareVersion = "v0";
+	Endpoint other = endpoint("b");
+	other.pool = "another pool";
+	reader.log.put("a", changing);
+	reader.log.put("b", other);
+	reader.log.put("c", endpoint("c"));
+	reader.read(10 * kSecond);
+	reader.log.put("a", changing);
+	cr_assert(reader.read(11 * kSecond).empty(), "ids are not used again");
+	changing.softwareVersion = "v1";
+	reader.log.put("a", changing);
+	cr_assert((reader.read(12 * kSecond) == std::vector<ProcessProof>{ProcessProof{"a", 11 * kSecond - kLateWrite}}));
+	reader.log.put("b", other);
+	reader.log.put("c", endpoint("c"));
+	cr_assert((reader.read(13 * kSecond) == std::vector<ProcessProof>{ProcessProof{"c", 12 * kSecond - kLateWrite}}));
+	for (const Endpoint& listed : reader.directory.endpoints())
+	{
+		cr_assert(listed.sharedName == (listed.id == "b" ? "" : listed.id), "%s", listed.id.c_str());
+		cr_assert(listed.tellsStart == (listed.id == "b"), "%s", listed.id.c_str());
+	}
+}
+
 /// Guards against a snapshot after the log has started again, whose entries are older than the read before.
 Test(directory, snapshot_proves_nothing)
 {
@@ -362,6 +390,29 @@
 	cr_assert_not(proofs.isProven("a@6", kSecond));
 }
 
+/// Guards against evidence on one process that counts for the next one of its id, if its entry tells no start.
+Test(process_proofs, evidence_holds_for_one_version_of_an_id)
+{
+	ProcessProofs proofs;
+	Endpoint first = sharedEndpoint("a", 0);
+	first.softwareVersion = "v0";
+	first.tellsStart = false;
+	Endpoint second = first;
+	second.softwareVersion = "v1";
+	proofs.setEndpoints({first});
+	proofs.add(ProcessProof{first.id, 10 * kSecond});
+	const std::uint64_t instance = proofs.instanceOf(first.id);
+	proofs.setEndpoints({first});
+	cr_assert(proofs.isProven(first.id, 10 * kSecond));
+	cr_assert_eq(proofs.instanceOf(first.id), instance);
+	proofs.setEndpoints({second});
+	cr_assert_not(proofs.isProven(second.id, 10 * kSecond));
+	proofs.setEndpoints({first});
+	cr_assert_not(proofs.isProven(first.id, 10 * kSecond));
+	cr_assert_neq(proofs.instanceOf(first.id), instance, "it is a third process");
+	cr_assert_not(proofs.canIdentify(first.id));
+}
+
 /// Guards against a listing read through another node that counts as evidence before it can show a new process, or
 /// after a gap.
 Test(process_proofs, followed_listing_proves_once_it_would_show_a_new_process)
