--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -10,6 +10,7 @@
 
 #include "clock.h"
 #include "logging.h"
+#include "peer_end_log.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -60,6 +61,7 @@
 	handlers.onConnected = [](const PeerProcess& _peer) {
 		logEvent("peer", "connected", {{"node", _peer.address}, {"process", _peer.number}});
 	};
+	handlers.onConnectionEnd = logConnectionEnd;
 	this->link = std::make_unique<PeerLink>(this->pool, this->settings.peerSecret, this->process, handlers);
 	this->trafficSender = std::make_unique<PeerSender>(*this->link);
 	this->controlSender = std::make_unique<PeerSender>(*this->link);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -9,6 +9,7 @@
 #include "node.h"
 
 #include "logging.h"
+#include "peer_end_log.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -48,6 +49,7 @@
 	handlers.onMessage = [this](const PeerProcess& _from, const std::string& _bytes)
 	{ this->onPeerMessage(_from, _bytes); };
 	handlers.onClosed = [this](const std::string& _peer) { this->relay->onPeerClosed(_peer); };
+	handlers.onConnectionEnd = logConnectionEnd;
 	this->link = std::make_unique<PeerLink>(this->peerPool, this->settings.peerSecret, randomNumber(), handlers);
 	const std::string peerError =
 		this->link->listen(this->settings.ip, this->settings.peerPort, this->settings.peerAnnounce);
--- a/src/peer_link.cpp
+++ b/src/peer_link.cpp
@@ -165,7 +165,7 @@
 	void replaceConnection(const std::string& _peer)
 	{
 		this->closeConnection(this->peers[_peer]);
-		this->handlers.onClosed(_peer);
+		this->notifyClosed(_peer, this->peers[_peer], "replaced");
 	}
 
 	/// Takes a connection into use.
@@ -259,7 +259,7 @@
 		this->peers.erase(_peer);
 		this->closeConnection(peer);
 		this->silentConnectionsClosed += 1;
-		this->handlers.onClosed(_peer);
+		this->notifyClosed(_peer, peer, "silent");
 	}
 
 	void closeConnection(const PeerConnection& _peer)
@@ -284,7 +284,22 @@
 		{
 			return;
 		}
+		const PeerConnection peer = std::move(found->second);
 		this->peers.erase(found);
+		this->notifyClosed(_peer, peer, peer.open ? "ended" : "not_opened");
+	}
+
+	/// Tells the node that a connection is no longer in use, with the messages that were to be sent on it.
+	void notifyClosed(const std::string& _peer, const PeerConnection& _connection, const std::string& _why)
+	{
+		if (this->handlers.onConnectionEnd)
+		{
+			const Clock::time_point now = Clock::now();
+			const auto unanswered = now - _connection.unansweredSince.value_or(now);
+			this->handlers.onConnectionEnd(
+				PeerConnectionEnd{_peer, _why, _connection.incoming, _connection.queued.size(),
+								  std::chrono::duration_cast<std::chrono::milliseconds>(unanswered).count()});
+		}
 		this->handlers.onClosed(_peer);
 	}
 
@@ -364,7 +379,7 @@
 		if (error)
 		{
 			this->peers.erase(_peer);
-			this->handlers.onClosed(_peer);
+			this->notifyClosed(_peer, PeerConnection{}, "no_address");
 			return;
 		}
 		connection->append_header("Authorization", "Bearer " + this->secret);
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -34,6 +34,16 @@
 	}
 };
 
+/// A connection that is no longer in use, for the log.
+struct PeerConnectionEnd
+{
+	std::string peer;
+	std::string why;               ///< "silent", "not_opened", "ended", "replaced" or "no_address".
+	bool incoming = false;         ///< Whether the other side had opened it.
+	std::size_t queued = 0;        ///< Messages that waited for it to open.
+	std::int64_t unansweredMs = 0; ///< Since the oldest message after which nothing was received, in milliseconds.
+};
+
 /// Callbacks of a link, invoked on the thread of the link.
 struct PeerHandlers
 {
@@ -46,6 +56,9 @@
 
 	/// A connection is in use from now on. May be empty.
 	std::function<void(const PeerProcess& _peer)> onConnected;
+
+	/// Called before onClosed. May be empty.
+	std::function<void(const PeerConnectionEnd& _end)> onConnectionEnd = {};
 };
 
 /// Connections to other nodes. A connection is opened when a message is sent to a node that has none.
