--- a/src/forward_active.h
+++ b/src/forward_active.h
@@ -46,8 +46,9 @@
 	std::map<std::string, std::string> resultDomains; ///< Failure domain of each stage result, by handle.
 	std::set<std::uint64_t> orders;                   ///< Piece orders that are not complete.
 	std::string streamId;                             ///< Id of the submission that brought its first event.
-	bool isResumable = false; ///< Its stream may be taken up: by its route, or by that under which the stream began.
-	std::string pool;         ///< Pool that runs the request itself.
+	bool isResumable = false;  ///< Its stream may be taken up: by its route, or by that under which the stream began.
+	bool isRepeatable = false; ///< It may run more than once, for the same reason or by its route.
+	std::string pool;          ///< Pool that runs the request itself.
 	std::uint64_t prefixHash = 0; ///< Hash of the shared parts of its prompt, 0 for none.
 	std::string homeDomain;       ///< Failure domain of the endpoint that will most likely run it.
 	bool inputsFreed = false;     ///< The stage results that it needs were freed.
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -50,6 +50,11 @@
 	this->lastId = _eventId;
 }
 
+void ForwardAnswer::allowRepeats()
+{
+	this->repeatable = true;
+}
+
 void ForwardAnswer::addKnownEnd(const AgreeingRuns& _known)
 {
 	const bool tellsMore = _known.lastEvent != this->agreeing.lastEvent || _known.runs > this->agreeing.runs;
--- a/src/forward_answer.h
+++ b/src/forward_answer.h
@@ -35,6 +35,9 @@
 	/// Tells that the client has the events up to this one from an earlier submission. They are not sent to it again.
 	void resumeAfter(std::uint64_t _eventId);
 
+	/// Tells that the request may run more than once, although its route of now does not allow it.
+	void allowRepeats();
+
 	/// Tells how far earlier runs of the stream agree on its end, as this node or another one has seen them.
 	void addKnownEnd(const AgreeingRuns& _known);
 
--- a/src/forward_attempts.cpp
+++ b/src/forward_attempts.cpp
@@ -86,7 +86,7 @@
 	spec.connectTimeout = kConnectTimeout;
 	spec.forceNewConnection = _attempt.atMostOnce;
 	spec.maxResponseBytes = this->maxResponseBytes;
-	spec.detectDeadConnection = active->route.repeatable;
+	spec.detectDeadConnection = active->isRepeatable;
 	this->chooseConnection(spec, *active);
 	spec.maxIdleConnections = maxIdleConnections(active->plan->pool(active->pool), this->liveNodes);
 	CallHandlers handlers;
@@ -348,7 +348,7 @@
 		this->perform(this->dispatcher.attemptEnded(_attempt, _end, monotonicNow()));
 		return;
 	}
-	const bool mayRepeat = _active->route.repeatable || (head && head->notRun);
+	const bool mayRepeat = _active->isRepeatable || (head && head->notRun);
 	const bool canRerun =
 		mayRepeat && _active->attempts < _active->route.maxAttempts && _active->stageReruns < kMaxStageReruns;
 	_active->submitted = !canRerun;
--- a/src/forward_streams.cpp
+++ b/src/forward_streams.cpp
@@ -155,6 +155,8 @@
 		return;
 	}
 	active->isResumable = true;
+	active->isRepeatable = true;
+	active->answer.allowRepeats();
 	active->stagesDeadline = active->deadline; // Its client has no time to try another node.
 	active->pool = _resolved.origin->pool;
 	active->streamVersion = _resolved.origin->version;
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -385,6 +385,7 @@
 	const Micros waitLimit = route->eventTimeout > 0 ? std::min(limit, route->eventTimeout) : limit;
 	active->stagesDeadline = now + static_cast<Micros>(kStagesTimeShare * static_cast<double>(waitLimit));
 	active->isResumable = route->resumable;
+	active->isRepeatable = route->repeatable;
 	// Whatever its route says here and now: the stream may have begun under another state of it.
 	const bool resumes = route->streaming && active->request.resumed.has_value();
 	const bool namesFirst = resumes && !active->request.resumed->firstRequestId.empty();
@@ -461,7 +462,7 @@
 					 _active->workspace,
 					 route.name,
 					 _active->deadline,
-					 route.repeatable,
+					 _active->isRepeatable,
 					 _active->request.promptTokens,
 					 _active->request.maxTokens,
 					 _active->prefixHash};
@@ -477,7 +478,7 @@
 	stage.name = route.name;
 	stage.kind = route.streaming ? StageKind::Engine : StageKind::Service;
 	stage.pool = _active->pool;
-	stage.repeatable = route.repeatable;
+	stage.repeatable = _active->isRepeatable;
 	stage.maxAttempts = route.maxAttempts - _active->attempts;
 	stage.expectedMs = std::max<std::int64_t>(1, route.latencyTarget / kMillisecond / 2);
 	this->perform(this->dispatcher.submit(spec, pipeline, {stage}, monotonicNow()));
