--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -24,6 +24,9 @@
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kUnavailable = 503;
 constexpr std::size_t kMaxRefusalBytes = 64 * 1024; ///< Of the body of a refusal, which is not used.
+constexpr std::size_t kFirstOverlap = 3;            ///< Events that the first run to overlap is asked for again.
+constexpr std::size_t kOverlapStep = 2;             ///< More of them for each run that has agreed on the end.
+constexpr std::size_t kMaxRecentIds = 16;
 
 /// @returns Whether a status tells the client that the request has not run.
 bool impliesNotRun(unsigned _status)
@@ -147,7 +150,8 @@
 		return !this->lastId || *number <= *this->lastId || *number - 1 == *this->lastId;
 	}
 	// A run that leaves out the client's last event is not one of the same events.
-	const bool leavesOutLast = this->lastId && *this->attemptLastId<*this->lastId&& * number> * this->lastId;
+	const bool beganBefore = this->lastId && *this->lastId > *this->attemptLastId;
+	const bool leavesOutLast = beganBefore && *number > this->lastId.value_or(0);
 	return *number > *this->attemptLastId && !leavesOutLast;
 }
 
@@ -177,11 +181,24 @@
 	times.events += 1;
 	this->clientReply->write(_event);
 	this->contradicted = this->contradicted || (number && this->agreeingRuns().runs > 0);
-	this->beforeLastId = number ? this->lastId : this->beforeLastId;
 	this->lastId = number ? number : this->lastId;
+	this->rememberId(number);
 	this->sentUnnumbered = this->sentUnnumbered || (!number && hasData(_event));
 }
 
+void ForwardAnswer::rememberId(std::optional<std::uint64_t> _number)
+{
+	if (!_number)
+	{
+		return;
+	}
+	this->recentIds.push_back(*_number);
+	if (this->recentIds.size() > kMaxRecentIds)
+	{
+		this->recentIds.pop_front();
+	}
+}
+
 void ForwardAnswer::startStream()
 {
 	if (!this->streamStarted)
@@ -219,6 +236,10 @@
 		{
 			return this->endWithoutMark();
 		}
+		if (this->endsBeforeLast())
+		{
+			return AttemptInterrupted{};
+		}
 		this->startStream();
 		return AttemptAnswered{};
 	}
@@ -239,6 +260,16 @@
 	return mayRetry ? AttemptEnd(AttemptInterrupted{}) : AttemptEnd(AttemptAnswered{});
 }
 
+/// Whether a run ended before an event that the client has, so that its end is not that of the stream.
+bool ForwardAnswer::endsBeforeLast() const
+{
+	if (!this->attemptLastId)
+	{
+		return this->overlaps && !this->hasEvents;
+	}
+	return this->lastId && *this->attemptLastId < *this->lastId;
+}
+
 /// Ends an attempt whose stream is not cut inside an event, but has no mark of its end either.
 AttemptEnd ForwardAnswer::endWithoutMark()
 {
@@ -271,7 +302,7 @@
 	{
 		return AttemptEndUnproven{}; // It began anew, and tells nothing of what comes after the client's last event.
 	}
-	this->confirmed = this->agreeingRuns().runs > 0;
+	this->confirmed = this->agreeingRuns().runs == 1; // Once for a stream.
 	this->agreeing = AgreeingRuns{*this->lastId, this->agreeingRuns().runs + 1};
 	if (this->agreeing.runs < this->neededRuns)
 	{
@@ -335,14 +366,15 @@
 	return this->lastId;
 }
 
-std::optional<std::uint64_t> ForwardAnswer::eventBeforeLast() const
+std::optional<std::uint64_t> ForwardAnswer::overlapStart() const
 {
-	if (this->beforeLastId)
+	const std::size_t events = kFirstOverlap + kOverlapStep * static_cast<std::size_t>(this->agreeingRuns().runs);
+	if (this->recentIds.size() > events)
 	{
-		return this->beforeLastId;
+		return this->recentIds[this->recentIds.size() - 1 - events];
 	}
 	const bool hasEarlierIds = this->lastId && *this->lastId > 0;
-	return hasEarlierIds ? std::optional(*this->lastId - 1) : std::nullopt;
+	return hasEarlierIds ? std::optional(*this->lastId - std::min<std::uint64_t>(events, *this->lastId)) : std::nullopt;
 }
 
 AgreeingRuns ForwardAnswer::agreeingRuns() const
--- a/src/forward_answer.h
+++ b/src/forward_answer.h
@@ -15,6 +15,8 @@
 #include "http_server.h"
 #include "stream_ends.h"
 
+#include <deque>
+
 namespace roadferry
 {
 
@@ -47,7 +49,7 @@
 
 	/// Resets the state of the previous attempt.
 	/// @param[in] _resumes Whether the endpoint is asked only for the events after one that the client has.
-	/// @param[in] _overlaps Whether it is asked for the client's last event again, see eventBeforeLast().
+	/// @param[in] _overlaps Whether it is asked for events that the client has, see overlapStart().
 	void beginAttempt(bool _resumes = false, bool _overlaps = false);
 	/// Handles the head of an attempt's response.
 	/// @returns Skip when the response belongs to another request.
@@ -89,9 +91,10 @@
 	/// @returns Id of the last event that the client has.
 	[[nodiscard]] std::optional<std::uint64_t> lastEventId() const;
 
-	/// @returns Id after which a run sends the client's last event again: that of the event before, or one less if this
-	/// answer has not passed that event on. Not set if the run must begin with its first event.
-	[[nodiscard]] std::optional<std::uint64_t> eventBeforeLast() const;
+	/// @returns Id after which the next run is asked for events, so that it sends the client's last events again. The
+	/// number of these differs from run to run: an endpoint that closes each run after as many events must not agree
+	/// with itself. Not set if the run must begin with its first event.
+	[[nodiscard]] std::optional<std::uint64_t> overlapStart() const;
 
 	/// @returns Runs that have ended with their connection right after the client's last event.
 	[[nodiscard]] AgreeingRuns agreeingRuns() const;
@@ -125,8 +128,10 @@
 	[[nodiscard]] bool isAfterGap(const std::string& _event) const;
 	[[nodiscard]] bool follows(const std::string& _event) const;
 	void forwardEvent(const std::string& _event);
+	void rememberId(std::optional<std::uint64_t> _number);
 	void startStream();
 	[[nodiscard]] bool isUsable() const;
+	[[nodiscard]] bool endsBeforeLast() const;
 	[[nodiscard]] AttemptEnd endWithoutMark();
 	[[nodiscard]] AttemptEnd endUnlessProven();
 
@@ -144,21 +149,21 @@
 	std::optional<std::uint64_t> attemptLastId; ///< Id of the last event that the attempt brought.
 	bool streamInvalid = false;                 ///< The attempt's stream cannot be continued.
 	bool resumes = false;                       ///< The attempt asks for the events after one that the client has.
-	bool overlaps = false;                      ///< It asks for the client's last event again.
+	bool overlaps = false;                      ///< It asks for events that the client has.
 	bool hasEvents = false;                     ///< The attempt has brought an event that the client did not have.
 
 	std::optional<ForwardHead> keptHead; ///< Head of a complete response that can be delivered.
 	std::string keptBody;
 	std::function<void()> startHandler;
 	bool streamStarted = false;
-	std::optional<std::uint64_t> lastId;       ///< Of the last event that the client has.
-	std::optional<std::uint64_t> beforeLastId; ///< Of the one before, if this answer has passed it on.
-	AgreeingRuns agreeing;                     ///< Runs that ended right after the same event.
-	std::int64_t neededRuns = 3;               ///< Of them, to prove the end of the stream.
-	bool sparseIds = false;                    ///< See hasSparseIds().
-	bool confirmed = false;                    ///< See confirmsEnd().
-	bool contradicted = false;                 ///< See contradictsEnd().
-	bool sentUnnumbered = false;               ///< An event with data and without an id was sent.
+	std::optional<std::uint64_t> lastId; ///< Of the last event that the client has.
+	std::deque<std::uint64_t> recentIds; ///< Of the latest events that this answer has passed on, in order.
+	AgreeingRuns agreeing;               ///< Runs that ended right after the same event.
+	std::int64_t neededRuns = 3;         ///< Of them, to prove the end of the stream.
+	bool sparseIds = false;              ///< See hasSparseIds().
+	bool confirmed = false;              ///< See confirmsEnd().
+	bool contradicted = false;           ///< See contradictsEnd().
+	bool sentUnnumbered = false;         ///< An event with data and without an id was sent.
 	StreamTimes streamTimes;
 };
 
--- a/src/forward_attempts.cpp
+++ b/src/forward_attempts.cpp
@@ -71,13 +71,13 @@
 	active->attemptHeadAt = 0;
 	const bool clientHasEvents =
 		active->isResumable && active->request.resumed && !active->request.resumed->lastEventId.empty();
+	this->findStreamEnd(*active);
 	const bool overlaps = this->mustOverlap(*active, now);
 	active->answer.beginAttempt(active->answer.lastEventId() || clientHasEvents, overlaps);
 	active->answer.requireAgreeingRuns(this->poolStreams.agreeingRuns(active->pool));
-	this->findStreamEnd(*active);
 	this->parts.recordSent(active->parts);
 	ForwardAttempt attempt{_attempt.endpoint, active->workspace, active->deadline - now, active->graph.results(),
-						   overlaps ? active->answer.eventBeforeLast() : active->answer.lastEventId()};
+						   overlaps ? active->answer.overlapStart() : active->answer.lastEventId()};
 	attempt.beginsAnew = overlaps && !attempt.lastEventId;
 	CallSpec spec;
 	spec.address = _attempt.address;
--- a/src/forward_stream_ends.cpp
+++ b/src/forward_stream_ends.cpp
@@ -29,7 +29,8 @@
 bool ForwardTraffic::mustOverlap(const ActiveRequest& _active, Micros _now) const
 {
 	const bool goesOn = _active.isResumable && _active.answer.lastEventId().has_value();
-	return goesOn && this->poolStreams.mustOverlap(_active.pool, _now);
+	const bool hasUnmarkedEnd = _active.answer.agreeingRuns().runs > 0;
+	return goesOn && (hasUnmarkedEnd || this->poolStreams.mustOverlap(_active.pool, _now));
 }
 
 /// Notes what the response of an attempt shows of its pool's streams.
@@ -117,6 +118,7 @@
 							if (takesUp && entry.second->streamId == _notice.stream)
 							{
 								entry.second->answer.addKnownEnd(_notice.end);
+								this->poolStreams.noteUnmarkedEnd(entry.second->pool, monotonicNow());
 							}
 						}
 					});
--- a/src/pool_streams.cpp
+++ b/src/pool_streams.cpp
@@ -25,6 +25,10 @@
 
 void PoolStreams::noteUnmarkedEnd(const std::string& _pool, Micros _now)
 {
+	if (!this->mustOverlap(_pool, _now))
+	{
+		this->confirmedEnds.erase(_pool);
+	}
 	this->needsOverlapAt[_pool] = _now;
 }
 
