--- a/src/forward_proofs.cpp
+++ b/src/forward_proofs.cpp
@@ -273,6 +273,7 @@
 		return;
 	}
 	this->nextOpenAt = _now + kOpenInterval;
+	std::erase_if(this->tellingNoStart, [this](const std::string& _id) { return !this->proofs.isNeeded(_id); });
 	std::set<std::string> pools;
 	for (const Route& route : this->plan->data().routes)
 	{
@@ -311,7 +312,7 @@
 		{
 			this->endpointCalls.openIdle(addresses[id], maxIdle);
 		}
-		if (!this->isReachedProven(id, addresses[id]))
+		if (!this->isReachedProven(id, addresses[id]) && this->tellingNoStart.count(id) == 0)
 		{
 			this->unaskedEndpoints.insert(this->proofs.sharedNameOf(id));
 		}
@@ -334,7 +335,8 @@
 		const std::string name = *this->unaskedEndpoints.begin();
 		this->unaskedEndpoints.erase(this->unaskedEndpoints.begin());
 		const Endpoint* listed = this->proofs.findListed(name);
-		if (listed != nullptr && this->endpointCalls.hasIdle(listed->address, _now) &&
+		const bool canTell = listed != nullptr && listed->tellsStart;
+		if (canTell && this->endpointCalls.hasIdle(listed->address, _now) &&
 			!this->isReachedProven(listed->id, listed->address))
 		{
 			this->startIdentityCheck(*listed);
@@ -396,6 +398,10 @@
 /// @param[in] _openedAt Time point at which its connection was opened, 0 if another node made it.
 void ForwardTraffic::addIdentity(const std::string& _endpoint, ProcessIdentity _identity, Micros _openedAt)
 {
+	if (_identity == ProcessIdentity::Unknown)
+	{
+		this->tellingNoStart.insert(_endpoint);
+	}
 	if (_identity == ProcessIdentity::Same && _openedAt > 0 && this->proofs.canIdentify(_endpoint))
 	{
 		this->proofs.add(ProcessProof{_endpoint, _openedAt});
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -258,6 +258,7 @@
 	std::size_t identityChecks = 0;                  ///< In progress.
 	/// Shared names of endpoints to which connections are kept open, and whose processes are to be asked who they are.
 	std::set<std::string> unaskedEndpoints;
+	std::set<std::string> tellingNoStart;      ///< Ids of endpoints that do not tell their start when they are asked.
 	Micros nextOpenAt = 0;                     ///< Time point at which missing connections are opened again.
 	std::map<std::string, Micros> provenSetAt; ///< When the dispatcher was told the proven endpoints, by pool.
 	std::set<std::uint64_t> unboundStreams;    ///< Requests whose stream has begun at a process that is not proven yet.
