--- a/src/crash_monitor.cpp
+++ b/src/crash_monitor.cpp
@@ -54,22 +54,6 @@
 	return "unreachable";
 }
 
-std::string_view nameOf(ProcessIdentity _identity)
-{
-	switch (_identity)
-	{
-	case ProcessIdentity::Same:
-		return "same";
-	case ProcessIdentity::Other:
-		return "other";
-	case ProcessIdentity::Unknown:
-		return "unknown";
-	case ProcessIdentity::NoAnswer:
-		break;
-	}
-	return "no_answer";
-}
-
 std::string joinDigests(const std::set<RequestDigest>& _digests)
 {
 	return absl::StrJoin(_digests, " ", [](std::string* _out, RequestDigest _digest) { *_out += toText(_digest); });
--- a/src/forward_proofs.cpp
+++ b/src/forward_proofs.cpp
@@ -23,22 +23,6 @@
 constexpr std::size_t kMaxKeptOpen = 32;              ///< Endpoints of a pool to which connections are kept open.
 constexpr std::size_t kMaxUnprovenOrigins = 5'000;    ///< Kept; a stream beyond them cannot be taken up.
 
-std::string_view nameOf(ProcessIdentity _identity)
-{
-	switch (_identity)
-	{
-	case ProcessIdentity::Same:
-		return "same";
-	case ProcessIdentity::Other:
-		return "other";
-	case ProcessIdentity::Unknown:
-		return "unknown";
-	case ProcessIdentity::NoAnswer:
-		break;
-	}
-	return "no_answer";
-}
-
 /// @param[in] _sinceFirstEvent Time from the first event of the stream until its version was certain.
 /// @param[in] _isEnded Whether its answer has ended: a client that takes it up before now finds no record.
 void logOriginProven(const std::string& _stream, const std::string& _version, Micros _sinceFirstEvent, bool _isEnded)
--- a/src/identity_check.cpp
+++ b/src/identity_check.cpp
@@ -22,6 +22,22 @@
 
 } // namespace
 
+std::string_view nameOf(ProcessIdentity _identity)
+{
+	switch (_identity)
+	{
+	case ProcessIdentity::Same:
+		return "same";
+	case ProcessIdentity::Other:
+		return "other";
+	case ProcessIdentity::Unknown:
+		return "unknown";
+	case ProcessIdentity::NoAnswer:
+		break;
+	}
+	return "no_answer";
+}
+
 IdentityCall makeIdentityCall(const WireFormat& _wire, const std::string& _endpoint, const std::string& _address,
 							  Micros _timeout, IdentityHandler _done)
 {
--- a/src/identity_check.h
+++ b/src/identity_check.h
@@ -12,10 +12,14 @@
 #include "adapter.h"
 
 #include <functional>
+#include <string_view>
 
 namespace roadferry
 {
 
+/// @returns Its name in the log.
+std::string_view nameOf(ProcessIdentity _identity);
+
 /// Receives who answers at an endpoint's address.
 /// @param[in] _openedAt Time point at which the connection was opened on which it was asked, 0 if none was.
 using IdentityHandler = std::function<void(ProcessIdentity, Micros _openedAt)>;
