Review: streams without a length are cut around a planned stop

Engines answer streams of a route with two attempts without a length; the node has all events and cuts the client's channel, since it wants three runs to agree on the end.

The stand-in of a client now keeps the part of an answer that it got. Nothing is fixed.

--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -71,13 +71,16 @@
 async def read_body(reader, headers, until_end=False):
     if headers.get("transfer-encoding", "").lower() == "chunked":
         body = b""
-        while True:
-            size = int((await reader.readline()).split(b";")[0], 16)
-            piece = await reader.readexactly(size)
-            await reader.readexactly(2)
-            if size == 0:
-                return body
-            body += piece
+        try:
+            while True:
+                size = int((await reader.readline()).split(b";")[0], 16)
+                piece = await reader.readexactly(size)
+                await reader.readexactly(2)
+                if size == 0:
+                    return body
+                body += piece
+        except (asyncio.IncompleteReadError, ValueError) as fault:
+            raise asyncio.IncompleteReadError(body, None) from fault
     if "content-length" in headers:
         return await reader.readexactly(int(headers["content-length"]))
     return await reader.read() if until_end else b""
@@ -145,6 +148,7 @@
         entry = {"service": engine.service, "address": engine.address, "zone": engine.zone, "version": engine.version,
                  "slots": engine.slots, "state": state, "cold-remaining-ms": 0, "sequence": 1, "born": engine.born}
         entry.update(more)
+        entry = {field: value for field, value in entry.items() if value is not None}
         self.put("keyed.servers", engine.id, entry)
 
     async def serve(self, request, reader, writer):
