--- a/tests/script_server.h
+++ b/tests/script_server.h
@@ -75,6 +75,7 @@
 
 	std::string address;
 	std::atomic<int> connections{0};
+	std::atomic<int> closedConnections{0}; ///< Connections whose script has ended.
 
 private:
 	void accept()
@@ -85,6 +86,7 @@
 			this->connections += 1;
 			this->script(accepted);
 			close(accepted);
+			this->closedConnections += 1;
 			accepted = ::accept(this->listener, nullptr, nullptr);
 		}
 	}
