--- a/src/client_call.cpp
+++ b/src/client_call.cpp
@@ -21,8 +21,10 @@
 #include <boost/beast/http.hpp>
 #include <boost/optional.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -53,6 +55,9 @@
 constexpr int kKeepaliveSeconds = 1;  ///< Idle time before the first TCP keepalive probe, and between two probes.
 constexpr int kKeepaliveProbes = 2;   ///< Unanswered probes until the connection is closed.
 constexpr int kUserTimeoutMs = 2'500; ///< Time that sent data may stay unacknowledged.
+/// Time after the end of a connection within which its reset arrives if the remote host has closed it and takes no more
+/// of the request. Longer than a round trip.
+constexpr std::chrono::milliseconds kResetAfterEndTime{50};
 constexpr std::uint64_t kNoBodyLimit = std::numeric_limits<std::uint64_t>::max();
 constexpr std::size_t kMaxSkippedBytes = 1024 * 1024; ///< Maximum bytes of a response that is skipped.
 constexpr int kMaxSkippedResponses = 4;               ///< Maximum responses to other requests that one call discards.
@@ -66,6 +71,21 @@
 		   info.tcpi_state == TCP_ESTABLISHED;
 }
 
+/// @returns Whether a connection has failed. The error is not reported again.
+bool takeError(Tcp::socket& _socket)
+{
+	int error = 0;
+	socklen_t size = sizeof(error);
+	return ::getsockopt(_socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error != 0;
+}
+
+/// @returns Whether the remote host has not acknowledged all bytes that were sent to it.
+bool hasUnacknowledgedBytes(Tcp::socket& _socket)
+{
+	int bytes = 0;
+	return ::ioctl(_socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 /// @returns Whether an error of a read shows that the remote host ended the connection.
 bool isConnectionLoss(const Error& _error)
 {
@@ -93,7 +113,7 @@
 public:
 	Call(asio::io_context& _context, IdleSockets& _idle, CallSpec _spec, CallHandlers _handlers)
 		: context(_context), idle(_idle), spec(std::move(_spec)), handlers(std::move(_handlers)), timer(_context),
-		  connectTimer(_context)
+		  connectTimer(_context), resetTimer(_context)
 	{
 	}
 
@@ -308,6 +328,11 @@
 			return;
 		}
 		this->writeFailed = true;
+		if (this->awaitsReset)
+		{
+			this->endWithConnection();
+			return;
+		}
 		if (_bytes == 0 && !this->parser->got_some())
 		{
 			this->maybeSent = false;
@@ -383,9 +408,48 @@
 			this->readNextResponse();
 			return;
 		}
+		if (this->parser->need_eof())
+		{
+			this->endWithConnection();
+			return;
+		}
+		this->complete();
+	}
+
+	/// Ends a call whose response ends with the connection. It is whole only if the connection was not reset, which the
+	/// read does not tell if the write took the error, or if the reset comes after the end.
+	void endWithConnection()
+	{
+		const bool isReset = takeError(*this->socket) || this->writeFailed;
+		if (isReset)
+		{
+			this->connectionLost = true;
+			this->fail("connection was reset before all of the request was received");
+			return;
+		}
+		const bool mayBeReset = this->writing || hasUnacknowledgedBytes(*this->socket);
+		if (mayBeReset && !this->awaitsReset)
+		{
+			this->awaitReset();
+			return;
+		}
 		this->complete();
 	}
 
+	void awaitReset()
+	{
+		this->awaitsReset = true;
+		this->resetTimer.expires_after(kResetAfterEndTime);
+		this->resetTimer.async_wait(
+			[self = this->shared_from_this()](const Error& _error)
+			{
+				if (!_error && !self->done)
+				{
+					self->endWithConnection();
+				}
+			});
+	}
+
 	void handleHead()
 	{
 		this->headHandled = true;
@@ -513,6 +577,7 @@
 	{
 		this->timer.cancel();
 		this->connectTimer.cancel();
+		this->resetTimer.cancel();
 		if (this->socket != nullptr)
 		{
 			Error ignored;
@@ -526,6 +591,7 @@
 	CallHandlers handlers;
 	asio::steady_timer timer;
 	asio::steady_timer connectTimer;
+	asio::steady_timer resetTimer;
 	std::unique_ptr<Tcp::socket> socket;
 	http::request<http::string_body> request;
 	boost::optional<http::response_parser<ReceivedBody>> parser;
@@ -540,6 +606,7 @@
 	bool writeFailed = false;
 	bool headHandled = false; ///< The head of the current response was processed.
 	bool skipping = false;    ///< The current response belongs to another request.
+	bool awaitsReset = false; ///< The connection has ended and may be reset, see endWithConnection().
 	bool connectionLost = false;
 	bool timedOut = false;
 	bool isReading = true;
