--- a/src/call_messages.cpp
+++ b/src/call_messages.cpp
@@ -61,10 +61,17 @@
 	return RelayedCallBody{_reader.unsignedInteger("call"), _reader.bytes("bytes")};
 }
 
+/// @returns The status, or 0, which is not valid, if it has more than three digits.
+unsigned readStatus(CborReader& _reader)
+{
+	constexpr std::int64_t kMaxStatus = 999;
+	const std::int64_t status = _reader.integer("status");
+	return status >= 0 && status <= kMaxStatus ? static_cast<unsigned>(status) : 0;
+}
+
 RelayedCallHead readRelayedCallHead(CborReader& _reader)
 {
-	return RelayedCallHead{_reader.unsignedInteger("call"), static_cast<unsigned>(_reader.integer("status")),
-						   readHeaders(_reader)};
+	return RelayedCallHead{_reader.unsignedInteger("call"), readStatus(_reader), readHeaders(_reader)};
 }
 
 RelayedCallData readRelayedCallData(CborReader& _reader)
--- a/src/client_call.cpp
+++ b/src/client_call.cpp
@@ -46,7 +46,6 @@
 using Error = boost::system::error_code;
 
 constexpr int kHttpVersion = 11;
-constexpr unsigned kFirstFinalStatus = 200;
 constexpr std::size_t kReadSize = 16 * 1024;
 
 /// A timer that fires at least this late shows that the process was not running.
@@ -376,6 +375,10 @@
 		{
 			this->handleHead();
 		}
+		if (this->done)
+		{
+			return;
+		}
 		if (this->headHandled && this->exceedsLimit())
 		{
 			this->fail("response is longer than the limit");
@@ -452,15 +455,20 @@
 
 	void handleHead()
 	{
+		const unsigned status = this->parser->get().result_int();
+		const StatusKind kind = kindOfStatus(status);
+		if (kind == StatusKind::Invalid)
+		{
+			this->fail("status " + std::to_string(status) + " is not valid");
+			return;
+		}
 		this->headHandled = true;
 		if (!this->handlers.onHead)
 		{
 			return;
 		}
-		const bool informational = this->parser->get().result_int() < kFirstFinalStatus;
 		const auto handler = this->handlers.onHead;
-		this->skipping =
-			informational || handler(this->parser->get().result_int(), this->headers()) == HeadVerdict::Skip;
+		this->skipping = kind == StatusKind::Interim || handler(status, this->headers()) == HeadVerdict::Skip;
 	}
 
 	/// @returns Whether a body that is kept is, or is announced to be, longer than allowed. An eager parser of
--- a/src/http_types.cpp
+++ b/src/http_types.cpp
@@ -4,7 +4,7 @@
  */
 
 /// @file
-/// Functions on HTTP headers. Compiled as C++17.
+/// Functions on HTTP headers and statuses. Compiled as C++17.
 
 #include "http_types.h"
 
@@ -23,8 +23,22 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+constexpr unsigned kFirstInterimStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastFinalStatus = 599;
+
 } // namespace
 
+StatusKind kindOfStatus(unsigned _status)
+{
+	if (_status < kFirstInterimStatus || _status > kLastFinalStatus || _status == kSwitchingProtocols)
+	{
+		return StatusKind::Invalid;
+	}
+	return _status < kFirstFinalStatus ? StatusKind::Interim : StatusKind::Final;
+}
+
 std::string headerValue(const HttpHeaders& _headers, const std::string& _name)
 {
 	for (const auto& header : _headers)
--- a/src/http_types.h
+++ b/src/http_types.h
@@ -19,6 +19,17 @@
 
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
+/// What a response is by its status (RFC 9110, 15).
+enum class StatusKind
+{
+	Interim, ///< Comes before the response.
+	Final,
+	Invalid ///< Not a status of HTTP, or one that nobody has asked for.
+};
+
+/// @returns Kind of a response to a request without an Upgrade header.
+StatusKind kindOfStatus(unsigned _status);
+
 /// @returns Value of the first header with that name, compared without case; empty if there is none.
 std::string headerValue(const HttpHeaders& _headers, const std::string& _name);
 
--- a/src/relayed_call.cpp
+++ b/src/relayed_call.cpp
@@ -106,6 +106,11 @@
 	{
 		return;
 	}
+	if (kindOfStatus(_message.status) != StatusKind::Final)
+	{
+		this->interrupt(_message.call, absl::StrCat("status ", _message.status, " is not valid"));
+		return;
+	}
 	entry->status = _message.status;
 	entry->headers = _message.headers;
 	const auto handler = entry->handlers.onHead;
--- a/tests/test_broken_responses.cpp
+++ b/tests/test_broken_responses.cpp
@@ -8,6 +8,8 @@
 /// caller waiting. platform/tests/test_broken_answers.cpp has daemons between.
 
 #include "blocking_client.h"
+#include "cbor_reader.h"
+#include "relayed_call.h"
 #include "script_server.h"
 
 namespace
@@ -17,8 +19,50 @@
 
 constexpr std::size_t kLongUpload = 32 * 1024 * 1024; ///< Bytes, more than the socket buffers of both ends hold.
 constexpr std::size_t kShortUpload = 256 * 1024;      ///< Bytes that a socket buffer takes at once.
+constexpr const char* kFields = " X\r\nX-Id: mine\r\nContent-Length: 4\r\n\r\n";
 constexpr const char* kHeadWithoutLength = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
 
+/// Sends the same bytes in response to each request, and then leaves the connection open.
+class RepeatingServer
+{
+public:
+	explicit RepeatingServer(std::string _response) : response(std::move(_response))
+	{
+	}
+
+	[[nodiscard]] const std::string& address() const
+	{
+		return this->server.address;
+	}
+
+private:
+	std::string response;
+	ScriptServer server{[this](int _socket)
+						{
+							while (!ScriptServer::readHead(_socket).empty())
+							{
+								ScriptServer::sendText(_socket, this->response);
+							}
+						}};
+};
+
+/// Checks that a response is an error that is known at once.
+void checkBroken(const std::string& _response)
+{
+	const RepeatingServer server(_response);
+	const CallEnd kept = BlockingClient().call(server.address());
+	std::string received;
+	const CallEnd streamed =
+		BlockingClient().call(server.address(), {}, {}, [&](const std::string& _bytes) { received += _bytes; });
+	for (const CallEnd& end : {kept, streamed})
+	{
+		cr_assert(end.result == CallResult::Interrupted, "complete with %u: %s", end.status, _response.c_str());
+		cr_assert_not(end.timedOut, "%s: %s", end.error.c_str(), _response.c_str());
+		cr_assert_not(end.endsWithConnection || end.connectionLost, "%s", _response.c_str());
+	}
+	cr_assert(received.empty(), "%s", received.c_str());
+}
+
 } // namespace
 
 /// Guards against a part of a response that passes for all of it: the connection, whose end is its only end, is reset
@@ -130,3 +174,74 @@
 	cr_assert(end.result == CallResult::Complete, "%s", end.error.c_str());
 	cr_assert_eq(end.body, "full");
 }
+
+/// Guards against a response whose status is none of HTTP, and that passes for a whole one or keeps its caller waiting
+/// for another response (RFC 9110, 15). Nobody asks for another protocol, which status 101 would begin.
+Test(client, response_with_a_status_that_is_none_is_an_error_at_once, .timeout = 60)
+{
+	for (const char* status : {"000", "001", "099", "101", "600", "700", "999"})
+	{
+		checkBroken(std::string("HTTP/1.1 ") + status + kFields + "body");
+		checkBroken(std::string("HTTP/1.1 ") + status +
+					" X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+		checkBroken(std::string("HTTP/1.1 ") + status + " X\r\n\r\nHTTP/1.1 200" + kFields + "body");
+	}
+}
+
+/// A server may send any number of heads before its response to one request.
+Test(client, response_after_interim_ones_is_complete)
+{
+	for (const char* status : {"100", "102", "103", "199"})
+	{
+		const std::string interim = std::string("HTTP/1.1 ") + status + " X\r\nLink: x\r\n\r\n";
+		const RepeatingServer server(interim + interim + "HTTP/1.1 200" + kFields + "body");
+		const CallEnd end = BlockingClient().call(server.address());
+		cr_assert(end.result == CallResult::Complete, "%s: %s", status, end.error.c_str());
+		cr_assert_eq(end.status, 200);
+		cr_assert_eq(end.body, "body");
+	}
+}
+
+/// Guards against a status that is none of HTTP, that a node of another version passes on with the response it relays.
+Test(relayed_calls, response_with_a_status_that_is_none_is_an_error_at_once)
+{
+	for (const unsigned status : {0U, 99U, 103U, 600U, 999U})
+	{
+		std::vector<CallEnd> ends;
+		int heads = 0;
+		std::uint64_t cancelled = 0;
+		RelayedCalls calls(0,
+						   [&](const std::string&, const CallMessage& _message)
+						   {
+							   const auto* cancel = std::get_if<RelayedCallCancel>(&_message);
+							   cancelled = cancel != nullptr ? cancel->call : cancelled;
+						   });
+		RelayedCallHandlers handlers;
+		handlers.onHead = [&](unsigned, const HttpHeaders&)
+		{
+			heads += 1;
+			return HeadVerdict::Accept;
+		};
+		handlers.onEnd = [&](const CallEnd& _end, bool) { ends.push_back(_end); };
+		const std::uint64_t call = calls.start("helper", EndpointCall{}, handlers, 0);
+		calls.receive("helper", RelayedCallHead{call, status, {}});
+		calls.receive("helper", RelayedCallEnd{call, CallResult::Complete, false, 0, false, false, {}});
+		cr_assert_eq(ends.size(), 1);
+		cr_assert(ends.front().result == CallResult::Interrupted, "complete with %u", ends.front().status);
+		cr_assert_eq(heads, 0);
+		cr_assert_eq(cancelled, call, "the other node still makes the call");
+	}
+}
+
+/// Guards against a status that is valid only in its lowest bits.
+Test(relayed_calls, status_out_of_range_is_not_cut_to_a_valid_one)
+{
+	for (const qint64 status : {qint64{200} + (qint64{1} << 32), qint64{-1}, qint64{1000}})
+	{
+		const QCborMap map{{"call", 1}, {"status", status}, {"headers", QCborArray{}}};
+		CborReader reader(map);
+		const std::optional<CallMessage> message = readCallMessage(reader, "call_head");
+		cr_assert(message && reader.status.ok());
+		cr_assert(kindOfStatus(std::get<RelayedCallHead>(*message).status) == StatusKind::Invalid);
+	}
+}
