--- a/src/client_call.cpp
+++ b/src/client_call.cpp
@@ -463,12 +463,13 @@
 			return;
 		}
 		this->headHandled = true;
-		if (!this->handlers.onHead)
+		if (kind == StatusKind::Interim)
 		{
+			this->skipping = true;
 			return;
 		}
 		const auto handler = this->handlers.onHead;
-		this->skipping = kind == StatusKind::Interim || handler(status, this->headers()) == HeadVerdict::Skip;
+		this->skipping = handler && handler(status, this->headers()) == HeadVerdict::Skip;
 	}
 
 	/// @returns Whether a body that is kept is, or is announced to be, longer than allowed. An eager parser of
--- a/tests/blocking_client.h
+++ b/tests/blocking_client.h
@@ -53,12 +53,15 @@
 							CallHandlers handlers;
 							// Posted, so that the request is being sent when it runs.
 							handlers.onConnected = [&] { this->pool.post(0, this->onSending); };
-							handlers.onHead = [_expectedId](unsigned, const HttpHeaders& _headers)
+							if (this->handlesHead)
 							{
-								const std::string id = headerValue(_headers, "X-Id");
-								return _expectedId.empty() || id == _expectedId ? HeadVerdict::Accept
-																				: HeadVerdict::Skip;
-							};
+								handlers.onHead = [_expectedId](unsigned, const HttpHeaders& _headers)
+								{
+									const std::string id = headerValue(_headers, "X-Id");
+									return _expectedId.empty() || id == _expectedId ? HeadVerdict::Accept
+																					: HeadVerdict::Skip;
+								};
+							}
 							handlers.onData = _onData;
 							handlers.onEnd = [&](const CallEnd& _end) { promise.set_value(_end); };
 							this->client.call(0, spec, std::move(handlers));
@@ -84,6 +87,7 @@
 		return promise.get_future().get();
 	}
 
+	bool handlesHead = true;
 	bool forceNewConnection = false;
 	std::int64_t idleOpenedBefore = 0;
 	bool needsIdleOpenedBefore = false;
--- a/tests/test_broken_responses.cpp
+++ b/tests/test_broken_responses.cpp
@@ -202,6 +202,33 @@
 	}
 }
 
+/// Guards against an interim response that passes for the final one where nobody waits for the head: a call to the
+/// store or for pieces failed, and the next one on its connection got its response.
+Test(client, interim_response_does_not_end_a_call_that_has_no_handler_for_the_head)
+{
+	std::atomic<int> requests{0};
+	ScriptServer server(
+		[&](int _socket)
+		{
+			while (!ScriptServer::readHead(_socket).empty())
+			{
+				const std::string body = std::to_string(++requests);
+				ScriptServer::sendText(_socket, "HTTP/1.1 103 X\r\n\r\n");
+				sleepFor(std::chrono::milliseconds(5)); // Else both are read at once.
+				ScriptServer::sendText(_socket, "HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\n" + body);
+			}
+		});
+	BlockingClient client;
+	client.handlesHead = false;
+	for (const char* body : {"1", "2", "3"})
+	{
+		const CallEnd end = client.call(server.address);
+		cr_assert(end.result == CallResult::Complete, "%s", end.error.c_str());
+		cr_assert_eq(end.status, 200);
+		cr_assert_eq(end.body, body);
+	}
+}
+
 /// Guards against a status that is none of HTTP, that a node of another version passes on with the response it relays.
 Test(relayed_calls, response_with_a_status_that_is_none_is_an_error_at_once)
 {
