--- a/tests/test_broken_responses.cpp
+++ b/tests/test_broken_responses.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t kLongUpload = 32 * 1024 * 1024; ///< Bytes, more than the socket buffers of both ends hold.
 constexpr std::size_t kShortUpload = 256 * 1024;      ///< Bytes that a socket buffer takes at once.
 constexpr const char* kFields = " X\r\nX-Id: mine\r\nContent-Length: 4\r\n\r\n";
+constexpr const char* kChunkedBody = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n";
 constexpr const char* kHeadWithoutLength = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
 
 /// Sends the same bytes in response to each request, and then leaves the connection open.
@@ -229,6 +230,44 @@
 	}
 }
 
+/// Guards against a head with a line that is none, and that is passed on or misread.
+Test(client, response_with_a_broken_line_in_its_head_is_an_error_at_once, .timeout = 60)
+{
+	std::vector<std::string> lines = {": v", "no colon", "Content-Length: 5", "Transfer-Encoding: chunked"};
+	for (const char byte : {' ', '\t', '\0', '\x01', '\x1f', '\x7f', '\x80', '('})
+	{
+		lines.push_back(std::string("X") + byte + "Y: v");
+		lines.push_back(std::string("X") + byte + ": v");
+	}
+	for (const char byte : {'\0', '\x01', '\x0b', '\x1f', '\x7f', '\r', '\n'})
+	{
+		lines.push_back(std::string("X: a") + byte + "b");
+	}
+	for (const std::string& line : lines)
+	{
+		checkBroken("HTTP/1.1 200 X\r\nX-Id: mine\r\n" + line + "\r\nContent-Length: 4\r\n\r\nbody");
+	}
+	for (const char* version : {"HTTP/3.7", "HTTP/2.0", "http/1.1", "HTTP/1.1 "})
+	{
+		checkBroken(std::string(version) + " 200" + kFields + "body");
+	}
+	for (const char* status : {"20", "1000", "2x0", "+20"})
+	{
+		checkBroken(std::string("HTTP/1.1 ") + status + kFields + "body");
+	}
+}
+
+/// Guards against a trailer with a line that is none.
+Test(client, response_with_a_broken_line_in_its_trailer_is_an_error_at_once, .timeout = 60)
+{
+	for (const char* line : {"X Y: v", "X\x01: v", "no colon", "X: a\x01"})
+	{
+		const RepeatingServer server(std::string(kChunkedBody) + line + "\r\n\r\n");
+		const CallEnd end = BlockingClient().call(server.address());
+		cr_assert(end.result == CallResult::Interrupted && !end.timedOut, "%s", line);
+	}
+}
+
 /// Guards against a status that is none of HTTP, that a node of another version passes on with the response it relays.
 Test(relayed_calls, response_with_a_status_that_is_none_is_an_error_at_once)
 {
