--- a/src/client_call.cpp
+++ b/src/client_call.cpp
@@ -59,7 +59,8 @@
 constexpr std::chrono::milliseconds kResetAfterEndTime{50};
 constexpr std::uint64_t kNoBodyLimit = std::numeric_limits<std::uint64_t>::max();
 constexpr std::size_t kMaxSkippedBytes = 1024 * 1024; ///< Maximum bytes of a response that is skipped.
-constexpr int kMaxSkippedResponses = 4;               ///< Maximum responses to other requests that one call discards.
+constexpr const char* kTooLong = "response is longer than the limit";
+constexpr int kMaxSkippedResponses = 4; ///< Maximum responses to other requests that one call discards.
 
 /// @returns Whether a connection is open at both ends, whatever has not been read from it yet.
 bool isEstablished(Tcp::socket& _socket)
@@ -204,8 +205,6 @@
 	{
 		this->parser.emplace();
 		this->parser->body_limit(this->handlers.onData ? kNoBodyLimit : this->spec.maxResponseBytes);
-		// An eager parser reads until the end of the message and would delay the data of a stream.
-		this->parser->eager(!this->handlers.onData);
 	}
 
 	void armTimer()
@@ -368,7 +367,7 @@
 		if (_error)
 		{
 			this->connectionLost = isConnectionLoss(_error);
-			this->fail(_error.message());
+			this->fail(_error == http::error::body_limit ? kTooLong : _error.message());
 			return;
 		}
 		if (this->parser->is_header_done() && !this->headHandled)
@@ -381,7 +380,7 @@
 		}
 		if (this->headHandled && this->exceedsLimit())
 		{
-			this->fail("response is longer than the limit");
+			this->fail(kTooLong);
 			return;
 		}
 		if (this->headHandled && this->skipping)
@@ -463,13 +462,17 @@
 			return;
 		}
 		this->headHandled = true;
+		// An eager parser reads until the end of the message and would delay the data of a stream. None is before the
+		// head is handled, since it adds the fields of a trailer to those of the head.
+		this->parser->eager(!this->handlers.onData);
+		this->fields = this->headers();
 		if (kind == StatusKind::Interim)
 		{
 			this->skipping = true;
 			return;
 		}
 		const auto handler = this->handlers.onHead;
-		this->skipping = handler && handler(status, this->headers()) == HeadVerdict::Skip;
+		this->skipping = handler && handler(status, this->fields) == HeadVerdict::Skip;
 	}
 
 	/// @returns Whether a body that is kept is, or is announced to be, longer than allowed. An eager parser of
@@ -538,7 +541,7 @@
 		CallEnd end;
 		end.result = CallResult::Complete;
 		end.status = this->parser->get().result_int();
-		end.headers = this->headers();
+		end.headers = std::move(this->fields);
 		end.body = std::move(this->parser->get().body());
 		end.endsWithConnection = this->parser->need_eof();
 		end.connectionOpenedAt = this->openedAt;
@@ -605,6 +608,7 @@
 	http::request<http::string_body> request;
 	boost::optional<http::response_parser<ReceivedBody>> parser;
 	beast::flat_buffer buffer{kReadSize * 4};
+	HttpHeaders fields;        ///< Of the head of the current response.
 	std::int64_t openedAt = 0; ///< When the connection was opened, in microseconds of the monotonic clock.
 	int skippedResponses = 0;
 	std::size_t skippedBytes = 0;
--- a/tests/test_broken_responses.cpp
+++ b/tests/test_broken_responses.cpp
@@ -268,6 +268,23 @@
 	}
 }
 
+/// Guards against fields of a trailer that pass for fields of the head where both arrive at once (RFC 9110, 6.5.1).
+Test(client, trailer_is_no_part_of_the_head)
+{
+	ScriptServer server(
+		[](int _socket)
+		{
+			ScriptServer::readHead(_socket);
+			ScriptServer::sendText(_socket, std::string(kChunkedBody) + "X-Id: mine\r\n\r\n");
+		});
+	const CallEnd ofAny = BlockingClient().call(server.address);
+	cr_assert(ofAny.result == CallResult::Complete, "%s", ofAny.error.c_str());
+	cr_assert_eq(ofAny.body, "body");
+	cr_assert_eq(headerCount(ofAny.headers, "X-Id"), 0);
+	const CallEnd ofMine = BlockingClient().call(server.address, "mine");
+	cr_assert(ofMine.result == CallResult::Interrupted, "its head has no X-Id");
+}
+
 /// Guards against a status that is none of HTTP, that a node of another version passes on with the response it relays.
 Test(relayed_calls, response_with_a_status_that_is_none_is_an_error_at_once)
 {
