--- a/src/client_call.cpp
+++ b/src/client_call.cpp
@@ -12,6 +12,7 @@
 #include "client_call.h"
 
 #include "http_body.h"
+#include "http_framing.h"
 #include "tcp_address.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -45,7 +46,6 @@
 using Tcp = asio::ip::tcp;
 using Error = boost::system::error_code;
 
-constexpr int kHttpVersion = 11;
 constexpr std::size_t kReadSize = 16 * 1024;
 
 /// A timer that fires at least this late shows that the process was not running.
@@ -461,6 +461,11 @@
 			this->fail("status " + std::to_string(status) + " is not valid");
 			return;
 		}
+		if (hasAmbiguousLength(this->parser->get()))
+		{
+			this->fail("length or transfer coding of the response is not clear");
+			return;
+		}
 		this->headHandled = true;
 		// An eager parser reads until the end of the message and would delay the data of a stream. None is before the
 		// head is handled, since it adds the fields of a trailer to those of the head.
--- a/src/http_connection.h
+++ b/src/http_connection.h
@@ -10,6 +10,7 @@
 #define ROADFERRY_HTTP_CONNECTION_H_HEADER_GUARD
 
 #include "http_body.h"
+#include "http_framing.h"
 #include "http_server.h"
 
 #include <boost/asio/dispatch.hpp>
@@ -38,7 +39,6 @@
 using Tcp = asio::ip::tcp;
 using Error = boost::system::error_code;
 
-constexpr int kHttpVersion = 11;
 constexpr std::int64_t kLingerTimeUs = 1'000'000;
 constexpr std::size_t kDiscardSize = 64 * 1024;
 constexpr std::chrono::milliseconds kIdleCheckPeriod{250};
@@ -59,17 +59,7 @@
 template<class Message>
 bool hasAmbiguousFraming(const Message& _message)
 {
-	if (_message.count(http::field::host) > 1 || _message.count(http::field::content_length) > 1)
-	{
-		return true;
-	}
-	const std::size_t encodings = _message.count(http::field::transfer_encoding);
-	if (encodings == 0)
-	{
-		return false;
-	}
-	const bool plain = encodings == 1 && beast::iequals(_message[http::field::transfer_encoding], "chunked");
-	return !plain || _message.version() < kHttpVersion || _message.count(http::field::content_length) > 0;
+	return _message.count(http::field::host) > 1 || hasAmbiguousLength(_message);
 }
 
 inline HttpResponse errorResponse(unsigned _status, const std::string& _code, const std::string& _message)
--- a/tests/test_broken_responses.cpp
+++ b/tests/test_broken_responses.cpp
@@ -285,6 +285,22 @@
 	cr_assert(ofMine.result == CallResult::Interrupted, "its head has no X-Id");
 }
 
+/// Guards against a transfer coding that nobody asked for and nobody decodes: the body passed for the response's own,
+/// or its caller waited for the end of the connection (RFC 9112, 6.1).
+Test(client, response_in_an_unknown_transfer_coding_is_an_error_at_once, .timeout = 60)
+{
+	for (const char* coding :
+		 {"gzip", "identity", "gzip, chunked", "chunked, gzip", "chunked, chunked", "xchunked", ""})
+	{
+		const std::string head = std::string("HTTP/1.1 200 X\r\nTransfer-Encoding: ") + coding + "\r\n\r\n";
+		checkBroken(head + "4\r\nbody\r\n0\r\n\r\n");
+		checkBroken(head);
+	}
+	checkBroken("HTTP/1.0 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+	const RepeatingServer server("HTTP/1.1 200 X\r\nTransfer-Encoding: Chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+	cr_assert(BlockingClient().call(server.address()).result == CallResult::Complete);
+}
+
 /// Guards against a status that is none of HTTP, that a node of another version passes on with the response it relays.
 Test(relayed_calls, response_with_a_status_that_is_none_is_an_error_at_once)
 {
