--- a/src/platform.cpp
+++ b/src/platform.cpp
@@ -22,6 +22,8 @@
 {
 
 constexpr int kTimeoutMs = 2'000;
+constexpr int kFirstSuccessStatus = 200;
+constexpr int kLastSuccessStatus = 299;
 constexpr std::size_t kMaxTextLength = 256;
 constexpr std::size_t kMaxVms = 20'000;
 constexpr std::int64_t kMaxSlots = 100'000;
@@ -140,6 +142,12 @@
 							 callback(absl::UnavailableError(_reply->errorString().toStdString()));
 							 return;
 						 }
+						 const int status = _reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+						 if (status < kFirstSuccessStatus || status > kLastSuccessStatus)
+						 {
+							 callback(absl::UnavailableError(absl::StrCat("status ", status)));
+							 return;
+						 }
 						 callback(_reply->readAll().toStdString());
 					 });
 }
--- a/tests/test_broken_responses.cpp
+++ b/tests/test_broken_responses.cpp
@@ -9,9 +9,12 @@
 
 #include "blocking_client.h"
 #include "cbor_reader.h"
+#include "platform.h"
 #include "relayed_call.h"
 #include "script_server.h"
 
+#include <QCoreApplication>
+
 namespace
 {
 
@@ -344,3 +347,29 @@
 		cr_assert(kindOfStatus(std::get<RelayedCallHead>(*message).status) == StatusKind::Invalid);
 	}
 }
+
+/// Guards against a list of VMs, or an answer of the log, whose status is none of HTTP or no success, and that is
+/// taken.
+Test(platform_client, response_with_a_status_that_is_no_success_is_an_error, .timeout = 60)
+{
+	int count = 1;
+	char name[] = "test";
+	char* arguments[] = {name, nullptr};
+	const QCoreApplication application(count, arguments);
+	for (const char* status : {"000", "099", "101", "304", "404", "503", "600", "999", "200"})
+	{
+		const RepeatingServer server(std::string("HTTP/1.1 ") + status +
+									 " X\r\nContent-Length: 11\r\nConnection: close\r\n\r\n{\"vms\":[]}\n");
+		Platform platform(server.address(), server.address());
+		std::vector<bool> successes;
+		platform.readVmList([&](const absl::StatusOr<VmList>& _list) { successes.push_back(_list.ok()); });
+		platform.append("record", [&](const absl::Status& _status) { successes.push_back(_status.ok()); });
+		while (successes.size() < 2)
+		{
+			QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
+		}
+		const bool isSuccess = std::string(status) == "200";
+		cr_assert(successes == std::vector<bool>(2, isSuccess), "%s: %d %d", status, successes[0] ? 1 : 0,
+				  successes[1] ? 1 : 0);
+	}
+}
