--- a/tests/test_broken_responses.cpp
+++ b/tests/test_broken_responses.cpp
@@ -14,6 +14,9 @@
 #include "script_server.h"
 
 #include <QCoreApplication>
+#include <QProcess>
+
+#include <filesystem>
 
 namespace
 {
@@ -373,3 +376,28 @@
 				  successes[1] ? 1 : 0);
 	}
 }
+
+/// Guards against a command that succeeds although the daemon's answer is cut, or its status is none of HTTP.
+Test(command_line, broken_response_is_no_success, .timeout = 60)
+{
+	const std::string fields = " X\r\nConnection: close\r\nContent-Length: 2\r\n\r\n";
+	const auto exitCodeFor = [](const std::string& _response)
+	{
+		ScriptServer server(
+			[&](int _socket)
+			{
+				ScriptServer::readHead(_socket);
+				ScriptServer::sendText(_socket, _response);
+			});
+		const QString program =
+			QString::fromStdString(std::filesystem::canonical("/proc/self/exe").parent_path() / "roadferry");
+		return QProcess::execute(program, {QString::fromStdString("--node=" + server.address), "status"});
+	};
+	constexpr int kUnreachable = 3;
+	cr_assert_eq(exitCodeFor("HTTP/1.1 200" + fields + "{}"), 0);
+	cr_assert_eq(exitCodeFor("HTTP/1.1 200" + fields + "{"), kUnreachable);
+	for (const char* status : {"000", "099", "600"})
+	{
+		cr_assert_eq(exitCodeFor(std::string("HTTP/1.1 ") + status + fields + "{}"), kUnreachable, "%s", status);
+	}
+}
--- a/tools/roadferry.cpp
+++ b/tools/roadferry.cpp
@@ -6,6 +6,7 @@
 /// @file
 /// roadferry: the operator's command-line tool.
 
+#include "http_types.h"
 #include "log_timeline.h"
 #include "row_csv.h"
 #include "settings.h"
@@ -37,7 +38,7 @@
 constexpr int kExitOk = 0;
 constexpr int kExitRefused = 1;        ///< The request was refused (conflict or broken limit), or the input is invalid.
 constexpr int kExitUsage = 2;          ///< The command line is invalid.
-constexpr int kExitUnreachable = 3;    ///< The daemon did not respond.
+constexpr int kExitUnreachable = 3;    ///< The daemon did not respond, or not with a whole response.
 constexpr int kExitOutcomeUnknown = 4; ///< The outcome of an edit is unknown; it may take effect later.
 constexpr int kExitDiffers = 5;        ///< "table diff" found differences.
 constexpr int kTimeoutMs = 15'000;
@@ -66,7 +67,7 @@
 /// Response of the daemon.
 struct Reply
 {
-	unsigned status = 0; ///< HTTP status; 0 when the daemon is unreachable.
+	unsigned status = 0; ///< HTTP status; 0 when the daemon is unreachable or its response is broken.
 	QJsonObject json;
 	std::string text;
 };
@@ -78,6 +79,15 @@
 	return _flag.empty() && value != nullptr ? value : _flag;
 }
 
+/// @returns Whether all of a response arrived, with a status that can be one.
+bool isWhole(const QNetworkReply& _reply)
+{
+	const QNetworkReply::NetworkError error = _reply.error();
+	const bool isCut = error != QNetworkReply::NoError && error < QNetworkReply::ProxyConnectionRefusedError;
+	const unsigned status = _reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toUInt();
+	return !isCut && error != QNetworkReply::ProtocolFailure && kindOfStatus(status) == StatusKind::Final;
+}
+
 /// Sends a request to the operator interface of the daemon and waits for the response.
 Reply call(const char* _method, const std::string& _path, const std::string& _body = {})
 {
@@ -93,13 +103,14 @@
 	QObject::connect(reply, &QNetworkReply::finished, &loop, &QEventLoop::quit);
 	loop.exec();
 	Reply result;
-	result.status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toUInt();
+	result.status = isWhole(*reply) ? reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toUInt() : 0;
 	result.text = reply->readAll().toStdString();
 	const auto object = parseObject(result.text);
 	result.json = object.ok() ? *object : QJsonObject();
 	if (result.status == 0)
 	{
-		std::cerr << "roadferry: " << node << ": " << reply->errorString().toStdString() << std::endl;
+		std::cerr << "roadferry: " << node << ": no whole response: " << reply->errorString().toStdString()
+				  << std::endl;
 	}
 	return result;
 }
