--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -331,6 +331,25 @@
 	cr_assert_eq(end.body.size(), kBodyBytes);
 }
 
+/// Guards against a timeout that fires after a stall of the client's thread although data was read first.
+Test(client, stall_of_the_client_thread_before_it_reads_data_is_not_a_timeout)
+{
+	constexpr std::size_t kBodyBytes = 400'000;
+	ScriptServer server(
+		[](int _socket)
+		{
+			ScriptServer::readHead(_socket);
+			const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n";
+			ScriptServer::sendText(_socket, head + std::string(kBodyBytes, 'x'));
+		});
+	BlockingClient client;
+	client.timeout = 300'000;
+	client.restartTimeoutOnData = true;
+	client.onSending = [] { sleepFor(std::chrono::milliseconds(600)); };
+	const CallEnd end = client.call(server.address);
+	cr_assert(end.result == CallResult::Complete, "%s", end.error.c_str());
+}
+
 /// Guards against a timeout on the whole response even while data arrives: over a slow link, a long response would
 /// never complete.
 Test(client, timeout_restarts_while_data_arrives)
