--- a/src/client_call.cpp
+++ b/src/client_call.cpp
@@ -326,11 +326,6 @@
 			return;
 		}
 		this->writeFailed = true;
-		if (this->awaitsReset)
-		{
-			this->endWithConnection();
-			return;
-		}
 		if (_bytes == 0 && !this->parser->got_some())
 		{
 			this->maybeSent = false;
