--- a/src/call_messages.cpp
+++ b/src/call_messages.cpp
@@ -61,7 +61,7 @@
 	return RelayedCallBody{_reader.unsignedInteger("call"), _reader.bytes("bytes")};
 }
 
-/// @returns The status, or 0, which is not valid, if it has more than three digits.
+/// @returns The status, or 0, which is not valid, if it is negative or has more than three digits.
 unsigned readStatus(CborReader& _reader)
 {
 	constexpr std::int64_t kMaxStatus = 999;
--- a/src/client_call.cpp
+++ b/src/client_call.cpp
@@ -60,7 +60,7 @@
 constexpr std::uint64_t kNoBodyLimit = std::numeric_limits<std::uint64_t>::max();
 constexpr std::size_t kMaxSkippedBytes = 1024 * 1024; ///< Maximum bytes of a response that is skipped.
 constexpr const char* kTooLong = "response is longer than the limit";
-constexpr int kMaxSkippedResponses = 4; ///< Maximum responses to other requests that one call discards.
+constexpr int kMaxSkippedResponses = 4; ///< Maximum responses that one call discards, interim ones included.
 
 /// @returns Whether a connection is open at both ends, whatever has not been read from it yet.
 bool isEstablished(Tcp::socket& _socket)
@@ -413,8 +413,8 @@
 		this->complete();
 	}
 
-	/// Ends a call whose response ends with the connection. It is whole only if the connection was not reset, which the
-	/// read does not tell if the write took the error, or if the reset comes after the end.
+	/// Ends a call whose response ends with the connection. It is whole only if the connection was not reset. The read
+	/// does not tell that if a pending write got the error, or if the reset comes after the end.
 	void endWithConnection()
 	{
 		const bool isReset = takeError(*this->socket) || this->writeFailed;
@@ -447,6 +447,7 @@
 			});
 	}
 
+	/// Checks the head of a response, and decides whether it is the one to this request.
 	void handleHead()
 	{
 		const unsigned status = this->parser->get().result_int();
@@ -475,8 +476,8 @@
 		this->skipping = handler && handler(status, this->fields) == HeadVerdict::Skip;
 	}
 
-	/// @returns Whether a body that is kept is, or is announced to be, longer than allowed. An eager parser of
-	/// Beast 1.74 passes over its own limit if the first bytes of the body arrive with the head.
+	/// @returns Whether a body that is kept is, or is announced to be, longer than allowed. The parser checks
+	/// the same, but an eager one of Beast 1.74 passes over its limit at times.
 	[[nodiscard]] bool exceedsLimit()
 	{
 		if (this->skipping || this->handlers.onData)
@@ -487,7 +488,7 @@
 		return std::max<std::uint64_t>(announced, this->parser->get().body().size()) > this->spec.maxResponseBytes;
 	}
 
-	/// Reads the next response after one that belongs to another request.
+	/// Reads the next response after one that was skipped.
 	void readNextResponse()
 	{
 		this->skippedResponses += 1;
@@ -618,7 +619,7 @@
 	bool writing = true;           ///< The request is not completely written yet.
 	bool writeFailed = false;
 	bool headHandled = false; ///< The head of the current response was processed.
-	bool skipping = false;    ///< The current response belongs to another request.
+	bool skipping = false;    ///< The current response is an interim one or belongs to another request.
 	bool awaitsReset = false; ///< The connection has ended and may be reset, see endWithConnection().
 	bool connectionLost = false;
 	bool timedOut = false;
--- a/tests/test_broken_responses.cpp
+++ b/tests/test_broken_responses.cpp
@@ -4,8 +4,8 @@
  */
 
 /// @file
-/// Tests of the HTTP client against servers that send broken responses. None passes for a whole one, and none keeps its
-/// caller waiting. platform/tests/test_broken_answers.cpp has daemons between.
+/// Tests of all that reads HTTP responses, against servers that send broken ones. None passes for a whole one, and none
+/// keeps its caller waiting. platform/tests/test_broken_answers.cpp has daemons between.
 
 #include "blocking_client.h"
 #include "cbor_reader.h"
@@ -195,7 +195,7 @@
 	}
 }
 
-/// A server may send any number of heads before its response to one request.
+/// A server may send interim responses before the one to a request.
 Test(client, response_after_interim_ones_is_complete)
 {
 	for (const char* status : {"100", "102", "103", "199"})
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -310,38 +310,38 @@
 	cr_assert(client.call(server.address).result == CallResult::Interrupted);
 }
 
+namespace
+{
+
+constexpr std::size_t kLongBodyBytes = 400'000;
+
+void sendLongResponse(int _socket)
+{
+	ScriptServer::readHead(_socket);
+	const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kLongBodyBytes) + "\r\n\r\n";
+	ScriptServer::sendText(_socket, head + std::string(kLongBodyBytes, 'x'));
+}
+
+} // namespace
+
 /// Guards against a stall of the client's own process that counts as inactivity of the server. On an overloaded machine
 /// the client would then repeat its requests again and again.
 Test(client, stall_of_the_client_thread_is_not_a_timeout)
 {
-	constexpr std::size_t kBodyBytes = 400'000;
-	ScriptServer server(
-		[](int _socket)
-		{
-			ScriptServer::readHead(_socket);
-			const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n";
-			ScriptServer::sendText(_socket, head + std::string(kBodyBytes, 'x'));
-		});
+	ScriptServer server(sendLongResponse);
 	BlockingClient client;
 	client.timeout = 300'000;
 	client.restartTimeoutOnData = true;
 	client.pauseAfterSending = std::chrono::milliseconds(600);
 	const CallEnd end = client.call(server.address);
 	cr_assert(end.result == CallResult::Complete, "%s", end.error.c_str());
-	cr_assert_eq(end.body.size(), kBodyBytes);
+	cr_assert_eq(end.body.size(), kLongBodyBytes);
 }
 
 /// Guards against a timeout that fires after a stall of the client's thread although data was read first.
 Test(client, stall_of_the_client_thread_before_it_reads_data_is_not_a_timeout)
 {
-	constexpr std::size_t kBodyBytes = 400'000;
-	ScriptServer server(
-		[](int _socket)
-		{
-			ScriptServer::readHead(_socket);
-			const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n";
-			ScriptServer::sendText(_socket, head + std::string(kBodyBytes, 'x'));
-		});
+	ScriptServer server(sendLongResponse);
 	BlockingClient client;
 	client.timeout = 300'000;
 	client.restartTimeoutOnData = true;
