--- a/include/roadferry/parts/dispatcher.h
+++ b/include/roadferry/parts/dispatcher.h
@@ -117,6 +117,7 @@
 /// than once.
 struct AttemptEndUnproven
 {
+	bool isUsual = false; ///< Other answers were found to end there, so that this one is less in need of a proof.
 	bool operator==(const AttemptEndUnproven&) const = default;
 };
 
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -152,7 +152,8 @@
 			[&](const AttemptRefused&) { self.retryElsewhere(active, _now, actions); },
 			[&](const AttemptInterrupted&) { self.retryOrFail(active, true, _now, actions); },
 			[&](const AttemptNoConnection&) { self.restartElsewhere(active, _now, actions); },
-			[&](const AttemptEndUnproven&) { self.retryUnprovenEnd(active, _now, actions); },
+			[&](const AttemptEndUnproven& _unproven)
+			{ self.retryUnprovenEnd(active, _unproven.isUsual, _now, actions); },
 		},
 		_end);
 	return actions;
--- a/src/dispatcher_attempts.cpp
+++ b/src/dispatcher_attempts.cpp
@@ -19,6 +19,7 @@
 /// Share of the retry budget that must be there for an attempt that only asks whether an answer was whole; the rest is
 /// left to attempts that failed.
 constexpr double kMinBudgetForProofs = 0.5;
+constexpr double kMinBudgetForUsualEnds = 0.75; ///< Leaves the rest to answers that end where no others do.
 
 } // namespace
 
@@ -43,6 +44,7 @@
 	_active.endpoint = _endpoint.endpoint.id;
 	_active.startedAt = _now;
 	_active.attemptsMade += 1;
+	_active.visited.insert(_active.endpoint);
 	this->counters.attempts += 1;
 	if (_active.attemptsMade == 1 && _active.failedConnects == 0 && _active.refusals == 0 && !_active.spec.isRetry &&
 		!_active.wasUnproven)
@@ -87,6 +89,8 @@
 	_active.refusals = 0;
 	_active.wasUnproven = false;
 	_active.avoid.clear();
+	_active.visited.clear();
+	_active.staysAtVisited = false;
 	if (_active.stageIndex == _active.stages.size())
 	{
 		this->finish(_active.spec.id, Outcome{Verdict::Answered, Reason::None, false, 0, {}}, _actions);
@@ -108,13 +112,20 @@
 	this->repeatOrFinish(_active, _sent, 0, _now, _actions);
 }
 
-/// The endpoint answered, but not surely completely. It costs an attempt and a retry, but does not speak against the
-/// endpoint.
-void Dispatcher::State::retryUnprovenEnd(DispatchedRequest& _active, Micros _now, Actions& _actions)
+/// The endpoint answered, but not surely completely. It costs a retry, but does not speak against the endpoint. It
+/// costs an attempt only while one is left: after that, endpoints are asked again that the request has been at.
+void Dispatcher::State::retryUnprovenEnd(DispatchedRequest& _active, bool _isUsual, Micros _now, Actions& _actions)
 {
+	const StageRow& stage = _active.stages[_active.stageIndex];
+	_active.staysAtVisited = _active.attemptsMade >= stage.maxAttempts;
+	if (_active.staysAtVisited && this->registry.isAnyUsable(_active.visited, _active.spec.requiredVersion, _now))
+	{
+		_active.attemptsMade -= 1;
+	}
 	const auto measuredUs = static_cast<double>(_now - _active.startedAt);
 	this->registry.recordSuccess(_active.endpoint, measuredUs / std::max(1.0, _active.predictedUs), _now);
-	this->repeatOrFinish(_active, true, kMinBudgetForProofs, _now, _actions);
+	const double minBudget = _isUsual ? kMinBudgetForUsualEnds : kMinBudgetForProofs;
+	this->repeatOrFinish(_active, true, minBudget, _now, _actions);
 }
 
 /// Ends the attempt, and starts another one if that is possible.
--- a/src/dispatcher_queue.cpp
+++ b/src/dispatcher_queue.cpp
@@ -54,7 +54,8 @@
 						 _active.avoid,
 						 _active.spec.preferredDomain,
 						 _active.spec.requiredVersion,
-						 provenInPool == this->proven.end() ? nullptr : &provenInPool->second};
+						 provenInPool == this->proven.end() ? nullptr : &provenInPool->second,
+						 _active.staysAtVisited ? &_active.visited : nullptr};
 }
 
 bool Dispatcher::State::mayStart(const std::string& _pool, bool _urgent, Micros _now) const
--- a/src/dispatcher_state.h
+++ b/src/dispatcher_state.h
@@ -42,9 +42,11 @@
 	QueuedRequest queued;
 	std::uint64_t attempt = 0;
 	std::string endpoint;
-	std::int64_t refusals = 0;   ///< Refusals by endpoints in the stage that did not count as attempts.
-	std::set<std::string> avoid; ///< Endpoints of the stage's failed attempts.
-	bool wasUnproven = false;    ///< An attempt of the stage found no connection that it may use.
+	std::int64_t refusals = 0;     ///< Refusals by endpoints in the stage that did not count as attempts.
+	std::set<std::string> avoid;   ///< Endpoints of the stage's failed attempts.
+	std::set<std::string> visited; ///< Endpoints of the stage's attempts.
+	bool staysAtVisited = false;   ///< The next attempt goes to one of these.
+	bool wasUnproven = false;      ///< An attempt of the stage found no connection that it may use.
 	Micros startedAt = 0;
 	double predictedUs = 0;
 	bool anySent = false;        ///< Bytes of some stage may have been sent.
@@ -107,7 +109,7 @@
 	void releaseAttempt(DispatchedRequest& _active);
 	void completeStage(DispatchedRequest& _active, Micros _now, Actions& _actions);
 	void retryOrFail(DispatchedRequest& _active, bool _sent, Micros _now, Actions& _actions);
-	void retryUnprovenEnd(DispatchedRequest& _active, Micros _now, Actions& _actions);
+	void retryUnprovenEnd(DispatchedRequest& _active, bool _isUsual, Micros _now, Actions& _actions);
 	void repeatOrFinish(DispatchedRequest& _active, bool _sent, double _minBudget, Micros _now, Actions& _actions);
 	void reconnectOrRetry(DispatchedRequest& _active, Micros _now, Actions& _actions);
 	void retryElsewhere(DispatchedRequest& _active, Micros _now, Actions& _actions);
--- a/src/endpoint_registry.cpp
+++ b/src/endpoint_registry.cpp
@@ -339,7 +339,8 @@
 		}
 		usable.push_back(member);
 		totalLoad += member->load();
-		if (!this->hasFreeSlot(found->second, *member, _now))
+		const bool isChoice = _query.only == nullptr || _query.only->count(member->endpoint.id) > 0;
+		if (!isChoice || !this->hasFreeSlot(found->second, *member, _now))
 		{
 			continue;
 		}
@@ -529,6 +530,18 @@
 					   { return _member->listed && !_member->endpoint.leaving && hasVersion(*_member, _version); });
 }
 
+bool EndpointRegistry::isAnyUsable(const std::set<std::string>& _ids, const std::optional<std::string>& _version,
+								   Micros _now) const
+{
+	return std::any_of(_ids.begin(), _ids.end(),
+					   [&](const std::string& _id)
+					   {
+						   const auto found = this->endpoints.find(_id);
+						   return found != this->endpoints.end() && found->second->isUsable(_now) &&
+								  hasVersion(*found->second, _version);
+					   });
+}
+
 std::vector<EndpointState> EndpointRegistry::states() const
 {
 	std::vector<EndpointState> result;
--- a/src/endpoint_registry.h
+++ b/src/endpoint_registry.h
@@ -31,6 +31,7 @@
 	std::string domain;                      ///< Failure domain to prefer, empty for none.
 	std::optional<std::string> version;      ///< Software version that the endpoint must have, if set.
 	const ProvenEndpoints* proven = nullptr; ///< Endpoints whose process is known to have that version, null for all.
+	const std::set<std::string>* only = nullptr; ///< Endpoints to choose from, null for all.
 };
 
 /// Keeps the state of each endpoint and chooses endpoints for calls.
@@ -89,6 +90,10 @@
 	void addWithLaterProcesses(const std::string& _endpoint, std::set<std::string>& _ids) const;
 
 	[[nodiscard]] bool hasLiveEndpoint(const std::string& _pool, const std::optional<std::string>& _version) const;
+
+	/// @returns Whether a call may be sent to one of some endpoints, as soon as it has a free slot.
+	[[nodiscard]] bool isAnyUsable(const std::set<std::string>& _ids, const std::optional<std::string>& _version,
+								   Micros _now) const;
 	[[nodiscard]] std::vector<EndpointState> states() const;
 
 private:
--- a/src/forward_active.h
+++ b/src/forward_active.h
@@ -65,6 +65,7 @@
 	std::string endpointVersion;      ///< Software version of that endpoint.
 	std::string endpointName;         ///< Endpoint::sharedName of that endpoint.
 	std::uint64_t instance = 0;       ///< ProcessProofs::instanceOf() that endpoint.
+	Micros endAskedAt = 0;            ///< Time point since which others are asked about the end of its stream.
 	Micros attemptHeadAt = 0;         ///< Time point of the head of the latest attempt's response, 0 before.
 	Micros connectionOpenedAt = 0;    ///< Latest time point at which the connection of its stream was opened.
 	bool processProven = false;       ///< The connection of the latest attempt led to the listed process.
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -13,15 +13,15 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <utility>
+
 namespace roadferry
 {
 
 namespace
 {
 
-/// Runs that must have ended with their connection right after a stream's last event, to prove that it is the last one.
-/// Two can end early at the same event: of streams of 4 to 50 events, about one in 100 that end early. Three hardly
-/// ever.
+/// Runs that must agree on the end of a stream, unless PoolStreams tells how many.
 constexpr std::int64_t kAgreeingRuns = 3;
 constexpr unsigned kFirstErrorStatus = 400;
 constexpr unsigned kFirstServerErrorStatus = 500;
@@ -43,7 +43,7 @@
 ForwardAnswer::ForwardAnswer(const WireFormat& _wire, std::shared_ptr<HttpReply> _reply, std::string _requestId,
 							 bool _streaming, bool _repeatable, std::size_t _maxBytes)
 	: wire(_wire), clientReply(std::move(_reply)), requestId(std::move(_requestId)), streaming(_streaming),
-	  repeatable(_repeatable), maxBytes(_maxBytes)
+	  repeatable(_repeatable), maxBytes(_maxBytes), requiredRuns(kAgreeingRuns)
 {
 }
 
@@ -69,6 +69,11 @@
 	this->agreeing = tellsMore && !isEarlier ? _known : this->agreeing;
 }
 
+void ForwardAnswer::requireAgreeingRuns(std::int64_t _runs)
+{
+	this->requiredRuns = _runs;
+}
+
 void ForwardAnswer::beginAttempt(bool _resumes, bool _overlaps)
 {
 	this->sparseIds = false;
@@ -168,7 +173,7 @@
 	{
 		return; // The client has this event from an earlier attempt or submission.
 	}
-	this->hasEvents = this->hasEvents || number || hasData(_event);
+	this->noteFurtherEvent(number || hasData(_event));
 	this->startStream();
 	const Micros now = monotonicNow();
 	StreamTimes& times = this->streamTimes;
@@ -182,6 +187,21 @@
 	this->sentUnnumbered = this->sentUnnumbered || (!number && hasData(_event));
 }
 
+/// Notes an event that the client does not have. After an end that only a connection told, it shows that there is more.
+void ForwardAnswer::noteFurtherEvent(bool _hasContent)
+{
+	if (!_hasContent)
+	{
+		return;
+	}
+	this->hasEvents = true;
+	if (this->agreeingRuns().runs > 0)
+	{
+		this->agreeing = AgreeingRuns{};
+		this->endFinding = EndFinding::Early;
+	}
+}
+
 void ForwardAnswer::rememberId(std::optional<std::uint64_t> _number)
 {
 	if (!_number)
@@ -291,15 +311,20 @@
 	if (bringsNothing)
 	{
 		// The client has all events, or the run failed. One that was asked for an event that exists has failed.
+		this->endFinding = this->overlaps ? EndFinding::Early : EndFinding::None;
 		return this->overlaps ? AttemptEnd(AttemptInterrupted{}) : AttemptEnd(AttemptEndUnproven{});
 	}
 	const bool reachesLast = this->attemptLastId && *this->attemptLastId == *this->lastId;
 	if (!reachesLast)
 	{
-		return AttemptEndUnproven{}; // It began anew, and tells nothing of what comes after the client's last event.
+		this->endFinding = EndFinding::Early;
+		return AttemptEndUnproven{}; // It tells nothing of what comes after the client's last event.
 	}
-	this->agreeing = AgreeingRuns{*this->lastId, this->agreeingRuns().runs + 1};
-	if (this->agreeing.runs < kAgreeingRuns)
+	const std::int64_t runsBefore = this->agreeingRuns().runs;
+	this->agreeing = AgreeingRuns{*this->lastId, runsBefore + 1};
+	this->endedHead = this->currentHead;
+	this->endFinding = runsBefore > 0 ? EndFinding::Confirmed : this->endFinding;
+	if (this->agreeing.runs < this->requiredRuns)
 	{
 		return AttemptEndUnproven{};
 	}
@@ -322,6 +347,26 @@
 	this->clientReply->send(std::move(response));
 }
 
+bool ForwardAnswer::hasPlausibleEnd() const
+{
+	return this->agreeingRuns().runs > 0 && (this->streamStarted || this->endedHead.has_value());
+}
+
+void ForwardAnswer::deliverUnproven()
+{
+	if (!this->streamStarted)
+	{
+		this->currentHead = this->endedHead;
+		this->startStream();
+	}
+	this->clientReply->endStream();
+}
+
+EndFinding ForwardAnswer::takeEndFinding()
+{
+	return std::exchange(this->endFinding, EndFinding::None);
+}
+
 void ForwardAnswer::refuse(unsigned _status, Micros _retryAfter, const std::string& _code, const std::string& _message)
 {
 	HttpResponse response;
--- a/src/forward_answer.h
+++ b/src/forward_answer.h
@@ -20,6 +20,14 @@
 namespace roadferry
 {
 
+/// What an attempt shows of an earlier end of its stream that only a connection told, or of its own.
+enum class EndFinding
+{
+	None,
+	Confirmed, ///< It ended after the same event.
+	Early      ///< There was more, or it did not come as far as the client has got.
+};
+
 /// Receives the responses of endpoints, one attempt after another, and answers the client exactly once.
 class ForwardAnswer
 {
@@ -43,6 +51,10 @@
 	/// Tells how far earlier runs of the stream agree on its end, as this node or another one has seen them.
 	void addKnownEnd(const AgreeingRuns& _known);
 
+	/// Sets how many runs must have ended with their connection right after the last event of a stream to prove that it
+	/// is the last one.
+	void requireAgreeingRuns(std::int64_t _runs);
+
 	/// Resets the state of the previous attempt.
 	/// @param[in] _resumes Whether the endpoint is asked only for the events after one that the client has.
 	/// @param[in] _overlaps Whether it is asked for events that the client has, see overlapStart().
@@ -67,6 +79,16 @@
 	/// Sends the kept response to the client, or ends its stream.
 	void deliver();
 
+	/// @returns Whether a run has ended with its connection right after the client's last event, and no other one has
+	/// shown that there is more.
+	[[nodiscard]] bool hasPlausibleEnd() const;
+
+	/// Ends the stream of such a run.
+	void deliverUnproven();
+
+	/// @returns What the latest attempt has shown of an end since the last call.
+	[[nodiscard]] EndFinding takeEndFinding();
+
 	/// Answers with an error of this node.
 	/// @param[in] _retryAfter Retry-After for the client in microseconds, 0 for none.
 	void refuse(unsigned _status, Micros _retryAfter, const std::string& _code, const std::string& _message);
@@ -118,6 +140,7 @@
 	[[nodiscard]] bool isAfterGap(const std::string& _event) const;
 	[[nodiscard]] bool follows(const std::string& _event) const;
 	void forwardEvent(const std::string& _event);
+	void noteFurtherEvent(bool _hasContent);
 	void rememberId(std::optional<std::uint64_t> _number);
 	void startStream();
 	[[nodiscard]] bool isUsable() const;
@@ -146,11 +169,14 @@
 	std::string keptBody;
 	std::function<void()> startHandler;
 	bool streamStarted = false;
-	std::optional<std::uint64_t> lastId; ///< Of the last event that the client has.
-	std::deque<std::uint64_t> recentIds; ///< Of the latest events that this answer has passed on, in order.
-	AgreeingRuns agreeing;               ///< Runs that ended right after the same event.
-	bool sparseIds = false;              ///< See hasSparseIds().
-	bool sentUnnumbered = false;         ///< An event with data and without an id was sent.
+	std::optional<std::uint64_t> lastId;  ///< Of the last event that the client has.
+	std::deque<std::uint64_t> recentIds;  ///< Of the latest events that this answer has passed on, in order.
+	AgreeingRuns agreeing;                ///< Runs that ended right after the same event.
+	std::optional<ForwardHead> endedHead; ///< Head of the latest of these.
+	std::int64_t requiredRuns;            ///< See requireAgreeingRuns().
+	EndFinding endFinding = EndFinding::None;
+	bool sparseIds = false;      ///< See hasSparseIds().
+	bool sentUnnumbered = false; ///< An event with data and without an id was sent.
 	StreamTimes streamTimes;
 };
 
--- a/src/forward_attempts.cpp
+++ b/src/forward_attempts.cpp
@@ -104,6 +104,7 @@
 		handlers.onData = [this, active, number = _attempt.attempt](const std::string& _bytes)
 		{
 			const bool isUsable = active->answer.receiveData(_bytes);
+			this->noteEndFinding(*active);
 			if (active->answer.hasSparseIds())
 			{
 				this->poolStreams.noteSparseIds(active->pool, monotonicNow());
@@ -282,8 +283,13 @@
 		this->perform(this->dispatcher.attemptEnded(_attempt, AttemptNoConnection{}, monotonicNow()));
 		return;
 	}
-	const AttemptEnd end = _active->answer.endAttempt(_end);
-	this->notePoolStreams(*_active, _end);
+	_active->answer.requireAgreeingRuns(this->poolStreams.agreeingRuns(_active->pool, monotonicNow()));
+	AttemptEnd end = _active->answer.endAttempt(_end);
+	this->notePoolStreams(*_active, _end, end);
+	if (auto* unproven = std::get_if<AttemptEndUnproven>(&end))
+	{
+		unproven->isUsual = this->poolStreams.isUsualEnd(_active->pool, _active->answer.lastEventId().value_or(0));
+	}
 	logAttemptEnd(*_active, _end, end);
 	this->concludeAttempt(_active, _attempt, end);
 }
@@ -344,12 +350,23 @@
 	const bool needsRerun = !answered && inputsNeeded && ((head && head->inputGone) || _active->inputsFreed);
 	if (!needsRerun)
 	{
+		this->awaitEndAnswer(_active, monotonicNow());
 		this->perform(this->dispatcher.attemptEnded(_attempt, _end, monotonicNow()));
 		return;
 	}
 	const bool mayRepeat = _active->isRepeatable || (head && head->notRun);
 	const bool canRerun =
 		mayRepeat && _active->attempts < _active->route.maxAttempts && _active->stageReruns < kMaxStageReruns;
+	const bool endsHere =
+		std::holds_alternative<AttemptEndUnproven>(_end) && (!canRerun || this->mayEndUnproven(*_active));
+	if (endsHere)
+	{
+		// To ask about its end would need results of its stages that are gone.
+		_active->submitted = false;
+		this->perform(this->dispatcher.cancel(_active->id, monotonicNow()));
+		this->giveUp(_active, Reason::AttemptsExhausted, 0);
+		return;
+	}
 	_active->submitted = !canRerun;
 	this->perform(canRerun ? this->dispatcher.cancel(_active->id, monotonicNow())
 						   : this->dispatcher.attemptEnded(_attempt, _end, monotonicNow()));
--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -96,9 +96,10 @@
 	{ this->trafficSender->send(_to, _message); };
 	const auto save = [this](const auto& _typed)
 	{ this->runOnControlThread([this, _typed] { this->originStore->save(_typed); }); };
-	this->traffic = std::make_unique<ForwardTraffic>(this->pool, this->client, *this->wire, this->metrics, forward,
-													 ForwardSends{sendTyped, sendTyped, sendTyped, sendTyped, sendCall,
-																  sendRejectionLimit, save, save, sendOne, sendOne});
+	this->traffic =
+		std::make_unique<ForwardTraffic>(this->pool, this->client, *this->wire, this->metrics, forward,
+										 ForwardSends{sendTyped, sendTyped, sendTyped, sendTyped, sendCall,
+													  sendRejectionLimit, save, save, sendOne, sendOne, sendOne});
 }
 
 void ForwardNode::makeOriginStore(const Adapter& _adapter)
@@ -294,6 +295,7 @@
 			[&](const RejectionLimitNotice& _typed) { this->traffic->receive(peer, _typed); },
 			[&](const StreamEndQuery& _typed) { this->traffic->receive(peer, _typed); },
 			[&](const StreamEndNotice& _typed) { this->traffic->receive(peer, _typed); },
+			[&](const EndDoubtNotice& _typed) { this->traffic->receive(peer, _typed); },
 			[&](const CallMessage& _typed) { this->traffic->receive(peer, _typed); },
 			[&](const auto&)
 			{ logWarning("peer", absl::StrCat(peer, ": message type is not handled by a forwarding node")); },
--- a/src/forward_stream_ends.cpp
+++ b/src/forward_stream_ends.cpp
@@ -21,6 +21,8 @@
 /// Other nodes that are told of a stream that was broken off, and asked. A node that tells is not among them, nor is
 /// one that asks, so that two of them have at least one in common.
 constexpr std::size_t kEndHolders = 2;
+/// Time for other runs to tell whether a stream has ended. Clients give a stream up after a gap of two seconds.
+constexpr Micros kMaxEndQuestion = kSecond;
 
 } // namespace
 
@@ -33,14 +35,138 @@
 }
 
 /// Notes what the response of an attempt shows of its pool's streams.
-void ForwardTraffic::notePoolStreams(const ActiveRequest& _active, const CallEnd& _end)
+void ForwardTraffic::notePoolStreams(ActiveRequest& _active, const CallEnd& _end, const AttemptEnd& _result)
 {
+	this->noteEndFinding(_active);
 	const std::optional<ForwardHead>& head = _active.answer.head();
 	const bool isStream = _active.route.streaming && head && head->status < kFirstErrorStatus;
-	if (isStream && _end.endsWithConnection)
+	if (!isStream)
 	{
-		this->poolStreams.noteUnmarkedEnd(_active.pool, monotonicNow());
+		return;
+	}
+	const Micros now = monotonicNow();
+	const std::optional<std::uint64_t> lastEvent = _active.answer.lastEventId();
+	if (_end.endsWithConnection)
+	{
+		this->poolStreams.noteUnmarkedEnd(_active.pool, now);
+	}
+	else if (lastEvent && std::holds_alternative<AttemptAnswered>(_result))
+	{
+		this->poolStreams.noteSoundEnd(_active.pool, *lastEvent, now);
+	}
+}
+
+/// Notes what an attempt shows of an end, and tells the other nodes if that puts the ends of its pool in doubt.
+void ForwardTraffic::noteEndFinding(ActiveRequest& _active)
+{
+	const EndFinding finding = _active.answer.takeEndFinding();
+	const Micros now = monotonicNow();
+	if (finding == EndFinding::Confirmed)
+	{
+		this->poolStreams.noteConfirmedEnd(_active.pool, _active.answer.agreeingRuns().lastEvent, now);
 	}
+	if (finding != EndFinding::Early)
+	{
+		return;
+	}
+	const bool isNew = this->poolStreams.noteEarlyEnd(_active.pool, now);
+	logEvent("request", "stream_ended_early",
+			 {{"request", _active.request.id}, {"pool", _active.pool}, {"endpoint", _active.endpoint}});
+	if (!isNew)
+	{
+		return;
+	}
+	logEvent("endpoint", "ends_doubted", {{"pool", _active.pool}, {"from", ""}});
+	for (const EndDoubtNotice& doubt : this->poolStreams.doubts(now))
+	{
+		for (const BroadcastStep& step : planBroadcast(this->peers))
+		{
+			this->sendEndDoubt(step.to, EndDoubtNotice{doubt.pool, doubt.life, step.forwardTo});
+		}
+	}
+}
+
+/// Tells a node that has just started.
+void ForwardTraffic::sendEndDoubts(const std::string& _to, Micros _now)
+{
+	for (const EndDoubtNotice& doubt : this->poolStreams.doubts(_now))
+	{
+		this->sendEndDoubt(_to, doubt);
+	}
+}
+
+void ForwardTraffic::receive(const std::string& _from, const EndDoubtNotice& _notice)
+{
+	this->pool.post(0,
+					[this, _from, _notice]
+					{
+						EndDoubtNotice copy = _notice;
+						copy.forwardTo.clear();
+						for (const std::string& next : _notice.forwardTo)
+						{
+							this->sendEndDoubt(next, copy);
+						}
+						const Micros now = monotonicNow();
+						this->poolStreams.noteUnmarkedEnd(_notice.pool, now);
+						if (this->poolStreams.doubtEnds(_notice.pool, _notice.life, now))
+						{
+							logEvent("endpoint", "ends_doubted", {{"pool", _notice.pool}, {"from", _from}});
+						}
+					});
+}
+
+/// Limits the time for which the end of a stream is asked about.
+void ForwardTraffic::awaitEndAnswer(const ActiveRequestPtr& _active, Micros _now)
+{
+	if (!_active->answer.hasPlausibleEnd())
+	{
+		_active->endAskedAt = 0;
+		return;
+	}
+	_active->endAskedAt = _active->endAskedAt == 0 ? _now : _active->endAskedAt;
+	this->askedEnds.emplace(_active->endAskedAt + kMaxEndQuestion, _active->id);
+}
+
+/// Ends the streams whose end was asked about for long enough.
+void ForwardTraffic::endUnanswered(Micros _now)
+{
+	while (!this->askedEnds.empty() && this->askedEnds.begin()->first <= _now)
+	{
+		const ActiveRequestPtr active = this->findActive(this->askedEnds.begin()->second);
+		this->askedEnds.erase(this->askedEnds.begin());
+		const bool isDue = active != nullptr && active->endAskedAt > 0 && _now - active->endAskedAt >= kMaxEndQuestion;
+		if (isDue && this->mayEndUnproven(*active))
+		{
+			active->submitted = false;
+			this->perform(this->dispatcher.cancel(active->id, _now));
+			this->giveUp(active, Reason::DeadlinePassed, 0);
+		}
+	}
+}
+
+/// Whether a stream counts as whole that has an end which nothing speaks against: its process ran on, no other run
+/// brought more, and hardly any stream of its pool was found to end early.
+bool ForwardTraffic::mayEndUnproven(const ActiveRequest& _active) const
+{
+	const AgreeingRuns end = _active.answer.agreeingRuns();
+	return _active.answer.hasPlausibleEnd() &&
+		   this->poolStreams.isEndTrusted(_active.pool, end.lastEvent, monotonicNow());
+}
+
+/// Ends a stream whose end cannot be asked about any further.
+/// @param[in] _reason Why it cannot.
+void ForwardTraffic::endUnproven(const ActiveRequestPtr& _active, Reason _reason)
+{
+	this->unprovenEndCount += 1;
+	logEvent("request", "end_taken_as_whole",
+			 {{"request", _active->request.id},
+			  {"pool", _active->pool},
+			  {"reason", std::string(nameOf(_reason))},
+			  {"agreeing_runs", _active->answer.agreeingRuns().runs}});
+	this->recordFirstEventTime(*_active);
+	this->crashes.onAnswered(_active->digest);
+	_active->answer.deliverUnproven();
+	this->endRequest(_active, Outcome{Verdict::Answered, Reason::None, false, 0, {}}, "answered");
 }
 
 /// Takes what is known of the end of a stream that a client takes up, and asks others. Their answers come long before
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -102,7 +102,7 @@
 	  parts(_settings.self, _settings.parts), sendPart(_sends.part), sendRejectionLimit(_sends.rejectionLimit),
 	  origins(_settings.self, originsConfig(_settings)), sendOrigin(_sends.origin), saveVersions(_sends.saveVersions),
 	  saveRecords(_sends.saveRecords), sendStreamEndQuery(_sends.streamEndQuery), sendStreamEnd(_sends.streamEnd),
-	  identity(_client, _wire),
+	  sendEndDoubt(_sends.endDoubt), identity(_client, _wire),
 	  pieces(this->endpointCalls, _wire, crashes, PieceScheduler(_settings.self, _settings.pieces),
 			 PieceHandlers{[this](const PieceStarted& _started) { this->onPieceStarted(_started); },
 						   [this](const PieceCompleted& _completed) { this->onPieceCompleted(_completed); },
@@ -238,6 +238,7 @@
 						if (std::holds_alternative<CrashReportRequest>(_message))
 						{
 							this->perform(this->parts.tellVerdicts(_from, monotonicNow()));
+							this->sendEndDoubts(_from, monotonicNow());
 						}
 					});
 }
@@ -277,8 +278,11 @@
 	return absl::StrCat(
 		this->metrics.toPrometheus(counters, this->activeCount), this->crashes.metricsText(),
 		this->endpointCalls.metricsText(), "# TYPE roadferry_limited_pools gauge\nroadferry_limited_pools ",
-		this->dispatcher.limitedPools(now), "\n", "# TYPE roadferry_blocked_parts gauge\nroadferry_blocked_parts ",
-		this->parts.blockedCount(), "\n", "# TYPE roadferry_live_nodes gauge\nroadferry_live_nodes ", this->liveNodes,
+		this->dispatcher.limitedPools(now), "\n",
+		"# TYPE roadferry_unproven_ends_total counter\nroadferry_unproven_ends_total ", this->unprovenEndCount, "\n",
+		"# TYPE roadferry_doubted_pools gauge\nroadferry_doubted_pools ", this->poolStreams.doubts(now).size(), "\n",
+		"# TYPE roadferry_blocked_parts gauge\nroadferry_blocked_parts ", this->parts.blockedCount(), "\n",
+		"# TYPE roadferry_live_nodes gauge\nroadferry_live_nodes ", this->liveNodes,
 		"\n# TYPE roadferry_response_bytes gauge\nroadferry_response_bytes ", this->responseBudget.total(), "\n",
 		ageGauge("roadferry_routes_age_seconds", this->freshness.routesAsOf, now),
 		ageGauge("roadferry_listing_age_seconds", this->freshness.listingAsOf, now));
@@ -516,6 +520,11 @@
 		this->endRequest(_active, _outcome, "answered");
 		return;
 	}
+	if (this->mayEndUnproven(*_active))
+	{
+		this->endUnproven(_active, _outcome.reason);
+		return;
+	}
 	if (_active->answer.hasStarted())
 	{
 		this->endRequest(_active, _outcome, "stream_broken_off");
@@ -641,6 +650,7 @@
 	this->perform(this->parts.tick(now));
 	this->perform(this->origins.tick(now));
 	this->streamEnds.expire(now);
+	this->endUnanswered(now);
 	this->pieces.tick();
 	while (!this->deadlines.empty() && this->deadlines.begin()->first <= now)
 	{
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -55,6 +55,7 @@
 	std::function<void(const SaveStreamRecords&)> saveRecords;
 	std::function<void(const std::string& _to, const StreamEndQuery&)> streamEndQuery;
 	std::function<void(const std::string& _to, const StreamEndNotice&)> streamEnd;
+	std::function<void(const std::string& _to, const EndDoubtNotice&)> endDoubt;
 };
 
 /// Limits the idle connections to an endpoint. An endpoint resets connections beyond a limit that all nodes share, and
@@ -104,6 +105,7 @@
 	void receive(const std::string& _from, const RejectionLimitNotice& _notice);
 	void receive(const std::string& _from, const StreamEndQuery& _query);
 	void receive(const std::string& _from, const StreamEndNotice& _notice);
+	void receive(const std::string& _from, const EndDoubtNotice& _notice);
 	/// Sets how long a crash of an endpoint counts against the requests that ran on it, see CrashLedger::setMemory().
 	void setCrashMemory(Micros _memory);
 	void peerClosed(const std::string& _peer);
@@ -187,7 +189,13 @@
 	void checkIdentity(const Endpoint& _endpoint, Micros _now);
 	void startIdentityCheck(const Endpoint& _endpoint);
 	[[nodiscard]] bool mustOverlap(const ActiveRequest& _active, Micros _now) const;
-	void notePoolStreams(const ActiveRequest& _active, const CallEnd& _end);
+	void notePoolStreams(ActiveRequest& _active, const CallEnd& _end, const AttemptEnd& _result);
+	void noteEndFinding(ActiveRequest& _active);
+	void sendEndDoubts(const std::string& _to, Micros _now);
+	void awaitEndAnswer(const ActiveRequestPtr& _active, Micros _now);
+	void endUnanswered(Micros _now);
+	[[nodiscard]] bool mayEndUnproven(const ActiveRequest& _active) const;
+	void endUnproven(const ActiveRequestPtr& _active, Reason _reason);
 	void findStreamEnd(ActiveRequest& _active);
 	void keepStreamEnd(const ActiveRequest& _active);
 	[[nodiscard]] bool hasMoved(const ActiveRequest& _active, Micros _within) const;
@@ -252,6 +260,10 @@
 	StreamEnds streamEnds; ///< Of streams that this node or another one broke off.
 	std::function<void(const std::string&, const StreamEndQuery&)> sendStreamEndQuery;
 	std::function<void(const std::string&, const StreamEndNotice&)> sendStreamEnd;
+	std::function<void(const std::string&, const EndDoubtNotice&)> sendEndDoubt;
+	/// Requests whose stream has an end that others are asked about, by the time point up to which that may take.
+	std::set<std::pair<Micros, std::uint64_t>> askedEnds;
+	std::uint64_t unprovenEndCount = 0; ///< Streams that were ended as whole although not enough runs agreed.
 	ProcessProofs proofs;
 	IdentityCheck identity;
 	std::map<std::string, Micros> identityCheckedAt; ///< Time point of the latest check, by endpoint.
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -301,6 +301,20 @@
 					{"life", static_cast<qint64>(_message.life)}};
 }
 
+QCborMap toCbor(const EndDoubtNotice& _message)
+{
+	return QCborMap{{"type", "end_doubt"},
+					{"pool", toQString(_message.pool)},
+					{"life", static_cast<qint64>(_message.life)},
+					{"forward_to", toCborArray(_message.forwardTo)}};
+}
+
+EndDoubtNotice readEndDoubt(CborReader& _reader)
+{
+	const Micros life = std::clamp<Micros>(_reader.integer("life"), 0, kMaxStreamEndLife);
+	return EndDoubtNotice{_reader.text("pool"), life, _reader.texts("forward_to")};
+}
+
 StreamEndNotice readStreamEnd(CborReader& _reader)
 {
 	StreamEndNotice message;
@@ -524,6 +538,10 @@
 	{
 		return readStreamEnd(_reader);
 	}
+	if (_type == "end_doubt")
+	{
+		return readEndDoubt(_reader);
+	}
 	if (_type == "crash_report_request")
 	{
 		return CrashReportRequest{};
--- a/src/pool_streams.h
+++ b/src/pool_streams.h
@@ -9,7 +9,7 @@
 #ifndef ROADFERRY_POOL_STREAMS_H_HEADER_GUARD
 #define ROADFERRY_POOL_STREAMS_H_HEADER_GUARD
 
-#include <roadferry/roadferry.h>
+#include "stream_ends.h"
 
 #include <map>
 #include <string>
@@ -17,8 +17,9 @@
 namespace roadferry
 {
 
-/// Knows the pools in which a run that goes on must be asked for the client's last event again. With a mark of the end
-/// and ids that rise by one, asking for the event after it is enough, and costs nothing more.
+/// Knows the pools in which a run that goes on must be asked for the client's last event again, and those whose
+/// endpoints end streams too early. With a mark of the end and ids that rise by one, asking for the event after the
+/// last one is enough, and costs nothing more.
 class PoolStreams
 {
 public:
@@ -31,11 +32,61 @@
 	/// @returns Whether only a run that sends the client's last event again shows that it goes on right after it.
 	[[nodiscard]] bool mustOverlap(const std::string& _pool, Micros _now) const;
 
+	/// Tells that a stream ended right after an event, by a mark of its end or by runs that agree.
+	void noteSoundEnd(const std::string& _pool, std::uint64_t _lastEvent, Micros _now);
+
+	/// Tells that another run ended right after the event at which one had ended with nothing but its connection.
+	void noteConfirmedEnd(const std::string& _pool, std::uint64_t _lastEvent, Micros _now);
+
+	/// Tells that there was more after such an end.
+	/// @returns Whether the ends of the pool are doubted from now on, and were not before.
+	bool noteEarlyEnd(const std::string& _pool, Micros _now);
+
+	/// Takes the doubt of another node.
+	/// @returns Whether the ends of the pool were not doubted before.
+	bool doubtEnds(const std::string& _pool, Micros _life, Micros _now);
+
+	/// @returns Whether other streams of a pool were found to end right after the same event. An end that is not usual
+	/// is the first to be asked about.
+	[[nodiscard]] bool isUsualEnd(const std::string& _pool, std::uint64_t _lastEvent) const;
+
+	/// @returns Whether a stream whose end nothing speaks against counts as whole if it cannot be asked about further.
+	/// That is so while hardly any end was found to be early. Then it is so only if many more streams end right after
+	/// this event than early ends are to be expected there.
+	[[nodiscard]] bool isEndTrusted(const std::string& _pool, std::uint64_t _lastEvent, Micros _now) const;
+
+	/// @returns Runs that must have ended right after the same event to prove that it is the stream's last one.
+	[[nodiscard]] std::int64_t agreeingRuns(const std::string& _pool, Micros _now) const;
+
+	/// @returns The pools whose ends are doubted, for a node that has just started.
+	[[nodiscard]] std::vector<EndDoubtNotice> doubts(Micros _now) const;
+
 private:
 	/// Endpoints of another software version may send other streams, so what was seen is forgotten at some point.
 	static constexpr Micros kMemory = Micros{10} * 60 * kSecond;
 
-	std::map<std::string, Micros> needsOverlapAt; ///< Time point at which that was last seen, by pool.
+	/// Ends that were asked about in a time.
+	struct EndCounts
+	{
+		std::int64_t confirmed = 0;
+		std::int64_t early = 0;
+	};
+
+	struct Pool
+	{
+		std::optional<Micros> needsOverlapAt; ///< Time point at which that was last seen.
+		Micros doubtedUntil = 0;              ///< Time point.
+		Micros countsSince = 0;               ///< Time point at which the counts of now begin.
+		EndCounts counts;
+		EndCounts countsBefore;                          ///< Of the time before these.
+		std::map<std::uint64_t, std::int64_t> soundEnds; ///< Number of these, by the id of the last event.
+	};
+
+	[[nodiscard]] bool isDoubted(const std::string& _pool, Micros _now) const;
+
+	static void renewCounts(Pool& _pool, Micros _now);
+
+	std::map<std::string, Pool> pools;
 };
 
 } // namespace roadferry
--- a/src/stream_ends.h
+++ b/src/stream_ends.h
@@ -16,6 +16,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace roadferry
 {
@@ -44,6 +45,15 @@
 	bool operator==(const StreamEndNotice&) const = default;
 };
 
+/// Tells other nodes that ends of a pool's streams are doubted.
+struct EndDoubtNotice
+{
+	std::string pool;
+	Micros life = 0;                    ///< Time for which they are.
+	std::vector<std::string> forwardTo; ///< Nodes to which the receiver forwards the notice.
+	bool operator==(const EndDoubtNotice&) const = default;
+};
+
 /// Remembers how far the runs of streams agree that were broken off before their end was proven, until the streams
 /// expire. Soft state: without it a stream only takes more tries.
 class StreamEnds
--- a/tests/test_dispatcher.cpp
+++ b/tests/test_dispatcher.cpp
@@ -623,6 +623,110 @@
 	cr_assert(onlyAttempt(world.dispatcher.tick(3)).endpoint == "b");
 }
 
+namespace
+{
+
+/// A dispatcher before endpoints "a", "b" and "c", with a request that may have some attempts.
+class EndQuestions
+{
+public:
+	explicit EndQuestions(std::int64_t _maxAttempts, double _burst = 20) : dispatcher(config(_burst))
+	{
+		this->dispatcher.setEndpoints(
+			{endpointOf("a", "engines"), endpointOf("b", "engines"), endpointOf("c", "engines")});
+		RequestSpec spec;
+		spec.id = 1;
+		spec.deadline = kSecond;
+		spec.repeatable = true;
+		const StageRow stage{"generate", StageKind::Engine, "engines", true, _maxAttempts, 50};
+		this->note(this->dispatcher.submit(spec, PipelineRow{"p", "", {}, 0, false}, {stage}, 1));
+	}
+
+	static DispatcherConfig config(double _burst)
+	{
+		DispatcherConfig config;
+		config.retries.burst = _burst;
+		config.retries.share = 0;
+		return config;
+	}
+
+	/// Ends the attempt in progress.
+	/// @returns Whether there is another one.
+	bool end(const AttemptEnd& _end)
+	{
+		return this->note(this->dispatcher.attemptEnded(this->attempt, _end, 2));
+	}
+
+	Dispatcher dispatcher;
+	std::uint64_t attempt = 0;
+	std::set<std::string> visited;
+	std::optional<Outcome> outcome;
+
+private:
+	bool note(const Actions& _actions)
+	{
+		cr_assert_eq(_actions.size(), 1);
+		if (const auto* finished = std::get_if<FinishRequest>(&_actions.front()))
+		{
+			this->outcome = finished->outcome;
+			return false;
+		}
+		const auto& started = std::get<StartAttempt>(_actions.front());
+		this->attempt = started.attempt;
+		this->visited.insert(started.endpoint);
+		return true;
+	}
+};
+
+} // namespace
+
+/// Guards against an end that nobody is asked about since no attempt is left, and against a request that is sent to
+/// more endpoints than its route allows.
+Test(dispatcher, question_about_an_end_goes_to_no_more_endpoints_than_there_are_attempts)
+{
+	for (std::size_t attempts = 1; attempts <= 3; ++attempts)
+	{
+		EndQuestions world(static_cast<std::int64_t>(attempts));
+		for (int question = 0; question < 6; ++question)
+		{
+			cr_assert(world.end(AttemptEndUnproven{}));
+		}
+		cr_assert_eq(world.visited.size(), attempts);
+		cr_assert_not(world.end(AttemptInterrupted{}), "no attempt is left for a failure");
+		cr_assert(world.outcome->reason == Reason::AttemptsExhausted);
+	}
+}
+
+/// Guards against a request that waits for an endpoint that has left, to ask it about an end.
+Test(dispatcher, question_about_an_end_does_not_wait_for_an_endpoint_that_has_left)
+{
+	EndQuestions world(1);
+	world.dispatcher.setEndpoints({endpointOf("d", "engines")});
+	cr_assert_not(world.end(AttemptEndUnproven{}));
+	cr_assert(world.outcome->reason == Reason::AttemptsExhausted);
+}
+
+/// Guards against questions about ends that use up the retries of failures, and against questions about usual ends that
+/// use up those of the others.
+Test(dispatcher, questions_about_ends_leave_retries_to_others)
+{
+	EndQuestions usual(9, 8);
+	int questions = 0;
+	while (usual.end(AttemptEndUnproven{true}))
+	{
+		questions += 1;
+	}
+	cr_assert_eq(questions, 3, "while six of eight retries are there");
+	EndQuestions unusual(9, 8);
+	questions = 0;
+	while (unusual.end(AttemptEndUnproven{}))
+	{
+		questions += 1;
+	}
+	cr_assert_eq(questions, 5, "while four of eight retries are there");
+	cr_assert(unusual.outcome->reason == Reason::RetryBudgetEmpty);
+}
+
 /// Guards against a pool of one version whose streams cannot go on while no connection is old enough.
 Test(dispatcher, proven_endpoints_are_only_preferred_unless_required)
 {
--- a/tests/test_messages.cpp
+++ b/tests/test_messages.cpp
@@ -90,6 +90,7 @@
 		RejectionLimitNotice{"pool", 3, {"10.0.0.4:8500"}},
 		StreamEndQuery{"abc"},
 		StreamEndNotice{"abc", AgreeingRuns{0xffff'ffff'ffff'ffffU, 2}, 900'000},
+		EndDoubtNotice{"pool", 900'000, {"10.0.0.4:8500"}},
 		CallMessage(RelayedCallBody{9, std::string("\0{\xff", 3)}),
 		CallMessage(RelayedCallCancel{9}),
 		CallMessage(RelayedCallConnected{9}),
