--- a/include/roadferry/parts/dispatcher.h
+++ b/include/roadferry/parts/dispatcher.h
@@ -117,7 +117,7 @@
 /// than once.
 struct AttemptEndUnproven
 {
-	bool isUsual = false; ///< Other answers were found to end there, so that this one is less in need of a proof.
+	bool isTrusted = false; ///< It counts as complete if nobody can be asked, so that others need the retries more.
 	bool operator==(const AttemptEndUnproven&) const = default;
 };
 
@@ -269,6 +269,10 @@
 	/// @returns Whether a pool has an endpoint of a software version that may receive new calls.
 	[[nodiscard]] bool servesVersion(const std::string& _pool, const std::string& _version) const;
 
+	/// @returns Whether there is a retry for an attempt that only asks whether an answer was complete.
+	/// @param[in] _isTrusted AttemptEndUnproven::isTrusted.
+	bool mayAskOfEnd(const std::string& _pool, bool _isTrusted, Micros _now);
+
 	/// Cancels a request; one that is not in flight is ignored.
 	Actions cancel(std::uint64_t _request, Micros _now);
 
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -153,7 +153,7 @@
 			[&](const AttemptInterrupted&) { self.retryOrFail(active, true, _now, actions); },
 			[&](const AttemptNoConnection&) { self.restartElsewhere(active, _now, actions); },
 			[&](const AttemptEndUnproven& _unproven)
-			{ self.retryUnprovenEnd(active, _unproven.isUsual, _now, actions); },
+			{ self.retryUnprovenEnd(active, _unproven.isTrusted, _now, actions); },
 		},
 		_end);
 	return actions;
--- a/src/dispatcher_attempts.cpp
+++ b/src/dispatcher_attempts.cpp
@@ -19,10 +19,21 @@
 /// Share of the retry budget that must be there for an attempt that only asks whether an answer was whole; the rest is
 /// left to attempts that failed.
 constexpr double kMinBudgetForProofs = 0.5;
-constexpr double kMinBudgetForUsualEnds = 0.75; ///< Leaves the rest to answers that end where no others do.
+constexpr double kMinBudgetForTrusted = 0.75; ///< Leaves the rest to answers that do not count without a proof.
+
+/// @returns Share of the retry budget that must be there to ask about the end of an answer.
+double minBudgetFor(bool _isTrusted)
+{
+	return _isTrusted ? kMinBudgetForTrusted : kMinBudgetForProofs;
+}
 
 } // namespace
 
+bool Dispatcher::mayAskOfEnd(const std::string& _pool, bool _isTrusted, Micros _now)
+{
+	return this->state->budget(_pool).hasRetry(_now, minBudgetFor(_isTrusted));
+}
+
 RetryBudget& Dispatcher::State::budget(const std::string& _pool)
 {
 	return this->budgets.try_emplace(_pool, this->config.retries, this->retriesSince.value_or(0)).first->second;
@@ -114,7 +125,7 @@
 
 /// The endpoint answered, but not surely completely. It costs a retry, but does not speak against the endpoint. It
 /// costs an attempt only while one is left: after that, endpoints are asked again that the request has been at.
-void Dispatcher::State::retryUnprovenEnd(DispatchedRequest& _active, bool _isUsual, Micros _now, Actions& _actions)
+void Dispatcher::State::retryUnprovenEnd(DispatchedRequest& _active, bool _isTrusted, Micros _now, Actions& _actions)
 {
 	const StageRow& stage = _active.stages[_active.stageIndex];
 	_active.staysAtVisited = _active.attemptsMade >= stage.maxAttempts;
@@ -124,8 +135,7 @@
 	}
 	const auto measuredUs = static_cast<double>(_now - _active.startedAt);
 	this->registry.recordSuccess(_active.endpoint, measuredUs / std::max(1.0, _active.predictedUs), _now);
-	const double minBudget = _isUsual ? kMinBudgetForUsualEnds : kMinBudgetForProofs;
-	this->repeatOrFinish(_active, true, minBudget, _now, _actions);
+	this->repeatOrFinish(_active, true, minBudgetFor(_isTrusted), _now, _actions);
 }
 
 /// Ends the attempt, and starts another one if that is possible.
--- a/src/dispatcher_state.h
+++ b/src/dispatcher_state.h
@@ -109,7 +109,7 @@
 	void releaseAttempt(DispatchedRequest& _active);
 	void completeStage(DispatchedRequest& _active, Micros _now, Actions& _actions);
 	void retryOrFail(DispatchedRequest& _active, bool _sent, Micros _now, Actions& _actions);
-	void retryUnprovenEnd(DispatchedRequest& _active, bool _isUsual, Micros _now, Actions& _actions);
+	void retryUnprovenEnd(DispatchedRequest& _active, bool _isTrusted, Micros _now, Actions& _actions);
 	void repeatOrFinish(DispatchedRequest& _active, bool _sent, double _minBudget, Micros _now, Actions& _actions);
 	void reconnectOrRetry(DispatchedRequest& _active, Micros _now, Actions& _actions);
 	void retryElsewhere(DispatchedRequest& _active, Micros _now, Actions& _actions);
--- a/src/forward_answer.cpp
+++ b/src/forward_answer.cpp
@@ -197,8 +197,8 @@
 	this->hasEvents = true;
 	if (this->agreeingRuns().runs > 0)
 	{
+		this->endFinding = EarlyEnd{this->agreeing.lastEvent};
 		this->agreeing = AgreeingRuns{};
-		this->endFinding = EndFinding::Early;
 	}
 }
 
@@ -311,19 +311,19 @@
 	if (bringsNothing)
 	{
 		// The client has all events, or the run failed. One that was asked for an event that exists has failed.
-		this->endFinding = this->overlaps ? EndFinding::Early : EndFinding::None;
+		this->endFinding = this->overlaps ? EndFinding(EarlyEnd{}) : EndFinding();
 		return this->overlaps ? AttemptEnd(AttemptInterrupted{}) : AttemptEnd(AttemptEndUnproven{});
 	}
 	const bool reachesLast = this->attemptLastId && *this->attemptLastId == *this->lastId;
 	if (!reachesLast)
 	{
-		this->endFinding = EndFinding::Early;
+		this->endFinding = EarlyEnd{this->attemptLastId.value_or(0)};
 		return AttemptEndUnproven{}; // It tells nothing of what comes after the client's last event.
 	}
 	const std::int64_t runsBefore = this->agreeingRuns().runs;
 	this->agreeing = AgreeingRuns{*this->lastId, runsBefore + 1};
 	this->endedHead = this->currentHead;
-	this->endFinding = runsBefore > 0 ? EndFinding::Confirmed : this->endFinding;
+	this->endFinding = runsBefore > 0 ? EndFinding(ConfirmedEnd{}) : EndFinding(PlausibleEnd{*this->lastId});
 	if (this->agreeing.runs < this->requiredRuns)
 	{
 		return AttemptEndUnproven{};
@@ -364,7 +364,7 @@
 
 EndFinding ForwardAnswer::takeEndFinding()
 {
-	return std::exchange(this->endFinding, EndFinding::None);
+	return std::exchange(this->endFinding, EndFinding());
 }
 
 void ForwardAnswer::refuse(unsigned _status, Micros _retryAfter, const std::string& _code, const std::string& _message)
--- a/src/forward_answer.h
+++ b/src/forward_answer.h
@@ -20,14 +20,29 @@
 namespace roadferry
 {
 
-/// What an attempt shows of an earlier end of its stream that only a connection told, or of its own.
-enum class EndFinding
+/// A run ended with its connection right after an event, and nothing spoke against it yet.
+struct PlausibleEnd
 {
-	None,
-	Confirmed, ///< It ended after the same event.
-	Early      ///< There was more, or it did not come as far as the client has got.
+	std::uint64_t lastEvent = 0;
+	bool operator==(const PlausibleEnd&) const = default;
 };
 
+/// A run ended right after the event at which another one had ended with its connection.
+struct ConfirmedEnd
+{
+	bool operator==(const ConfirmedEnd&) const = default;
+};
+
+/// A run had ended with its connection right after an event, and there was more.
+struct EarlyEnd
+{
+	std::uint64_t lastEvent = 0; ///< 0 before the first event.
+	bool operator==(const EarlyEnd&) const = default;
+};
+
+/// What an attempt shows of an end of its stream that only a connection told.
+using EndFinding = std::variant<std::monostate, PlausibleEnd, ConfirmedEnd, EarlyEnd>;
+
 /// Receives the responses of endpoints, one attempt after another, and answers the client exactly once.
 class ForwardAnswer
 {
@@ -174,7 +189,7 @@
 	AgreeingRuns agreeing;                ///< Runs that ended right after the same event.
 	std::optional<ForwardHead> endedHead; ///< Head of the latest of these.
 	std::int64_t requiredRuns;            ///< See requireAgreeingRuns().
-	EndFinding endFinding = EndFinding::None;
+	EndFinding endFinding;
 	bool sparseIds = false;      ///< See hasSparseIds().
 	bool sentUnnumbered = false; ///< An event with data and without an id was sent.
 	StreamTimes streamTimes;
--- a/src/forward_attempts.cpp
+++ b/src/forward_attempts.cpp
@@ -288,7 +288,7 @@
 	this->notePoolStreams(*_active, _end, end);
 	if (auto* unproven = std::get_if<AttemptEndUnproven>(&end))
 	{
-		unproven->isUsual = this->poolStreams.isUsualEnd(_active->pool, _active->answer.lastEventId().value_or(0));
+		unproven->isTrusted = this->mayEndUnproven(*_active);
 	}
 	logAttemptEnd(*_active, _end, end);
 	this->concludeAttempt(_active, _attempt, end);
@@ -348,24 +348,28 @@
 	}
 	const bool inputsNeeded = !_active->route.stages.empty() && !_active->graph.results().empty();
 	const bool needsRerun = !answered && inputsNeeded && ((head && head->inputGone) || _active->inputsFreed);
+	const Micros now = monotonicNow();
+	this->awaitEndAnswer(_active, now);
 	if (!needsRerun)
 	{
-		this->awaitEndAnswer(_active, monotonicNow());
 		this->perform(this->dispatcher.attemptEnded(_attempt, _end, monotonicNow()));
 		return;
 	}
 	const bool mayRepeat = _active->isRepeatable || (head && head->notRun);
 	const bool canRerun =
 		mayRepeat && _active->attempts < _active->route.maxAttempts && _active->stageReruns < kMaxStageReruns;
-	const bool endsHere =
-		std::holds_alternative<AttemptEndUnproven>(_end) && (!canRerun || this->mayEndUnproven(*_active));
-	if (endsHere)
+	if (std::holds_alternative<AttemptEndUnproven>(_end))
 	{
-		// To ask about its end would need results of its stages that are gone.
-		_active->submitted = false;
-		this->perform(this->dispatcher.cancel(_active->id, monotonicNow()));
-		this->giveUp(_active, Reason::AttemptsExhausted, 0);
-		return;
+		const bool mayAsk =
+			canRerun && this->dispatcher.mayAskOfEnd(_active->pool, this->mayEndUnproven(*_active), now);
+		if (!mayAsk)
+		{
+			// Its stages' results are gone, so that nobody can be asked about its end.
+			_active->submitted = false;
+			this->perform(this->dispatcher.cancel(_active->id, now));
+			this->giveUp(_active, Reason::AttemptsExhausted, 0);
+			return;
+		}
 	}
 	_active->submitted = !canRerun;
 	this->perform(canRerun ? this->dispatcher.cancel(_active->id, monotonicNow())
--- a/src/forward_stream_ends.cpp
+++ b/src/forward_stream_ends.cpp
@@ -52,32 +52,37 @@
 	}
 	else if (lastEvent && std::holds_alternative<AttemptAnswered>(_result))
 	{
-		this->poolStreams.noteSoundEnd(_active.pool, *lastEvent, now);
+		this->poolStreams.noteEnd(_active.pool, *lastEvent, now);
 	}
 }
 
-/// Notes what an attempt shows of an end, and tells the other nodes if that puts the ends of its pool in doubt.
+/// Notes what an attempt shows of an end.
 void ForwardTraffic::noteEndFinding(ActiveRequest& _active)
 {
-	const EndFinding finding = _active.answer.takeEndFinding();
 	const Micros now = monotonicNow();
-	if (finding == EndFinding::Confirmed)
-	{
-		this->poolStreams.noteConfirmedEnd(_active.pool, _active.answer.agreeingRuns().lastEvent, now);
-	}
-	if (finding != EndFinding::Early)
-	{
-		return;
-	}
-	const bool isNew = this->poolStreams.noteEarlyEnd(_active.pool, now);
+	std::visit(Overloaded{[](const std::monostate&) {},
+						  [&](const PlausibleEnd& _end)
+						  { this->poolStreams.noteEnd(_active.pool, _end.lastEvent, now); },
+						  [&](const ConfirmedEnd&) { this->poolStreams.noteConfirmedEnd(_active.pool, now); },
+						  [&](const EarlyEnd& _end) { this->noteEarlyEnd(_active, _end.lastEvent, now); }},
+			   _active.answer.takeEndFinding());
+}
+
+/// Notes an early end, and tells the other nodes if that puts the ends of its pool in doubt.
+void ForwardTraffic::noteEarlyEnd(const ActiveRequest& _active, std::uint64_t _lastEvent, Micros _now)
+{
+	const bool isNew = this->poolStreams.noteEarlyEnd(_active.pool, _lastEvent, _now);
 	logEvent("request", "stream_ended_early",
-			 {{"request", _active.request.id}, {"pool", _active.pool}, {"endpoint", _active.endpoint}});
+			 {{"request", _active.request.id},
+			  {"pool", _active.pool},
+			  {"endpoint", _active.endpoint},
+			  {"last_event", static_cast<std::int64_t>(_lastEvent)}});
 	if (!isNew)
 	{
 		return;
 	}
 	logEvent("endpoint", "ends_doubted", {{"pool", _active.pool}, {"from", ""}});
-	for (const EndDoubtNotice& doubt : this->poolStreams.doubts(now))
+	for (const EndDoubtNotice& doubt : this->poolStreams.doubts(_now))
 	{
 		for (const BroadcastStep& step : planBroadcast(this->peers))
 		{
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -191,6 +191,7 @@
 	[[nodiscard]] bool mustOverlap(const ActiveRequest& _active, Micros _now) const;
 	void notePoolStreams(ActiveRequest& _active, const CallEnd& _end, const AttemptEnd& _result);
 	void noteEndFinding(ActiveRequest& _active);
+	void noteEarlyEnd(const ActiveRequest& _active, std::uint64_t _lastEvent, Micros _now);
 	void sendEndDoubts(const std::string& _to, Micros _now);
 	void awaitEndAnswer(const ActiveRequestPtr& _active, Micros _now);
 	void endUnanswered(Micros _now);
--- a/src/pool_streams.cpp
+++ b/src/pool_streams.cpp
@@ -9,6 +9,7 @@
 #include "pool_streams.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace roadferry
 {
@@ -16,28 +17,24 @@
 namespace
 {
 
-/// Ends among which one early end is enough to doubt all of a pool: a caller loses far more by a stream that passes for
-/// whole without its rest than by one that is broken off after its last event, which can be taken up.
-constexpr std::int64_t kEndsPerEarlyEnd = 200;
+/// Risk at which an end that cannot be asked about still counts as that of its stream: a caller loses far more by a
+/// stream that passes for whole without its rest than by one that is broken off after its last event, which can be
+/// taken up.
+constexpr double kMaxRisk = 0.01;
+/// Assumed of a pool of which nothing is known: one early end in a thousand, as if a hundred had been asked about.
+constexpr double kAssumedEarlyEnds = 0.1;
+constexpr double kAssumedAskedEnds = 100;
+constexpr double kDoubtedEarlyShare = 0.02; ///< At least, where another node has found early ends.
 /// Early ends are spread over the events of a stream: at most one in this many comes right after the same event.
-constexpr std::int64_t kEarlyEndSpread = 16;
-constexpr std::size_t kMaxSoundEnds = 512; ///< Different last events of a pool's streams that are counted.
+constexpr double kEarlyEndSpread = 16;
+constexpr std::int64_t kMinEndsThere = 2; ///< Streams that must have ended after an event to expect more of them there.
+constexpr std::size_t kMaxEnds = 512;     ///< Different last events of a pool's streams that are counted.
 /// A single run that agrees is a good witness where hardly any end is early.
 constexpr std::int64_t kTrustedRuns = 2;
 /// Two runs can end early at the same event: of streams of 4 to 50 events, about one in 100 that end early. Three
 /// hardly ever.
 constexpr std::int64_t kDoubtedRuns = 3;
 
-/// Forgets half of what was counted, and what was seen once.
-void halveCounts(std::map<std::uint64_t, std::int64_t>& _counts)
-{
-	for (auto& entry : _counts)
-	{
-		entry.second /= 2;
-	}
-	std::erase_if(_counts, [](const auto& _entry) { return _entry.second == 0; });
-}
-
 } // namespace
 
 void PoolStreams::noteUnmarkedEnd(const std::string& _pool, Micros _now)
@@ -57,7 +54,7 @@
 	return isKnown && _now - *found->second.needsOverlapAt < kMemory;
 }
 
-/// Forgets ends that were counted long ago.
+/// Forgets half of the ends that were counted long ago.
 void PoolStreams::renewCounts(Pool& _pool, Micros _now)
 {
 	const Micros age = _now - _pool.countsSince;
@@ -65,76 +62,123 @@
 	{
 		return;
 	}
-	_pool.countsBefore = age < 2 * kMemory ? _pool.counts : EndCounts{};
-	_pool.counts = EndCounts{};
+	_pool.askedBefore = age < 2 * kMemory ? _pool.asked : AskedEnds{};
+	_pool.asked = AskedEnds{};
 	_pool.countsSince = _now;
-	halveCounts(_pool.soundEnds);
+	halveEnds(_pool);
+}
+
+void PoolStreams::halveEnds(Pool& _pool)
+{
+	const std::map<std::uint64_t, EndsThere> before = std::exchange(_pool.ends, {});
+	_pool.seen = 0;
+	_pool.seenOnce = 0;
+	for (const auto& [event, there] : before)
+	{
+		const EndsThere half{there.seen / 2, there.early / 2};
+		if (half.seen > 0 || half.early > 0)
+		{
+			_pool.ends[event] = half;
+			_pool.seen += half.seen;
+			_pool.seenOnce += half.seen == 1 ? 1 : 0;
+		}
+	}
 }
 
-void PoolStreams::noteSoundEnd(const std::string& _pool, std::uint64_t _lastEvent, Micros _now)
+/// Counts a stream that ended after an event, or takes one back.
+void PoolStreams::addSeen(Pool& _pool, std::uint64_t _lastEvent, std::int64_t _change)
+{
+	EndsThere& there = _pool.ends[_lastEvent];
+	const std::int64_t before = there.seen;
+	there.seen = std::max<std::int64_t>(0, before + _change);
+	_pool.seen += there.seen - before;
+	_pool.seenOnce += (there.seen == 1 ? 1 : 0) - (before == 1 ? 1 : 0);
+}
+
+void PoolStreams::noteEnd(const std::string& _pool, std::uint64_t _lastEvent, Micros _now)
 {
 	Pool& pool = this->pools[_pool];
 	renewCounts(pool, _now);
-	pool.soundEnds[_lastEvent] += 1;
-	while (pool.soundEnds.size() > kMaxSoundEnds)
+	addSeen(pool, _lastEvent, 1);
+	if (pool.ends.size() > kMaxEnds)
 	{
-		halveCounts(pool.soundEnds);
+		halveEnds(pool);
 	}
 }
 
-void PoolStreams::noteConfirmedEnd(const std::string& _pool, std::uint64_t _lastEvent, Micros _now)
+void PoolStreams::noteConfirmedEnd(const std::string& _pool, Micros _now)
 {
 	Pool& pool = this->pools[_pool];
 	renewCounts(pool, _now);
-	pool.counts.confirmed += 1;
-	this->noteSoundEnd(_pool, _lastEvent, _now);
+	pool.asked.confirmed += 1;
 }
 
-bool PoolStreams::noteEarlyEnd(const std::string& _pool, Micros _now)
+bool PoolStreams::noteEarlyEnd(const std::string& _pool, std::uint64_t _lastEvent, Micros _now)
 {
 	Pool& pool = this->pools[_pool];
 	renewCounts(pool, _now);
-	pool.counts.early += 1;
-	const std::int64_t early = pool.counts.early + pool.countsBefore.early;
-	const std::int64_t asked = early + pool.counts.confirmed + pool.countsBefore.confirmed;
-	return early * kEndsPerEarlyEnd >= asked && this->doubtEnds(_pool, kMemory, _now);
+	pool.asked.early += 1;
+	addSeen(pool, _lastEvent, -1);
+	pool.ends[_lastEvent].early += 1;
+	return this->earlyShare(pool, _now) > kMaxRisk && this->doubtEnds(_pool, kMemory, _now);
 }
 
 bool PoolStreams::doubtEnds(const std::string& _pool, Micros _life, Micros _now)
 {
-	const bool wasTrusted = !this->isDoubted(_pool, _now);
 	Pool& pool = this->pools[_pool];
+	const bool wasTrusted = !this->isDoubted(pool, _now);
 	pool.doubtedUntil = std::max(pool.doubtedUntil, _now + std::min(_life, kMemory));
 	return wasTrusted;
 }
 
-bool PoolStreams::isDoubted(const std::string& _pool, Micros _now) const
+bool PoolStreams::isDoubted(const Pool& _pool, Micros _now) const
 {
-	const auto found = this->pools.find(_pool);
-	return found != this->pools.end() && found->second.doubtedUntil > _now;
+	return _pool.doubtedUntil > _now;
 }
 
-bool PoolStreams::isUsualEnd(const std::string& _pool, std::uint64_t _lastEvent) const
+/// @returns Share of a pool's ends that are early, as far as they were asked about.
+double PoolStreams::earlyShare(const Pool& _pool, Micros _now) const
 {
-	const auto found = this->pools.find(_pool);
-	return found != this->pools.end() && found->second.soundEnds.count(_lastEvent) > 0;
+	const auto early = static_cast<double>(_pool.asked.early + _pool.askedBefore.early);
+	const auto confirmed = static_cast<double>(_pool.asked.confirmed + _pool.askedBefore.confirmed);
+	const double share = (early + kAssumedEarlyEnds) / (early + confirmed + kAssumedAskedEnds);
+	return this->isDoubted(_pool, _now) ? std::max(share, kDoubtedEarlyShare) : share;
 }
 
 bool PoolStreams::isEndTrusted(const std::string& _pool, std::uint64_t _lastEvent, Micros _now) const
 {
-	if (!this->isDoubted(_pool, _now))
+	const auto found = this->pools.find(_pool);
+	if (found == this->pools.end())
 	{
 		return true;
 	}
-	const Pool& pool = this->pools.at(_pool);
-	const auto sound = pool.soundEnds.find(_lastEvent);
-	const std::int64_t early = std::max<std::int64_t>(1, pool.counts.early + pool.countsBefore.early);
-	return sound != pool.soundEnds.end() && sound->second * kEarlyEndSpread >= early * kEndsPerEarlyEnd;
+	const Pool& pool = found->second;
+	const auto there = pool.ends.find(_lastEvent);
+	const EndsThere ends = there == pool.ends.end() ? EndsThere{} : there->second;
+	const auto seenThere = static_cast<double>(ends.seen);
+	if (static_cast<double>(ends.early) > kMaxRisk * seenThere)
+	{
+		return false;
+	}
+	const std::int64_t minEarly = this->isDoubted(pool, _now) ? 1 : 0;
+	const auto early = static_cast<double>(std::max(minEarly, pool.asked.early + pool.askedBefore.early));
+	const bool isUsual = ends.seen >= kMinEndsThere && early / kEarlyEndSpread <= kMaxRisk * seenThere;
+	if (isUsual)
+	{
+		return true;
+	}
+	// By the share of streams that end where no other one has, as Good and Turing estimate it.
+	const double seen = static_cast<double>(std::max<std::int64_t>(1, pool.seen));
+	const double newPlaces = pool.seen == 0 ? 1 : static_cast<double>(pool.seenOnce) / seen;
+	const double share = this->earlyShare(pool, _now);
+	return share <= kMaxRisk * (share + newPlaces);
 }
 
 std::int64_t PoolStreams::agreeingRuns(const std::string& _pool, Micros _now) const
 {
-	return this->isDoubted(_pool, _now) ? kDoubtedRuns : kTrustedRuns;
+	const auto found = this->pools.find(_pool);
+	const bool isDoubtful = found != this->pools.end() && this->earlyShare(found->second, _now) > kMaxRisk;
+	return isDoubtful ? kDoubtedRuns : kTrustedRuns;
 }
 
 std::vector<EndDoubtNotice> PoolStreams::doubts(Micros _now) const
--- a/src/pool_streams.h
+++ b/src/pool_streams.h
@@ -17,9 +17,9 @@
 namespace roadferry
 {
 
-/// Knows the pools in which a run that goes on must be asked for the client's last event again, and those whose
-/// endpoints end streams too early. With a mark of the end and ids that rise by one, asking for the event after the
-/// last one is enough, and costs nothing more.
+/// Knows the pools in which a run that goes on must be asked for the client's last event again, and where their streams
+/// end. With a mark of the end and ids that rise by one, asking for the event after the last one is enough, and costs
+/// nothing more.
 class PoolStreams
 {
 public:
@@ -32,27 +32,22 @@
 	/// @returns Whether only a run that sends the client's last event again shows that it goes on right after it.
 	[[nodiscard]] bool mustOverlap(const std::string& _pool, Micros _now) const;
 
-	/// Tells that a stream ended right after an event, by a mark of its end or by runs that agree.
-	void noteSoundEnd(const std::string& _pool, std::uint64_t _lastEvent, Micros _now);
+	/// Tells that a stream ended right after an event, with a mark of its end or without one. Called once for each.
+	void noteEnd(const std::string& _pool, std::uint64_t _lastEvent, Micros _now);
 
 	/// Tells that another run ended right after the event at which one had ended with nothing but its connection.
-	void noteConfirmedEnd(const std::string& _pool, std::uint64_t _lastEvent, Micros _now);
+	void noteConfirmedEnd(const std::string& _pool, Micros _now);
 
-	/// Tells that there was more after such an end.
+	/// Tells that a run had ended with nothing but its connection after an event, and there was more.
 	/// @returns Whether the ends of the pool are doubted from now on, and were not before.
-	bool noteEarlyEnd(const std::string& _pool, Micros _now);
+	bool noteEarlyEnd(const std::string& _pool, std::uint64_t _lastEvent, Micros _now);
 
 	/// Takes the doubt of another node.
 	/// @returns Whether the ends of the pool were not doubted before.
 	bool doubtEnds(const std::string& _pool, Micros _life, Micros _now);
 
-	/// @returns Whether other streams of a pool were found to end right after the same event. An end that is not usual
-	/// is the first to be asked about.
-	[[nodiscard]] bool isUsualEnd(const std::string& _pool, std::uint64_t _lastEvent) const;
-
-	/// @returns Whether a stream whose end nothing speaks against counts as whole if it cannot be asked about further.
-	/// That is so while hardly any end was found to be early. Then it is so only if many more streams end right after
-	/// this event than early ends are to be expected there.
+	/// @returns Whether a stream whose end nothing speaks against counts as whole if it cannot be asked about further:
+	/// as many others have ended there, or streams of the pool end anywhere and hardly any end was found to be early.
 	[[nodiscard]] bool isEndTrusted(const std::string& _pool, std::uint64_t _lastEvent, Micros _now) const;
 
 	/// @returns Runs that must have ended right after the same event to prove that it is the stream's last one.
@@ -65,26 +60,37 @@
 	/// Endpoints of another software version may send other streams, so what was seen is forgotten at some point.
 	static constexpr Micros kMemory = Micros{10} * 60 * kSecond;
 
-	/// Ends that were asked about in a time.
-	struct EndCounts
+	/// Ends that were asked about.
+	struct AskedEnds
 	{
 		std::int64_t confirmed = 0;
 		std::int64_t early = 0;
 	};
 
+	/// Streams that ended right after one event.
+	struct EndsThere
+	{
+		std::int64_t seen = 0;
+		std::int64_t early = 0; ///< Not among those seen: there was more.
+	};
+
 	struct Pool
 	{
 		std::optional<Micros> needsOverlapAt; ///< Time point at which that was last seen.
 		Micros doubtedUntil = 0;              ///< Time point.
 		Micros countsSince = 0;               ///< Time point at which the counts of now begin.
-		EndCounts counts;
-		EndCounts countsBefore;                          ///< Of the time before these.
-		std::map<std::uint64_t, std::int64_t> soundEnds; ///< Number of these, by the id of the last event.
+		AskedEnds asked;
+		AskedEnds askedBefore;                   ///< In the time before these.
+		std::map<std::uint64_t, EndsThere> ends; ///< By the id of the last event.
+		std::int64_t seen = 0;                   ///< Sum of the seen ones.
+		std::int64_t seenOnce = 0;               ///< Events after which one stream was seen to end.
 	};
 
-	[[nodiscard]] bool isDoubted(const std::string& _pool, Micros _now) const;
-
 	static void renewCounts(Pool& _pool, Micros _now);
+	static void halveEnds(Pool& _pool);
+	static void addSeen(Pool& _pool, std::uint64_t _lastEvent, std::int64_t _change);
+	[[nodiscard]] bool isDoubted(const Pool& _pool, Micros _now) const;
+	[[nodiscard]] double earlyShare(const Pool& _pool, Micros _now) const;
 
 	std::map<std::string, Pool> pools;
 };
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -38,14 +38,17 @@
 	/// @param[in] _minShare Share of the maximum that has to be there, 0 to 1: the rest is left to other retries.
 	/// @returns Whether the retry may be made.
 	bool tryTakeRetry(Micros _now, double _minShare = 0)
+	{
+		const bool isThere = this->hasRetry(_now, _minShare);
+		this->available -= isThere ? 1 : 0;
+		return isThere;
+	}
+
+	/// @returns Whether tryTakeRetry() would take one.
+	bool hasRetry(Micros _now, double _minShare = 0)
 	{
 		this->release(_now);
-		if (this->available < std::max(1.0, _minShare * this->bounds.burst))
-		{
-			return false;
-		}
-		this->available -= 1;
-		return true;
+		return this->available >= std::max(1.0, _minShare * this->bounds.burst);
 	}
 
 	/// Changes the limits from now on. Accumulated retries above the new maximum are discarded at once, and the end of
--- a/tests/test_dispatcher.cpp
+++ b/tests/test_dispatcher.cpp
@@ -706,25 +706,25 @@
 	cr_assert(world.outcome->reason == Reason::AttemptsExhausted);
 }
 
-/// Guards against questions about ends that use up the retries of failures, and against questions about usual ends that
-/// use up those of the others.
+/// Guards against questions about ends that use up the retries of failures, and against questions about trusted ends
+/// that use up those of the others.
 Test(dispatcher, questions_about_ends_leave_retries_to_others)
 {
-	EndQuestions usual(9, 8);
+	EndQuestions trusted(9, 8);
 	int questions = 0;
-	while (usual.end(AttemptEndUnproven{true}))
+	while (trusted.end(AttemptEndUnproven{true}))
 	{
 		questions += 1;
 	}
 	cr_assert_eq(questions, 3, "while six of eight retries are there");
-	EndQuestions unusual(9, 8);
+	EndQuestions others(9, 8);
 	questions = 0;
-	while (unusual.end(AttemptEndUnproven{}))
+	while (others.end(AttemptEndUnproven{}))
 	{
 		questions += 1;
 	}
 	cr_assert_eq(questions, 5, "while four of eight retries are there");
-	cr_assert(unusual.outcome->reason == Reason::RetryBudgetEmpty);
+	cr_assert(others.outcome->reason == Reason::RetryBudgetEmpty);
 }
 
 /// Guards against a pool of one version whose streams cannot go on while no connection is old enough.
