--- a/src/forward_node.cpp
+++ b/src/forward_node.cpp
@@ -295,7 +295,7 @@
 			[&](const RejectionLimitNotice& _typed) { this->traffic->receive(peer, _typed); },
 			[&](const StreamEndQuery& _typed) { this->traffic->receive(peer, _typed); },
 			[&](const StreamEndNotice& _typed) { this->traffic->receive(peer, _typed); },
-			[&](const EndDoubtNotice& _typed) { this->traffic->receive(peer, _typed); },
+			[&](const PoolEndsNotice& _typed) { this->traffic->receive(peer, _typed); },
 			[&](const CallMessage& _typed) { this->traffic->receive(peer, _typed); },
 			[&](const auto&)
 			{ logWarning("peer", absl::StrCat(peer, ": message type is not handled by a forwarding node")); },
--- a/src/forward_stream_ends.cpp
+++ b/src/forward_stream_ends.cpp
@@ -82,38 +82,36 @@
 		return;
 	}
 	logEvent("endpoint", "ends_doubted", {{"pool", _active.pool}, {"from", ""}});
-	for (const EndDoubtNotice& doubt : this->poolStreams.doubts(_now))
+	PoolEndsNotice notice = this->poolStreams.tell(_active.pool, _now);
+	for (const BroadcastStep& step : planBroadcast(this->peers))
 	{
-		for (const BroadcastStep& step : planBroadcast(this->peers))
-		{
-			this->sendEndDoubt(step.to, EndDoubtNotice{doubt.pool, doubt.life, step.forwardTo});
-		}
+		notice.forwardTo = step.forwardTo;
+		this->sendPoolEnds(step.to, notice);
 	}
 }
 
 /// Tells a node that has just started.
-void ForwardTraffic::sendEndDoubts(const std::string& _to, Micros _now)
+void ForwardTraffic::sendAllPoolEnds(const std::string& _to, Micros _now)
 {
-	for (const EndDoubtNotice& doubt : this->poolStreams.doubts(_now))
+	for (const PoolEndsNotice& notice : this->poolStreams.tellAll(_now))
 	{
-		this->sendEndDoubt(_to, doubt);
+		this->sendPoolEnds(_to, notice);
 	}
 }
 
-void ForwardTraffic::receive(const std::string& _from, const EndDoubtNotice& _notice)
+void ForwardTraffic::receive(const std::string& _from, const PoolEndsNotice& _notice)
 {
 	this->pool.post(0,
 					[this, _from, _notice]
 					{
-						EndDoubtNotice copy = _notice;
+						PoolEndsNotice copy = _notice;
 						copy.forwardTo.clear();
 						for (const std::string& next : _notice.forwardTo)
 						{
-							this->sendEndDoubt(next, copy);
+							this->sendPoolEnds(next, copy);
 						}
 						const Micros now = monotonicNow();
-						this->poolStreams.noteUnmarkedEnd(_notice.pool, now);
-						if (this->poolStreams.doubtEnds(_notice.pool, _notice.life, now))
+						if (this->poolStreams.learn(_notice, now))
 						{
 							logEvent("endpoint", "ends_doubted", {{"pool", _notice.pool}, {"from", _from}});
 						}
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -102,7 +102,7 @@
 	  parts(_settings.self, _settings.parts), sendPart(_sends.part), sendRejectionLimit(_sends.rejectionLimit),
 	  origins(_settings.self, originsConfig(_settings)), sendOrigin(_sends.origin), saveVersions(_sends.saveVersions),
 	  saveRecords(_sends.saveRecords), sendStreamEndQuery(_sends.streamEndQuery), sendStreamEnd(_sends.streamEnd),
-	  sendEndDoubt(_sends.endDoubt), identity(_client, _wire),
+	  sendPoolEnds(_sends.poolEnds), identity(_client, _wire),
 	  pieces(this->endpointCalls, _wire, crashes, PieceScheduler(_settings.self, _settings.pieces),
 			 PieceHandlers{[this](const PieceStarted& _started) { this->onPieceStarted(_started); },
 						   [this](const PieceCompleted& _completed) { this->onPieceCompleted(_completed); },
@@ -238,7 +238,7 @@
 						if (std::holds_alternative<CrashReportRequest>(_message))
 						{
 							this->perform(this->parts.tellVerdicts(_from, monotonicNow()));
-							this->sendEndDoubts(_from, monotonicNow());
+							this->sendAllPoolEnds(_from, monotonicNow());
 						}
 					});
 }
@@ -280,7 +280,7 @@
 		this->endpointCalls.metricsText(), "# TYPE roadferry_limited_pools gauge\nroadferry_limited_pools ",
 		this->dispatcher.limitedPools(now), "\n",
 		"# TYPE roadferry_unproven_ends_total counter\nroadferry_unproven_ends_total ", this->unprovenEndCount, "\n",
-		"# TYPE roadferry_doubted_pools gauge\nroadferry_doubted_pools ", this->poolStreams.doubts(now).size(), "\n",
+		"# TYPE roadferry_doubted_pools gauge\nroadferry_doubted_pools ", this->poolStreams.doubtedCount(now), "\n",
 		"# TYPE roadferry_blocked_parts gauge\nroadferry_blocked_parts ", this->parts.blockedCount(), "\n",
 		"# TYPE roadferry_live_nodes gauge\nroadferry_live_nodes ", this->liveNodes,
 		"\n# TYPE roadferry_response_bytes gauge\nroadferry_response_bytes ", this->responseBudget.total(), "\n",
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -55,7 +55,7 @@
 	std::function<void(const SaveStreamRecords&)> saveRecords;
 	std::function<void(const std::string& _to, const StreamEndQuery&)> streamEndQuery;
 	std::function<void(const std::string& _to, const StreamEndNotice&)> streamEnd;
-	std::function<void(const std::string& _to, const EndDoubtNotice&)> endDoubt;
+	std::function<void(const std::string& _to, const PoolEndsNotice&)> poolEnds;
 };
 
 /// Limits the idle connections to an endpoint. An endpoint resets connections beyond a limit that all nodes share, and
@@ -105,7 +105,7 @@
 	void receive(const std::string& _from, const RejectionLimitNotice& _notice);
 	void receive(const std::string& _from, const StreamEndQuery& _query);
 	void receive(const std::string& _from, const StreamEndNotice& _notice);
-	void receive(const std::string& _from, const EndDoubtNotice& _notice);
+	void receive(const std::string& _from, const PoolEndsNotice& _notice);
 	/// Sets how long a crash of an endpoint counts against the requests that ran on it, see CrashLedger::setMemory().
 	void setCrashMemory(Micros _memory);
 	void peerClosed(const std::string& _peer);
@@ -192,7 +192,7 @@
 	void notePoolStreams(ActiveRequest& _active, const CallEnd& _end, const AttemptEnd& _result);
 	void noteEndFinding(ActiveRequest& _active);
 	void noteEarlyEnd(const ActiveRequest& _active, std::uint64_t _lastEvent, Micros _now);
-	void sendEndDoubts(const std::string& _to, Micros _now);
+	void sendAllPoolEnds(const std::string& _to, Micros _now);
 	void awaitEndAnswer(const ActiveRequestPtr& _active, Micros _now);
 	void endUnanswered(Micros _now);
 	[[nodiscard]] bool mayEndUnproven(const ActiveRequest& _active) const;
@@ -261,7 +261,7 @@
 	StreamEnds streamEnds; ///< Of streams that this node or another one broke off.
 	std::function<void(const std::string&, const StreamEndQuery&)> sendStreamEndQuery;
 	std::function<void(const std::string&, const StreamEndNotice&)> sendStreamEnd;
-	std::function<void(const std::string&, const EndDoubtNotice&)> sendEndDoubt;
+	std::function<void(const std::string&, const PoolEndsNotice&)> sendPoolEnds;
 	/// Requests whose stream has an end that others are asked about, by the time point up to which that may take.
 	std::set<std::pair<Micros, std::uint64_t>> askedEnds;
 	std::uint64_t unprovenEndCount = 0; ///< Streams that were ended as whole although not enough runs agreed.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -164,7 +164,7 @@
 			[](const RejectionLimitNotice&) {},
 			[](const StreamEndQuery&) {},
 			[](const StreamEndNotice&) {},
-			[](const EndDoubtNotice&) {},
+			[](const PoolEndsNotice&) {},
 			[](const CallMessage&) {},
 		},
 		*message);
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -36,6 +36,7 @@
 constexpr qsizetype kEndpointFieldCount = 9;
 constexpr qsizetype kCrashFieldCount = 5;
 constexpr std::int64_t kMaxAgreeingRuns = 1'000;
+constexpr std::int64_t kMaxToldStreams = 1'000'000'000; ///< More than a node sees in its memory of them.
 constexpr Micros kMaxStreamEndLife = Micros{30} * 24 * 3'600 * kSecond; ///< Longer than any client's time limit.
 
 QCborMap toCbor(const RelayRequest& _message)
@@ -301,18 +302,43 @@
 					{"life", static_cast<qint64>(_message.life)}};
 }
 
-QCborMap toCbor(const EndDoubtNotice& _message)
+QCborMap toCbor(const PoolEndsNotice& _message)
 {
-	return QCborMap{{"type", "end_doubt"},
+	QCborArray ends;
+	for (const auto& [event, there] : _message.ends)
+	{
+		ends.append(
+			QCborArray{static_cast<qint64>(event), static_cast<qint64>(there.seen), static_cast<qint64>(there.early)});
+	}
+	return QCborMap{{"type", "pool_ends"},
 					{"pool", toQString(_message.pool)},
-					{"life", static_cast<qint64>(_message.life)},
+					{"doubt_life", static_cast<qint64>(_message.doubtLife)},
+					{"confirmed", static_cast<qint64>(_message.asked.confirmed)},
+					{"early", static_cast<qint64>(_message.asked.early)},
+					{"ends", ends},
 					{"forward_to", toCborArray(_message.forwardTo)}};
 }
 
-EndDoubtNotice readEndDoubt(CborReader& _reader)
+/// @returns A number of streams that another node has seen.
+std::int64_t boundedCount(std::int64_t _count)
+{
+	return std::clamp<std::int64_t>(_count, 0, kMaxToldStreams);
+}
+
+PoolEndsNotice readPoolEnds(CborReader& _reader)
 {
-	const Micros life = std::clamp<Micros>(_reader.integer("life"), 0, kMaxStreamEndLife);
-	return EndDoubtNotice{_reader.text("pool"), life, _reader.texts("forward_to")};
+	PoolEndsNotice message;
+	message.pool = _reader.text("pool");
+	message.doubtLife = std::clamp<Micros>(_reader.integer("doubt_life"), 0, kMaxStreamEndLife);
+	message.asked = AskedEnds{boundedCount(_reader.integer("confirmed")), boundedCount(_reader.integer("early"))};
+	for (const QCborValue entry : _reader.value("ends").toArray())
+	{
+		const QCborArray end = entry.toArray();
+		const auto event = static_cast<std::uint64_t>(end.at(0).toInteger());
+		message.ends[event] = EndsThere{boundedCount(end.at(1).toInteger()), boundedCount(end.at(2).toInteger())};
+	}
+	message.forwardTo = _reader.texts("forward_to");
+	return message;
 }
 
 StreamEndNotice readStreamEnd(CborReader& _reader)
@@ -538,9 +564,9 @@
 	{
 		return readStreamEnd(_reader);
 	}
-	if (_type == "end_doubt")
+	if (_type == "pool_ends")
 	{
-		return readEndDoubt(_reader);
+		return readPoolEnds(_reader);
 	}
 	if (_type == "crash_report_request")
 	{
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -123,7 +123,7 @@
 				 Gossip, DemandReport, ShareGrant, RoutesRequest, RoutesResponse, FeedRequest, FeedResponse,
 				 PieceSubmit, PieceUpdate, PieceCancel, PieceFree, CrashReport, CrashReportRequest, OriginRecords,
 				 OriginQuery, OriginAnswer, PartQuery, PartAnswer, PartVerdicts, RejectionLimitNotice, StreamEndQuery,
-				 StreamEndNotice, EndDoubtNotice, CallMessage>;
+				 StreamEndNotice, PoolEndsNotice, CallMessage>;
 
 /// @returns Whether a message has a number that the receiver has chosen, so that it means nothing to another process.
 bool isAnswer(const PeerMessage& _message);
--- a/src/pool_streams.cpp
+++ b/src/pool_streams.cpp
@@ -28,6 +28,7 @@
 /// Early ends are spread over the events of a stream: at most one in this many comes right after the same event.
 constexpr double kEarlyEndSpread = 16;
 constexpr std::int64_t kMinEndsThere = 2; ///< Streams that must have ended after an event to expect more of them there.
+constexpr std::size_t kMaxToldEnds = 64;  ///< Of these, in a message to another node.
 constexpr std::size_t kMaxEnds = 512;     ///< Different last events of a pool's streams that are counted.
 /// A single run that agrees is a good witness where hardly any end is early.
 constexpr std::int64_t kTrustedRuns = 2;
@@ -70,19 +71,28 @@
 
 void PoolStreams::halveEnds(Pool& _pool)
 {
-	const std::map<std::uint64_t, EndsThere> before = std::exchange(_pool.ends, {});
-	_pool.seen = 0;
-	_pool.seenOnce = 0;
-	for (const auto& [event, there] : before)
+	std::map<std::uint64_t, EndsThere> halves;
+	for (const auto& [event, there] : _pool.ends)
 	{
 		const EndsThere half{there.seen / 2, there.early / 2};
-		if (half.seen > 0 || half.early > 0)
+		if (half != EndsThere{})
 		{
-			_pool.ends[event] = half;
-			_pool.seen += half.seen;
-			_pool.seenOnce += half.seen == 1 ? 1 : 0;
+			halves[event] = half;
 		}
 	}
+	setEnds(_pool, halves);
+}
+
+void PoolStreams::setEnds(Pool& _pool, const std::map<std::uint64_t, EndsThere>& _ends)
+{
+	_pool.ends = _ends;
+	_pool.seen = 0;
+	_pool.seenOnce = 0;
+	for (const auto& entry : _ends)
+	{
+		_pool.seen += entry.second.seen;
+		_pool.seenOnce += entry.second.seen == 1 ? 1 : 0;
+	}
 }
 
 /// Counts a stream that ended after an event, or takes one back.
@@ -120,15 +130,61 @@
 	pool.asked.early += 1;
 	addSeen(pool, _lastEvent, -1);
 	pool.ends[_lastEvent].early += 1;
-	return this->earlyShare(pool, _now) > kMaxRisk && this->doubtEnds(_pool, kMemory, _now);
+	return this->earlyShare(pool, _now) > kMaxRisk && this->doubtEnds(pool, kMemory, _now);
 }
 
-bool PoolStreams::doubtEnds(const std::string& _pool, Micros _life, Micros _now)
+bool PoolStreams::doubtEnds(Pool& _pool, Micros _life, Micros _now)
 {
-	Pool& pool = this->pools[_pool];
-	const bool wasTrusted = !this->isDoubted(pool, _now);
-	pool.doubtedUntil = std::max(pool.doubtedUntil, _now + std::min(_life, kMemory));
-	return wasTrusted;
+	const bool wasTrusted = !this->isDoubted(_pool, _now);
+	_pool.doubtedUntil = std::max(_pool.doubtedUntil, _now + std::min(_life, kMemory));
+	return wasTrusted && this->isDoubted(_pool, _now);
+}
+
+bool PoolStreams::learn(const PoolEndsNotice& _notice, Micros _now)
+{
+	Pool& pool = this->pools[_notice.pool];
+	pool.needsOverlapAt = _now;
+	renewCounts(pool, _now);
+	Pool told;
+	setEnds(told, _notice.ends);
+	if (told.seen > pool.seen)
+	{
+		setEnds(pool, _notice.ends);
+		pool.asked = _notice.asked;
+	}
+	return this->doubtEnds(pool, _notice.doubtLife, _now);
+}
+
+PoolEndsNotice PoolStreams::tell(const std::string& _pool, Micros _now) const
+{
+	const Pool& pool = this->pools.at(_pool);
+	std::vector<std::pair<std::uint64_t, EndsThere>> ends(pool.ends.begin(), pool.ends.end());
+	const std::size_t count = std::min(kMaxToldEnds, ends.size());
+	std::partial_sort(ends.begin(), ends.begin() + static_cast<std::ptrdiff_t>(count), ends.end(),
+					  [](const auto& _left, const auto& _right) { return _left.second.seen > _right.second.seen; });
+	ends.resize(count);
+	const AskedEnds asked{pool.asked.confirmed + pool.askedBefore.confirmed, pool.asked.early + pool.askedBefore.early};
+	return PoolEndsNotice{_pool, std::max<Micros>(0, pool.doubtedUntil - _now), asked, {ends.begin(), ends.end()}, {}};
+}
+
+std::vector<PoolEndsNotice> PoolStreams::tellAll(Micros _now) const
+{
+	std::vector<PoolEndsNotice> notices;
+	for (const auto& entry : this->pools)
+	{
+		if (this->mustOverlap(entry.first, _now))
+		{
+			notices.push_back(this->tell(entry.first, _now));
+		}
+	}
+	return notices;
+}
+
+std::size_t PoolStreams::doubtedCount(Micros _now) const
+{
+	return static_cast<std::size_t>(std::count_if(this->pools.begin(), this->pools.end(),
+												  [&](const auto& _entry)
+												  { return this->isDoubted(_entry.second, _now); }));
 }
 
 bool PoolStreams::isDoubted(const Pool& _pool, Micros _now) const
@@ -181,17 +237,4 @@
 	return isDoubtful ? kDoubtedRuns : kTrustedRuns;
 }
 
-std::vector<EndDoubtNotice> PoolStreams::doubts(Micros _now) const
-{
-	std::vector<EndDoubtNotice> notices;
-	for (const auto& [name, pool] : this->pools)
-	{
-		if (pool.doubtedUntil > _now)
-		{
-			notices.push_back(EndDoubtNotice{name, pool.doubtedUntil - _now, {}});
-		}
-	}
-	return notices;
-}
-
 } // namespace roadferry
--- a/src/pool_streams.h
+++ b/src/pool_streams.h
@@ -42,9 +42,9 @@
 	/// @returns Whether the ends of the pool are doubted from now on, and were not before.
 	bool noteEarlyEnd(const std::string& _pool, std::uint64_t _lastEvent, Micros _now);
 
-	/// Takes the doubt of another node.
-	/// @returns Whether the ends of the pool were not doubted before.
-	bool doubtEnds(const std::string& _pool, Micros _life, Micros _now);
+	/// Takes what another node knows of a pool, if it has seen more of its streams end than this one.
+	/// @returns Whether the ends of the pool are doubted from now on, and were not before.
+	bool learn(const PoolEndsNotice& _notice, Micros _now);
 
 	/// @returns Whether a stream whose end nothing speaks against counts as whole if it cannot be asked about further:
 	/// as many others have ended there, or streams of the pool end anywhere and hardly any end was found to be early.
@@ -53,27 +53,19 @@
 	/// @returns Runs that must have ended right after the same event to prove that it is the stream's last one.
 	[[nodiscard]] std::int64_t agreeingRuns(const std::string& _pool, Micros _now) const;
 
-	/// @returns The pools whose ends are doubted, for a node that has just started.
-	[[nodiscard]] std::vector<EndDoubtNotice> doubts(Micros _now) const;
+	/// @returns What another node needs to know of a pool.
+	[[nodiscard]] PoolEndsNotice tell(const std::string& _pool, Micros _now) const;
+
+	/// @returns The pools of which streams without a mark were seen to end, for a node that has just started.
+	[[nodiscard]] std::vector<PoolEndsNotice> tellAll(Micros _now) const;
+
+	/// @returns Number of pools whose ends are doubted.
+	[[nodiscard]] std::size_t doubtedCount(Micros _now) const;
 
 private:
 	/// Endpoints of another software version may send other streams, so what was seen is forgotten at some point.
 	static constexpr Micros kMemory = Micros{10} * 60 * kSecond;
 
-	/// Ends that were asked about.
-	struct AskedEnds
-	{
-		std::int64_t confirmed = 0;
-		std::int64_t early = 0;
-	};
-
-	/// Streams that ended right after one event.
-	struct EndsThere
-	{
-		std::int64_t seen = 0;
-		std::int64_t early = 0; ///< Not among those seen: there was more.
-	};
-
 	struct Pool
 	{
 		std::optional<Micros> needsOverlapAt; ///< Time point at which that was last seen.
@@ -86,6 +78,8 @@
 		std::int64_t seenOnce = 0;               ///< Events after which one stream was seen to end.
 	};
 
+	bool doubtEnds(Pool& _pool, Micros _life, Micros _now);
+	static void setEnds(Pool& _pool, const std::map<std::uint64_t, EndsThere>& _ends);
 	static void renewCounts(Pool& _pool, Micros _now);
 	static void halveEnds(Pool& _pool);
 	static void addSeen(Pool& _pool, std::uint64_t _lastEvent, std::int64_t _change);
--- a/src/stream_ends.h
+++ b/src/stream_ends.h
@@ -45,13 +45,31 @@
 	bool operator==(const StreamEndNotice&) const = default;
 };
 
-/// Tells other nodes that ends of a pool's streams are doubted.
-struct EndDoubtNotice
+/// Streams of a pool that ended right after one event.
+struct EndsThere
+{
+	std::int64_t seen = 0;
+	std::int64_t early = 0; ///< Not among those seen: there was more.
+	bool operator==(const EndsThere&) const = default;
+};
+
+/// Ends of streams that were asked about.
+struct AskedEnds
+{
+	std::int64_t confirmed = 0;
+	std::int64_t early = 0;
+	bool operator==(const AskedEnds&) const = default;
+};
+
+/// Tells another node where streams of a pool end.
+struct PoolEndsNotice
 {
 	std::string pool;
-	Micros life = 0;                    ///< Time for which they are.
-	std::vector<std::string> forwardTo; ///< Nodes to which the receiver forwards the notice.
-	bool operator==(const EndDoubtNotice&) const = default;
+	Micros doubtLife = 0; ///< Time for which their ends are doubted, 0 if they are not.
+	AskedEnds asked;
+	std::map<std::uint64_t, EndsThere> ends = {}; ///< The most frequent ones, by the id of the last event.
+	std::vector<std::string> forwardTo = {};      ///< Nodes to which the receiver forwards the notice.
+	bool operator==(const PoolEndsNotice&) const = default;
 };
 
 /// Remembers how far the runs of streams agree that were broken off before their end was proven, until the streams
