--- a/src/forward_stream_ends.cpp
+++ b/src/forward_stream_ends.cpp
@@ -156,6 +156,47 @@
 		   this->poolStreams.isEndTrusted(_active.pool, end.lastEvent, monotonicNow());
 }
 
+/// Lets a stream wait a little that ends where it is not known yet whether others of its pool do. The client has all
+/// events that arrived.
+/// @returns Whether it waits.
+bool ForwardTraffic::holdEnd(const ActiveRequestPtr& _active, Reason _reason)
+{
+	const bool isLast = _reason == Reason::DeadlinePassed || _reason == Reason::Draining;
+	const std::uint64_t lastEvent = _active->answer.agreeingRuns().lastEvent;
+	const Micros now = monotonicNow();
+	_active->endAskedAt = _active->endAskedAt == 0 ? now : _active->endAskedAt;
+	const Micros until = std::min(_active->endAskedAt + kMaxEndQuestion, _active->deadline);
+	const bool mayWait = !isLast && until > now && _active->answer.hasPlausibleEnd();
+	if (!mayWait || !this->poolStreams.isUnclear(_active->pool, lastEvent, now))
+	{
+		return false;
+	}
+	_active->submitted = false;
+	this->heldEnds.emplace(_active->id, HeldEnd{until, _reason});
+	return true;
+}
+
+/// Ends the streams that have waited, as soon as it is known whether others end there.
+void ForwardTraffic::endHeld(Micros _now)
+{
+	const std::map<std::uint64_t, HeldEnd> held = this->heldEnds;
+	for (const auto& [id, end] : held)
+	{
+		const ActiveRequestPtr active = this->findActive(id);
+		const bool waits = active != nullptr && _now < end.until && active->answer.hasPlausibleEnd() &&
+						   this->poolStreams.isUnclear(active->pool, active->answer.agreeingRuns().lastEvent, _now);
+		if (waits)
+		{
+			continue;
+		}
+		this->heldEnds.erase(id);
+		if (active != nullptr)
+		{
+			this->giveUp(active, end.reason, 0);
+		}
+	}
+}
+
 /// Ends a stream whose end cannot be asked about any further.
 /// @param[in] _reason Why it cannot.
 void ForwardTraffic::endUnproven(const ActiveRequestPtr& _active, Reason _reason)
--- a/src/forward_traffic.cpp
+++ b/src/forward_traffic.cpp
@@ -520,6 +520,10 @@
 		this->endRequest(_active, _outcome, "answered");
 		return;
 	}
+	if (this->holdEnd(_active, _outcome.reason))
+	{
+		return;
+	}
 	if (this->mayEndUnproven(*_active))
 	{
 		this->endUnproven(_active, _outcome.reason);
@@ -651,6 +655,7 @@
 	this->perform(this->origins.tick(now));
 	this->streamEnds.expire(now);
 	this->endUnanswered(now);
+	this->endHeld(now);
 	this->pieces.tick();
 	while (!this->deadlines.empty() && this->deadlines.begin()->first <= now)
 	{
--- a/src/forward_traffic.h
+++ b/src/forward_traffic.h
@@ -145,6 +145,13 @@
 		Micros until = 0; ///< Time point from which they were not.
 	};
 
+	/// End of a stream that waits.
+	struct HeldEnd
+	{
+		Micros until = 0;             ///< Time point.
+		Reason reason = Reason::None; ///< Why nobody can be asked about it.
+	};
+
 	struct ActiveRequest;
 	using ActiveRequestPtr = std::shared_ptr<ActiveRequest>;
 
@@ -195,6 +202,8 @@
 	void sendAllPoolEnds(const std::string& _to, Micros _now);
 	void awaitEndAnswer(const ActiveRequestPtr& _active, Micros _now);
 	void endUnanswered(Micros _now);
+	bool holdEnd(const ActiveRequestPtr& _active, Reason _reason);
+	void endHeld(Micros _now);
 	[[nodiscard]] bool mayEndUnproven(const ActiveRequest& _active) const;
 	void endUnproven(const ActiveRequestPtr& _active, Reason _reason);
 	void findStreamEnd(ActiveRequest& _active);
@@ -264,7 +273,8 @@
 	std::function<void(const std::string&, const PoolEndsNotice&)> sendPoolEnds;
 	/// Requests whose stream has an end that others are asked about, by the time point up to which that may take.
 	std::set<std::pair<Micros, std::uint64_t>> askedEnds;
-	std::uint64_t unprovenEndCount = 0; ///< Streams that were ended as whole although not enough runs agreed.
+	std::map<std::uint64_t, HeldEnd> heldEnds; ///< By request.
+	std::uint64_t unprovenEndCount = 0;        ///< Streams that were ended as whole although not enough runs agreed.
 	ProcessProofs proofs;
 	IdentityCheck identity;
 	std::map<std::string, Micros> identityCheckedAt; ///< Time point of the latest check, by endpoint.
--- a/src/pool_streams.cpp
+++ b/src/pool_streams.cpp
@@ -21,9 +21,10 @@
 /// stream that passes for whole without its rest than by one that is broken off after its last event, which can be
 /// taken up.
 constexpr double kMaxRisk = 0.01;
-/// Assumed of a pool of which nothing is known: one early end in a thousand, as if a hundred had been asked about.
-constexpr double kAssumedEarlyEnds = 0.1;
+/// Assumed of a pool of which nothing is known: one early end in 400, as if a hundred had been asked about.
+constexpr double kAssumedEarlyEnds = 0.25;
 constexpr double kAssumedAskedEnds = 100;
+constexpr std::int64_t kFewEnds = 16;       ///< Of a pool, which do not tell yet where its streams end.
 constexpr double kDoubtedEarlyShare = 0.02; ///< At least, where another node has found early ends.
 /// Early ends are spread over the events of a stream: at most one in this many comes right after the same event.
 constexpr double kEarlyEndSpread = 16;
@@ -230,6 +231,20 @@
 	return share <= kMaxRisk * (share + newPlaces);
 }
 
+bool PoolStreams::isUnclear(const std::string& _pool, std::uint64_t _lastEvent, Micros _now) const
+{
+	const auto found = this->pools.find(_pool);
+	if (found == this->pools.end())
+	{
+		return true;
+	}
+	const Pool& pool = found->second;
+	const auto there = pool.ends.find(_lastEvent);
+	const bool isUsual = there != pool.ends.end() && there->second.seen >= kMinEndsThere;
+	const bool isOpen = pool.seen < kFewEnds || !this->isEndTrusted(_pool, _lastEvent, _now);
+	return !isUsual && isOpen && this->earlyShare(pool, _now) <= kMaxRisk;
+}
+
 std::int64_t PoolStreams::agreeingRuns(const std::string& _pool, Micros _now) const
 {
 	const auto found = this->pools.find(_pool);
--- a/src/pool_streams.h
+++ b/src/pool_streams.h
@@ -50,6 +50,10 @@
 	/// as many others have ended there, or streams of the pool end anywhere and hardly any end was found to be early.
 	[[nodiscard]] bool isEndTrusted(const std::string& _pool, std::uint64_t _lastEvent, Micros _now) const;
 
+	/// @returns Whether streams that end soon may show whether others of a pool end right after this event, which
+	/// decides whether an end there is trusted.
+	[[nodiscard]] bool isUnclear(const std::string& _pool, std::uint64_t _lastEvent, Micros _now) const;
+
 	/// @returns Runs that must have ended right after the same event to prove that it is the stream's last one.
 	[[nodiscard]] std::int64_t agreeingRuns(const std::string& _pool, Micros _now) const;
 
